Lay the ground: schema, loop, HTTP, gRPC transport, seams between modules

Cause: everything else is written against these; they are fixed first so that modules can be written side by side. Ruled out: separate gRPC methods for each call kind (one method with a oneof keeps the transport at one file); reading the caller's connection in evhttp while a handler works (the library aborts on input in that state; EV_CLOSED is watched instead).

--- /dev/null
+++ b/include/mulberryroad/endpoint.h
@@ -0,0 +1,29 @@
+// A TCP endpoint by IP address and port.
+
+#ifndef MULBERRYROAD_ENDPOINT_H_
+#define MULBERRYROAD_ENDPOINT_H_
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace mulberryroad {
+
+struct Endpoint {
+  std::string address;
+  std::uint16_t port = 0;
+
+  friend auto operator<=>(const Endpoint&, const Endpoint&) = default;
+};
+
+/// Reads "IP:port"; nullopt if the text is anything else.
+std::optional<Endpoint> ParseEndpoint(std::string_view text);
+
+/// Returns "IP:port".
+std::string ToString(const Endpoint& endpoint);
+
+}  // namespace mulberryroad
+
+#endif  // MULBERRYROAD_ENDPOINT_H_
--- /dev/null
+++ b/src/base/decision_log.cc
@@ -0,0 +1,90 @@
+#include "base/decision_log.h"
+
+#include <google/protobuf/struct.pb.h>
+#include <google/protobuf/util/time_util.h>
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/level.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+#include <memory>
+#include <utility>
+
+#include "base/json.h"
+
+namespace mulberryroad::base {
+
+namespace {
+
+const log4cxx::LoggerPtr& Logger() {
+  static const log4cxx::LoggerPtr kLogger =
+      log4cxx::Logger::getLogger("mulberryroad");
+  return kLogger;
+}
+
+std::string FormatTime(WallTime time) {
+  const std::int64_t millis = UnixTime(time).count();
+  return google::protobuf::util::TimeUtil::ToString(
+      google::protobuf::util::TimeUtil::MillisecondsToTimestamp(millis));
+}
+
+std::string EventLine(const std::string& level, const std::string& event,
+                      const std::string& detail) {
+  google::protobuf::Struct line;
+  auto& fields = *line.mutable_fields();
+  fields["time"].set_string_value(FormatTime(std::chrono::system_clock::now()));
+  fields["level"].set_string_value(level);
+  fields["event"].set_string_value(event);
+  fields["detail"].set_string_value(detail);
+  return ToJson(line);
+}
+
+}  // namespace
+
+void SetUpLogging(const std::string& level) {
+  const auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
+  const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout);
+  log4cxx::BasicConfigurator::resetConfiguration();
+  log4cxx::BasicConfigurator::configure(appender);
+  Logger()->setLevel(log4cxx::Level::toLevel(level));
+}
+
+void LogInfo(const std::string& event, const std::string& detail) {
+  LOG4CXX_INFO(Logger(), EventLine("info", event, detail));
+}
+
+void LogWarning(const std::string& event, const std::string& detail) {
+  LOG4CXX_WARN(Logger(), EventLine("warn", event, detail));
+}
+
+void LogError(const std::string& event, const std::string& detail) {
+  LOG4CXX_ERROR(Logger(), EventLine("error", event, detail));
+}
+
+DecisionLog::DecisionLog(const Clock& clock, NodeId node, std::size_t capacity)
+    : clock_(clock), node_(std::move(node)), capacity_(capacity) {}
+
+void DecisionLog::Write(v1::Decision decision) {
+  decision.set_time(FormatTime(clock_.wall_now()));
+  decision.set_node_id(node_.value());
+  LOG4CXX_INFO(Logger(), ToJson(decision));
+  kept_.push_back(std::move(decision));
+  if (kept_.size() > capacity_) {
+    kept_.pop_front();
+  }
+}
+
+std::vector<v1::Decision> DecisionLog::Explain(
+    const std::string& request_or_batch) const {
+  std::vector<v1::Decision> found;
+  for (const v1::Decision& decision : kept_) {
+    if (decision.request_id() == request_or_batch ||
+        decision.batch() == request_or_batch) {
+      found.push_back(decision);
+    }
+  }
+  return found;
+}
+
+}  // namespace mulberryroad::base
--- /dev/null
+++ b/src/base/digest.h
@@ -0,0 +1,21 @@
+// Cryptographic and placement hashes.
+
+#ifndef MULBERRYROAD_SRC_BASE_DIGEST_H_
+#define MULBERRYROAD_SRC_BASE_DIGEST_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace mulberryroad::base {
+
+/// Returns the SHA-256 of a text in lower-case hexadecimal.
+std::string Sha256Hex(std::string_view text);
+
+/// Returns a 64-bit hash that is the same on every node (XXH3). Not for
+/// secrets.
+std::uint64_t StableHash(std::string_view text, std::uint64_t seed = 0);
+
+}  // namespace mulberryroad::base
+
+#endif  // MULBERRYROAD_SRC_BASE_DIGEST_H_
--- /dev/null
+++ b/src/http/client.cc
@@ -0,0 +1,326 @@
+#include "http/client.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace mulberryroad::http {
+
+namespace {
+
+constexpr std::size_t kMaxIdlePerEndpoint = 16;
+constexpr ev_ssize_t kMaxAnswerBytes = ev_ssize_t{64} << 20;
+// evhttp's own limit stays out of the way of the call's own timers.
+constexpr int kLibraryTimeoutSeconds = 24 * 3600;
+
+evhttp_cmd_type ToCommand(Method method) {
+  switch (method) {
+    case Method::kGet:
+      return EVHTTP_REQ_GET;
+    case Method::kPost:
+      return EVHTTP_REQ_POST;
+    case Method::kPut:
+      return EVHTTP_REQ_PUT;
+    case Method::kDelete:
+      return EVHTTP_REQ_DELETE;
+  }
+  return EVHTTP_REQ_GET;
+}
+
+std::string LowerCase(std::string text) {
+  std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return text;
+}
+
+std::string Drain(evbuffer* buffer) {
+  std::string content(evbuffer_get_length(buffer), '\0');
+  evbuffer_remove(buffer, content.data(), content.size());
+  return content;
+}
+
+std::string_view Describe(evhttp_request_error error) {
+  switch (error) {
+    case EVREQ_HTTP_TIMEOUT:
+      return "the connection timed out";
+    case EVREQ_HTTP_EOF:
+      return "the connection was closed";
+    case EVREQ_HTTP_INVALID_HEADER:
+      return "the answer has a malformed header";
+    case EVREQ_HTTP_BUFFER_ERROR:
+      return "the connection failed";
+    case EVREQ_HTTP_REQUEST_CANCEL:
+      return "the request was cancelled";
+    case EVREQ_HTTP_DATA_TOO_LONG:
+      return "the answer is too long";
+  }
+  return "the connection failed";
+}
+
+}  // namespace
+
+/// One evhttp connection; closed when destroyed.
+class Client::Connection {
+ public:
+  Connection(event_base* base, const Endpoint& endpoint)
+      : native_(evhttp_connection_base_new(
+            base, nullptr, endpoint.address.c_str(), endpoint.port)) {
+    evhttp_connection_set_timeout(native_, kLibraryTimeoutSeconds);
+    evhttp_connection_set_retries(native_, 0);
+    evhttp_connection_set_max_body_size(native_, kMaxAnswerBytes);
+    evhttp_connection_set_closecb(
+        native_,
+        [](evhttp_connection*, void* self) {
+          static_cast<Connection*>(self)->broken_ = true;
+        },
+        this);
+  }
+  ~Connection() {
+    evhttp_connection_set_closecb(native_, nullptr, nullptr);
+    evhttp_connection_free(native_);
+  }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  evhttp_connection* native() const { return native_; }
+  bool broken() const { return broken_; }
+  bool HasSurplus() const {
+    return evbuffer_get_length(bufferevent_get_input(
+               evhttp_connection_get_bufferevent(native_))) > 0;
+  }
+
+ private:
+  evhttp_connection* native_;
+  bool broken_ = false;
+};
+
+/// Idle connections by endpoint.
+class Client::Pool {
+ public:
+  explicit Pool(base::EventLoop& loop) : loop_(loop) {}
+
+  base::EventLoop& loop() { return loop_; }
+
+  std::unique_ptr<Connection> Take(const Endpoint& endpoint) {
+    auto& idle = idle_[endpoint];
+    while (!idle.empty()) {
+      std::unique_ptr<Connection> connection = std::move(idle.back());
+      idle.pop_back();
+      if (!connection->broken() && !connection->HasSurplus()) {
+        return connection;
+      }
+    }
+    return std::make_unique<Connection>(loop_.base(), endpoint);
+  }
+
+  void Return(const Endpoint& endpoint,
+              std::unique_ptr<Connection> connection) {
+    auto& idle = idle_[endpoint];
+    const bool usable = !connection->broken() && !connection->HasSurplus();
+    if (usable && idle.size() < kMaxIdlePerEndpoint) {
+      idle.push_back(std::move(connection));
+    }
+  }
+
+  void Forget(const Endpoint& endpoint) { idle_.erase(endpoint); }
+
+ private:
+  base::EventLoop& loop_;
+  std::map<Endpoint, std::vector<std::unique_ptr<Connection>>> idle_;
+};
+
+class Client::ActiveCall final
+    : public Call,
+      public std::enable_shared_from_this<ActiveCall> {
+ public:
+  ActiveCall(std::shared_ptr<Pool> pool, ClientRequest request, OnDone on_done,
+             OnChunk on_chunk)
+      : pool_(std::move(pool)),
+        request_(std::move(request)),
+        on_done_(std::move(on_done)),
+        on_chunk_(std::move(on_chunk)) {}
+
+  void Start() {
+    self_ = shared_from_this();
+    connection_ = pool_->Take(request_.endpoint);
+    output_ = bufferevent_get_output(
+        evhttp_connection_get_bufferevent(connection_->native()));
+    output_watch_ = evbuffer_add_cb(output_, OnOutput, this);
+    total_timer_ = pool_->loop().After(
+        request_.timeout, [this] { Fail("the request timed out"); });
+    connect_timer_ = pool_->loop().After(
+        request_.connect_timeout, [this] { Fail("connecting timed out"); });
+    MakeRequest();
+  }
+
+  void Cancel() override {
+    if (!ended_) {
+      End(/*reusable=*/false);
+    }
+  }
+
+  bool sent() const override { return sent_; }
+
+ private:
+  void MakeRequest() {
+    evhttp_request* native = evhttp_request_new(OnAnswer, this);
+    evhttp_request_set_error_cb(native, OnError);
+    if (on_chunk_) {
+      evhttp_request_set_chunked_cb(native, OnPiece);
+    }
+    evkeyvalq* headers = evhttp_request_get_output_headers(native);
+    evhttp_add_header(headers, "Host", ToString(request_.endpoint).c_str());
+    for (const Header& header : request_.headers) {
+      evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
+    }
+    evbuffer_add(evhttp_request_get_output_buffer(native), request_.body.data(),
+                 request_.body.size());
+    if (evhttp_make_request(connection_->native(), native,
+                            ToCommand(request_.method),
+                            request_.path.c_str()) != 0) {
+      FailLater("the request could not be started");
+    }
+  }
+
+  void FailLater(std::string reason) {
+    pool_->loop().Post([self = shared_from_this(), reason = std::move(reason)] {
+      self->Fail(reason);
+    });
+  }
+
+  static void OnOutput(evbuffer* /*buffer*/, const evbuffer_cb_info* info,
+                       void* argument) {
+    auto* self = static_cast<ActiveCall*>(argument);
+    if (info->n_deleted > 0 && !self->sent_) {
+      self->sent_ = true;
+      self->connect_timer_.Cancel();
+    }
+  }
+
+  static void OnError(evhttp_request_error error, void* argument) {
+    static_cast<ActiveCall*>(argument)->error_ = Describe(error);
+  }
+
+  static void OnPiece(evhttp_request* native, void* argument) {
+    auto* self = static_cast<ActiveCall*>(argument);
+    const std::string piece = Drain(evhttp_request_get_input_buffer(native));
+    if (!self->ended_ && !piece.empty()) {
+      const std::shared_ptr<ActiveCall> keep = self->shared_from_this();
+      self->on_chunk_(evhttp_request_get_response_code(native), piece);
+    }
+  }
+
+  static void OnAnswer(evhttp_request* native, void* argument) {
+    auto* self = static_cast<ActiveCall*>(argument);
+    if (self->ended_) {
+      return;
+    }
+    if (native == nullptr || evhttp_request_get_response_code(native) == 0) {
+      self->FailLater(self->error_.empty() ? "the connection failed"
+                                           : self->error_);
+      return;
+    }
+    Response response = ReadResponse(native);
+    // Without a length the end of the connection cannot be told from a cut.
+    const bool has_length = response.headers.contains("content-length") ||
+                            response.headers.contains("transfer-encoding") ||
+                            response.status == HTTP_NOCONTENT;
+    if (!has_length) {
+      self->FailLater("the answer has no length");
+      return;
+    }
+    const auto connection = response.headers.find("connection");
+    const bool close = connection != response.headers.end() &&
+                       LowerCase(connection->second) == "close";
+    self->pool_->loop().Post([keep = self->shared_from_this(), close,
+                              response = std::move(response)]() mutable {
+      keep->Succeed(std::move(response), !close);
+    });
+  }
+
+  static Response ReadResponse(evhttp_request* native) {
+    Response response;
+    response.status = evhttp_request_get_response_code(native);
+    const evkeyvalq* headers = evhttp_request_get_input_headers(native);
+    for (const evkeyval* header = headers->tqh_first; header != nullptr;
+         header = header->next.tqe_next) {
+      response.headers[LowerCase(header->key)] = header->value;
+    }
+    response.body = Drain(evhttp_request_get_input_buffer(native));
+    return response;
+  }
+
+  void Succeed(Response response, bool reusable) {
+    if (ended_) {
+      return;
+    }
+    const OnDone done = End(reusable);
+    done(std::move(response));
+  }
+
+  void Fail(const std::string& reason) {
+    if (ended_) {
+      return;
+    }
+    const Verdict verdict = sent_ ? Verdict::kMayHaveRun : Verdict::kNotRun;
+    const OnDone done = End(/*reusable=*/false);
+    done(Failure{verdict, reason});
+  }
+
+  // Ends the call and gives up its connection from the loop, outside of
+  // evhttp's callbacks.
+  OnDone End(bool reusable) {
+    ended_ = true;
+    total_timer_.Cancel();
+    connect_timer_.Cancel();
+    evbuffer_remove_cb_entry(output_, output_watch_);
+    pool_->loop().Post([self = shared_from_this(), reusable] {
+      if (reusable) {
+        self->pool_->Return(self->request_.endpoint,
+                            std::move(self->connection_));
+      }
+      self->connection_.reset();
+    });
+    self_.reset();
+    on_chunk_ = on_chunk_ ? OnChunk([](int, std::string_view) {}) : nullptr;
+    return std::exchange(on_done_, nullptr);
+  }
+
+  std::shared_ptr<Pool> pool_;
+  ClientRequest request_;
+  OnDone on_done_;
+  OnChunk on_chunk_;
+  std::unique_ptr<Connection> connection_;
+  evbuffer* output_ = nullptr;
+  evbuffer_cb_entry* output_watch_ = nullptr;
+  base::Timer total_timer_;
+  base::Timer connect_timer_;
+  std::string error_;
+  bool sent_ = false;
+  bool ended_ = false;
+  // Held until the call ends.
+  std::shared_ptr<ActiveCall> self_;
+};
+
+Client::Client(base::EventLoop& loop) : pool_(std::make_shared<Pool>(loop)) {}
+
+Client::~Client() = default;
+
+std::shared_ptr<Call> Client::Send(ClientRequest request, OnDone on_done,
+                                   OnChunk on_chunk) {
+  auto call = std::make_shared<ActiveCall>(
+      pool_, std::move(request), std::move(on_done), std::move(on_chunk));
+  call->Start();
+  return call;
+}
+
+void Client::Forget(const Endpoint& endpoint) { pool_->Forget(endpoint); }
+
+}  // namespace mulberryroad::http
--- /dev/null
+++ b/src/http/server.cc
@@ -0,0 +1,340 @@
+#include "http/server.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <algorithm>
+#include <cctype>
+#include <optional>
+#include <stdexcept>
+#include <utility>
+
+namespace mulberryroad::http {
+
+namespace {
+
+// Bodies up to this many times the limit are read and refused with a typed
+// answer; beyond it the library refuses them.
+constexpr std::size_t kReadableOversizeFactor = 4;
+constexpr int kNotFound = 404;
+constexpr int kPayloadTooLarge = 413;
+
+std::optional<Method> MethodOf(evhttp_request* native) {
+  switch (evhttp_request_get_command(native)) {
+    case EVHTTP_REQ_GET:
+      return Method::kGet;
+    case EVHTTP_REQ_POST:
+      return Method::kPost;
+    case EVHTTP_REQ_PUT:
+      return Method::kPut;
+    case EVHTTP_REQ_DELETE:
+      return Method::kDelete;
+    default:
+      return std::nullopt;
+  }
+}
+
+std::string LowerCase(std::string text) {
+  std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return text;
+}
+
+void ReadHeaders(evhttp_request* native, Request* request) {
+  const evkeyvalq* headers = evhttp_request_get_input_headers(native);
+  for (const evkeyval* header = headers->tqh_first; header != nullptr;
+       header = header->next.tqe_next) {
+    request->headers[LowerCase(header->key)] = header->value;
+  }
+}
+
+void ReadQuery(const evhttp_uri* uri, Request* request) {
+  const char* query = evhttp_uri_get_query(uri);
+  if (query == nullptr) {
+    return;
+  }
+  evkeyvalq parameters{};
+  if (evhttp_parse_query_str(query, &parameters) != 0) {
+    return;
+  }
+  for (const evkeyval* parameter = parameters.tqh_first; parameter != nullptr;
+       parameter = parameter->next.tqe_next) {
+    request->query[parameter->key] = parameter->value;
+  }
+  evhttp_clear_headers(&parameters);
+}
+
+Request ReadRequest(evhttp_request* native, Method method) {
+  Request request;
+  request.method = method;
+  const evhttp_uri* uri = evhttp_request_get_evhttp_uri(native);
+  const char* path = uri == nullptr ? nullptr : evhttp_uri_get_path(uri);
+  request.path = path == nullptr || *path == '\0' ? "/" : path;
+  ReadHeaders(native, &request);
+  if (uri != nullptr) {
+    ReadQuery(uri, &request);
+  }
+  evbuffer* body = evhttp_request_get_input_buffer(native);
+  request.body.resize(evbuffer_get_length(body));
+  evbuffer_remove(body, request.body.data(), request.body.size());
+  return request;
+}
+
+timeval ToTimeval(std::chrono::milliseconds duration) {
+  timeval result{};
+  result.tv_sec = static_cast<time_t>(duration.count() / 1000);
+  result.tv_usec = static_cast<suseconds_t>((duration.count() % 1000) * 1000);
+  return result;
+}
+
+struct BufferDeleter {
+  void operator()(evbuffer* buffer) const { evbuffer_free(buffer); }
+};
+using Buffer = std::unique_ptr<evbuffer, BufferDeleter>;
+
+Buffer MakeBuffer(std::string_view content) {
+  Buffer buffer(evbuffer_new());
+  evbuffer_add(buffer.get(), content.data(), content.size());
+  return buffer;
+}
+
+}  // namespace
+
+std::optional<std::string> Request::header(const std::string& name) const {
+  const auto found = headers.find(name);
+  return found == headers.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::optional<std::string> Request::parameter(const std::string& name) const {
+  const auto found = query.find(name);
+  return found == query.end() ? std::nullopt : std::optional(found->second);
+}
+
+Exchange::Exchange(base::EventLoop& loop, evhttp_request* native,
+                   Request request)
+    : loop_(loop), native_(native), request_(std::move(request)) {}
+
+Exchange::~Exchange() {
+  if (caller_watch_ != nullptr) {
+    event_free(caller_watch_);
+  }
+}
+
+// While a handler works, evhttp does not read from the connection, so that the
+// caller's going away shows only here.
+void Exchange::WatchCaller() {
+  bufferevent* stream =
+      evhttp_connection_get_bufferevent(evhttp_request_get_connection(native_));
+  caller_watch_ = event_new(
+      loop_.base(), bufferevent_getfd(stream), EV_CLOSED,
+      [](evutil_socket_t, short,
+         void* argument) {  // NOLINT(google-runtime-int)
+        static_cast<Exchange*>(argument)->shared_from_this()->MarkClosed();
+      },
+      this);
+  event_add(caller_watch_, nullptr);
+  evhttp_connection_set_closecb(
+      evhttp_request_get_connection(native_),
+      [](evhttp_connection*, void* argument) {
+        static_cast<Exchange*>(argument)->shared_from_this()->MarkClosed();
+      },
+      this);
+}
+
+void Exchange::MarkClosed() {
+  if (closed_ || native_ == nullptr) {
+    return;
+  }
+  closed_ = true;
+  on_closed_.emit();
+  if (native_ != nullptr) {
+    Abort();
+  }
+}
+
+void Exchange::Detach() {
+  if (caller_watch_ != nullptr) {
+    event_free(caller_watch_);
+    caller_watch_ = nullptr;
+  }
+  native_ = nullptr;
+  if (on_detached_) {
+    std::exchange(on_detached_, nullptr)();
+  }
+  self_.reset();
+}
+
+void Exchange::Reply(int status, std::string_view body,
+                     const Headers& headers) {
+  if (answered_ || native_ == nullptr) {
+    return;
+  }
+  answered_ = true;
+  const std::shared_ptr<Exchange> keep = shared_from_this();
+  evkeyvalq* output = evhttp_request_get_output_headers(native_);
+  for (const Header& header : headers) {
+    evhttp_add_header(output, header.name.c_str(), header.value.c_str());
+  }
+  if (last_on_connection_) {
+    evhttp_add_header(output, "Connection", "close");
+  }
+  evhttp_connection_set_closecb(evhttp_request_get_connection(native_), nullptr,
+                                nullptr);
+  const Buffer buffer = MakeBuffer(body);
+  evhttp_send_reply(native_, status, nullptr, buffer.get());
+  Detach();
+}
+
+void Exchange::StartStream(int status, const Headers& headers) {
+  if (answered_ || native_ == nullptr) {
+    return;
+  }
+  answered_ = true;
+  streaming_ = true;
+  evkeyvalq* output = evhttp_request_get_output_headers(native_);
+  for (const Header& header : headers) {
+    evhttp_add_header(output, header.name.c_str(), header.value.c_str());
+  }
+  if (last_on_connection_) {
+    evhttp_add_header(output, "Connection", "close");
+  }
+  evhttp_send_reply_start(native_, status, nullptr);
+}
+
+void Exchange::Write(std::string_view chunk) {
+  if (!streaming_ || native_ == nullptr || chunk.empty()) {
+    return;
+  }
+  const Buffer buffer = MakeBuffer(chunk);
+  evhttp_send_reply_chunk(native_, buffer.get());
+}
+
+void Exchange::Finish() {
+  if (!streaming_ || native_ == nullptr) {
+    return;
+  }
+  const std::shared_ptr<Exchange> keep = shared_from_this();
+  evhttp_connection_set_closecb(evhttp_request_get_connection(native_), nullptr,
+                                nullptr);
+  evhttp_send_reply_end(native_);
+  Detach();
+}
+
+void Exchange::Abort() {
+  if (native_ == nullptr) {
+    return;
+  }
+  const std::shared_ptr<Exchange> keep = shared_from_this();
+  answered_ = true;
+  evhttp_connection* connection = evhttp_request_get_connection(native_);
+  evhttp_connection_set_closecb(connection, nullptr, nullptr);
+  Detach();
+  // Freed from the loop: this may run inside one of the connection's own
+  // callbacks.
+  loop_.Post([connection] { evhttp_connection_free(connection); });
+}
+
+Server::Server(base::EventLoop& loop, ServerLimits limits)
+    : loop_(loop), limits_(limits), http_(evhttp_new(loop.base())) {
+  if (http_ == nullptr) {
+    throw std::runtime_error("the HTTP server could not be created");
+  }
+  evhttp_set_allowed_methods(http_, static_cast<ev_uint16_t>(EVHTTP_REQ_GET) |
+                                        EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
+                                        EVHTTP_REQ_DELETE);
+  evhttp_set_max_body_size(
+      http_,
+      static_cast<ev_ssize_t>(kReadableOversizeFactor * limits.max_body_bytes));
+  evhttp_set_max_headers_size(http_,
+                              static_cast<ev_ssize_t>(limits.max_header_bytes));
+  const timeval timeout = ToTimeval(limits.client_timeout);
+  evhttp_set_timeout_tv(http_, &timeout);
+  evhttp_set_default_content_type(http_, "application/json");
+  evhttp_set_gencb(http_, OnRequest, this);
+  fallback_ = [](const std::shared_ptr<Exchange>& exchange) {
+    exchange->Reply(kNotFound,
+                    R"({"error":"no such path","verdict":"not run"})");
+  };
+  oversize_ = [](const std::shared_ptr<Exchange>& exchange) {
+    exchange->Reply(kPayloadTooLarge,
+                    R"({"error":"the body is too large","verdict":"not run"})");
+  };
+}
+
+Server::~Server() {
+  *alive_ = false;
+  evhttp_free(http_);
+}
+
+bool Server::Listen(const Endpoint& endpoint) {
+  socket_ = evhttp_bind_socket_with_handle(http_, endpoint.address.c_str(),
+                                           endpoint.port);
+  return socket_ != nullptr;
+}
+
+void Server::Route(Method method, std::string path_prefix, Handler handler) {
+  routes_[{method, std::move(path_prefix)}] = std::move(handler);
+}
+
+void Server::Fallback(Handler handler) { fallback_ = std::move(handler); }
+
+void Server::Oversize(Handler handler) { oversize_ = std::move(handler); }
+
+void Server::BeginDrain() { draining_ = true; }
+
+void Server::StopAccepting() {
+  if (socket_ != nullptr) {
+    evhttp_del_accept_socket(http_, socket_);
+    socket_ = nullptr;
+  }
+}
+
+void Server::OnRequest(evhttp_request* native, void* self) {
+  static_cast<Server*>(self)->Dispatch(native);
+}
+
+const Handler* Server::FindHandler(Method method,
+                                   const std::string& path) const {
+  const Handler* best = nullptr;
+  std::size_t best_length = 0;
+  for (const auto& [key, handler] : routes_) {
+    const auto& [route_method, prefix] = key;
+    if (route_method == method && path.starts_with(prefix) &&
+        prefix.size() >= best_length) {
+      best = &handler;
+      best_length = prefix.size();
+    }
+  }
+  return best;
+}
+
+void Server::Dispatch(evhttp_request* native) {
+  const std::optional<Method> method = MethodOf(native);
+  if (!method.has_value()) {
+    evhttp_send_error(native, HTTP_BADMETHOD, nullptr);
+    return;
+  }
+  auto exchange =
+      std::make_shared<Exchange>(loop_, native, ReadRequest(native, *method));
+  exchange->self_ = exchange;
+  exchange->last_on_connection_ = draining_;
+  ++open_exchanges_;
+  exchange->on_detached_ = [this, alive = alive_] {
+    if (*alive) {
+      --open_exchanges_;
+    }
+  };
+  exchange->WatchCaller();
+  if (exchange->request().body.size() > limits_.max_body_bytes) {
+    oversize_(exchange);
+    return;
+  }
+  const Handler* handler = FindHandler(*method, exchange->request().path);
+  (handler == nullptr ? fallback_ : *handler)(exchange);
+}
+
+}  // namespace mulberryroad::http
