Add the platform's stand-ins as separate programs

Process tests, the demo and the measurements need the platform's services with faults that can be switched on. Each stand-in is a class over the project's HTTP server; every fault goes over POST /control as a typed message. The ordering stand-in hosts its engines and services in its own process, so that a hundred upstreams are one process.

--- /dev/null
+++ b/test/fakes/programs/fake_ordering.cc
@@ -0,0 +1,14 @@
+// Ordering stand-in with its upstreams.
+#include "fakes/fake_ordering.h"
+
+#include "fakes/programs/program.h"
+#include "mulberryroad/clock.h"
+
+int main(int argc, const char** argv) {
+  const auto flags = mulberryroad::fakes::ReadFlags(argc, argv);
+  const mulberryroad::SystemClock clock;
+  mulberryroad::base::EventLoop loop;
+  mulberryroad::fakes::FakeOrdering fake(loop, clock, flags.vms);
+  mulberryroad::fakes::ReadControl(flags, &fake.control());
+  return mulberryroad::fakes::RunUntilSignal(&loop, fake.Listen(flags.listen));
+}
--- /dev/null
+++ b/test/fakes/programs/fake_usage.cc
@@ -0,0 +1,12 @@
+// Usage report stand-in.
+#include "fakes/fake_usage.h"
+
+#include "fakes/programs/program.h"
+
+int main(int argc, const char** argv) {
+  const auto flags = mulberryroad::fakes::ReadFlags(argc, argv);
+  mulberryroad::base::EventLoop loop;
+  mulberryroad::fakes::FakeUsage fake(loop);
+  mulberryroad::fakes::ReadControl(flags, &fake.control());
+  return mulberryroad::fakes::RunUntilSignal(&loop, fake.Listen(flags.listen));
+}
