--- /dev/null
+++ b/src/platform/http_ordering_service.cc
@@ -0,0 +1,54 @@
+#include "platform/http_ordering_service.h"
+
+#include <utility>
+
+#include "base/json.h"
+#include "platform/json_exchange.h"
+
+namespace mulberryroad::platform {
+
+namespace {
+
+v1::PlatformOrderStatus NotAccepted(const std::string& order_id,
+                                    const char* reason) {
+  v1::PlatformOrderStatus status;
+  status.set_order_id(order_id);
+  status.set_reason(reason);
+  return status;
+}
+
+}  // namespace
+
+HttpOrderingService::HttpOrderingService(base::EventLoop& /*loop*/,
+                                         http::Client& client,
+                                         Endpoint endpoint)
+    : client_(client), endpoint_(std::move(endpoint)) {}
+
+void HttpOrderingService::Send(const v1::PlatformOrder& order,
+                               OnAnswer<v1::PlatformOrderStatus> on_answer) {
+  client_.Send(JsonRequest(endpoint_, http::Method::kPost, "/orders",
+                           base::ToJson(order)),
+               [id = order.order_id(),
+                on_answer = std::move(on_answer)](const http::Result& result) {
+                 if (StatusOf(result) == 409) {
+                   on_answer(NotAccepted(id, kOldFencing));
+                   return;
+                 }
+                 on_answer(ReadAnswer<v1::PlatformOrderStatus>(result));
+               });
+}
+
+void HttpOrderingService::Status(const std::string& order_id,
+                                 OnAnswer<v1::PlatformOrderStatus> on_answer) {
+  client_.Send(
+      JsonRequest(endpoint_, http::Method::kGet, "/orders/" + order_id),
+      [order_id, on_answer = std::move(on_answer)](const http::Result& result) {
+        if (StatusOf(result) == 404) {
+          on_answer(NotAccepted(order_id, kUnknownOrder));
+          return;
+        }
+        on_answer(ReadAnswer<v1::PlatformOrderStatus>(result));
+      });
+}
+
+}  // namespace mulberryroad::platform
--- /dev/null
+++ b/src/platform/http_usage_service.cc
@@ -0,0 +1,22 @@
+#include "platform/http_usage_service.h"
+
+#include <utility>
+
+#include "base/json.h"
+#include "platform/json_exchange.h"
+
+namespace mulberryroad::platform {
+
+HttpUsageService::HttpUsageService(http::Client& client, Endpoint endpoint)
+    : client_(client), endpoint_(std::move(endpoint)) {}
+
+void HttpUsageService::Report(const v1::UsageReport& report,
+                              OnAnswer<v1::UsageReport> on_answer) {
+  client_.Send(JsonRequest(endpoint_, http::Method::kPost, "/reports",
+                           base::ToJson(report)),
+               [on_answer = std::move(on_answer)](const http::Result& result) {
+                 on_answer(ReadAnswer<v1::UsageReport>(result));
+               });
+}
+
+}  // namespace mulberryroad::platform
--- /dev/null
+++ b/src/platform/http_weight_store.h
@@ -0,0 +1,26 @@
+// The weight store over HTTP.
+
+#ifndef MULBERRYROAD_SRC_PLATFORM_HTTP_WEIGHT_STORE_H_
+#define MULBERRYROAD_SRC_PLATFORM_HTTP_WEIGHT_STORE_H_
+
+#include "http/client.h"
+#include "platform/platform.h"
+
+namespace mulberryroad::platform {
+
+/// Asks which weight versions exist.
+class HttpWeightStore final : public WeightStore {
+ public:
+  HttpWeightStore(http::Client& client, Endpoint endpoint);
+
+  void Newest(const TargetId& model,
+              OnAnswer<v1::WeightVersions> on_answer) override;
+
+ private:
+  http::Client& client_;
+  Endpoint endpoint_;
+};
+
+}  // namespace mulberryroad::platform
+
+#endif  // MULBERRYROAD_SRC_PLATFORM_HTTP_WEIGHT_STORE_H_
--- /dev/null
+++ b/src/platform/json_exchange.h
@@ -0,0 +1,61 @@
+// One JSON exchange with a platform service over HTTP.
+
+#ifndef MULBERRYROAD_SRC_PLATFORM_JSON_EXCHANGE_H_
+#define MULBERRYROAD_SRC_PLATFORM_JSON_EXCHANGE_H_
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "base/json.h"
+#include "http/client.h"
+#include "platform/platform.h"
+
+namespace mulberryroad::platform {
+
+/// Makes a request with a JSON body, or without a body for a GET.
+inline http::ClientRequest JsonRequest(const Endpoint& endpoint,
+                                       http::Method method, std::string path,
+                                       std::string body = {}) {
+  http::ClientRequest request;
+  request.endpoint = endpoint;
+  request.method = method;
+  request.path = std::move(path);
+  request.body = std::move(body);
+  if (!request.body.empty()) {
+    request.headers.push_back({"Content-Type", "application/json"});
+  }
+  return request;
+}
+
+/// Reads an answer with status 200 as a message. Any other answer, and a body
+/// that does not parse, is a failure whose effect is unknown.
+template <typename Answer>
+std::variant<Answer, PlatformFailure> ReadAnswer(const http::Result& result) {
+  if (const auto* failure = std::get_if<http::Failure>(&result)) {
+    return PlatformFailure{failure->verdict, failure->reason};
+  }
+  const auto& response = std::get<http::Response>(result);
+  if (response.status != 200) {
+    return PlatformFailure{
+        Verdict::kMayHaveRun,
+        "status " + std::to_string(response.status) + ": " + response.body};
+  }
+  Answer answer;
+  std::string reason;
+  if (!base::FromJson(response.body, &answer, &reason)) {
+    return PlatformFailure{Verdict::kMayHaveRun, "bad answer: " + reason};
+  }
+  return answer;
+}
+
+/// Returns the HTTP status of a whole answer, or 0 if none came.
+inline int StatusOf(const http::Result& result) {
+  const auto* response = std::get_if<http::Response>(&result);
+  return response == nullptr ? 0 : response->status;
+}
+
+}  // namespace mulberryroad::platform
+
+#endif  // MULBERRYROAD_SRC_PLATFORM_JSON_EXCHANGE_H_
