Add rollout: batch plan, bindings, copies, owner and trainer endpoints

Groups of samples run under a lease per batch; sequence numbers are bound in the batch's stream before delivery; finished samples wait on two nodes.

--- /dev/null
+++ b/src/rollout/batch_host.cc
@@ -0,0 +1,326 @@
+#include "rollout/batch_host.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace mulberryroad::rollout {
+
+namespace {
+
+constexpr std::uint64_t kRetryAfterMs = 1'000;
+constexpr std::chrono::milliseconds kForwardMargin{3'000};
+// A copy may arrive before the owner's lease is read here.
+constexpr std::chrono::seconds kCopyWithoutLease{10};
+
+v1::BatchReply Refusal(const std::string& reason) {
+  v1::BatchReply reply;
+  reply.set_outcome(v1::BatchReply::REFUSED);
+  reply.set_reason(reason);
+  reply.set_retry_after_ms(kRetryAfterMs);
+  return reply;
+}
+
+BatchId FullId(const v1::BatchCall& call) {
+  return BatchId(call.organisation() + "/" + call.batch());
+}
+
+std::string RoleName(const BatchId& id) { return "batch/" + id.value(); }
+
+}  // namespace
+
+BatchHost::BatchHost(base::EventLoop& loop, const Clock& clock,
+                     peer::Transport& transport, membership::Members& members,
+                     config::Configuration& config, lease::Leases& leases,
+                     log::Journal& journal, dispatch::Generator& generator,
+                     billing::Meter& meter, base::DecisionLog& decisions,
+                     BatchHostOptions options)
+    : services_{loop,    clock,     transport, members,   config, leases,
+                journal, generator, meter,     decisions, options} {
+  ServePeers();
+  leases.gained().connect([this, alive = std::weak_ptr(alive_)](
+                              const RoleId& role, std::uint64_t epoch) {
+    if (alive.expired()) {
+      return;
+    }
+    for (const auto& [id, batch] : owned_) {
+      if (RoleName(id) == role.value()) {
+        const std::shared_ptr<OwnedBatch> keep = batch;
+        keep->OnGained(epoch);
+        return;
+      }
+    }
+  });
+  leases.lost().connect(
+      [this, alive = std::weak_ptr(alive_)](const RoleId& role) {
+        if (alive.expired()) {
+          return;
+        }
+        for (const auto& [id, batch] : owned_) {
+          if (RoleName(id) == role.value()) {
+            const std::shared_ptr<OwnedBatch> keep = batch;
+            keep->OnLost();
+            return;
+          }
+        }
+      });
+  tick_ = loop.Every(options.tick, [this] { Tick(); });
+}
+
+BatchHost::~BatchHost() = default;
+
+void BatchHost::ServePeers() {
+  services_.transport.Handle(
+      v1::PeerRequest::kBatchCopy,
+      [this](const v1::PeerRequest& request, const peer::Responder& respond) {
+        v1::PeerReply reply;
+        const v1::BatchCopy& copy = request.batch_copy();
+        *reply.mutable_batch_copy() = copies_.Keep(copy, services_.clock.now());
+        respond(std::move(reply));
+      });
+  services_.transport.Handle(
+      v1::PeerRequest::kBatch,
+      [this](const v1::PeerRequest& request, const peer::Responder& respond) {
+        CallHere(request.batch(), [respond](v1::BatchReply answer) {
+          v1::PeerReply reply;
+          *reply.mutable_batch() = std::move(answer);
+          respond(std::move(reply));
+        });
+      });
+}
+
+void BatchHost::Call(v1::BatchCall call, OnBatchReply on_reply) {
+  const BatchId id = FullId(call);
+  const auto owned = owned_.find(id);
+  const bool in_charge = closed_.contains(id) || (owned != owned_.end() &&
+                                                  owned->second->holds_lease());
+  const std::optional<v1::Member> owner =
+      in_charge ? std::nullopt : RemoteOwner(id);
+  const bool here = in_charge || owned != owned_.end();
+  if (owner.has_value()) {
+    Forward(*owner, std::move(call), std::move(on_reply));
+    return;
+  }
+  if (!here && call.has_submit()) {
+    Submit(id, call, std::move(on_reply));
+    return;
+  }
+  if (!here) {
+    on_reply(WithoutOwner(id));
+    return;
+  }
+  CallHere(call, std::move(on_reply));
+}
+
+void BatchHost::CallHere(const v1::BatchCall& call, OnBatchReply on_reply) {
+  if (call.has_recover()) {
+    const BatchId asked(call.batch());
+    if (const auto owned = owned_.find(asked); owned != owned_.end()) {
+      copies_.Adopt(asked, owned->second->Snapshot());
+    }
+    on_reply(copies_.Recover(asked));
+    return;
+  }
+  const BatchId id = FullId(call);
+  if (const auto closed = closed_.find(id); closed != closed_.end()) {
+    v1::BatchReply reply;
+    const bool other =
+        call.has_submit() && SpecDigest(call.submit()) != closed->second.digest;
+    reply.set_outcome(other ? v1::BatchReply::CONFLICT : v1::BatchReply::OK);
+    reply.set_next_cursor(closed->second.samples);
+    reply.set_complete(true);
+    on_reply(reply);
+    return;
+  }
+  const auto found = owned_.find(id);
+  if (found == owned_.end()) {
+    v1::BatchReply reply;
+    reply.set_outcome(v1::BatchReply::NOT_OWNER);
+    reply.set_retry_after_ms(kRetryAfterMs);
+    on_reply(reply);
+    return;
+  }
+  const std::shared_ptr<OwnedBatch> batch = found->second;
+  if (call.has_submit()) {
+    batch->Submit(call.submit(), std::move(on_reply));
+  } else if (call.has_pull()) {
+    batch->Pull(call.pull(), std::move(on_reply));
+  } else {
+    batch->Acknowledge(call.ack(), std::move(on_reply));
+  }
+}
+
+void BatchHost::Submit(const BatchId& id, const v1::BatchCall& call,
+                       OnBatchReply on_reply) {
+  if (services_.members.self().state() == v1::MEMBER_LEAVING) {
+    on_reply(Refusal("this node is leaving"));
+    return;
+  }
+  ownerless_.erase(id);
+  Own(id, call.submit());
+  owned_.at(id)->Submit(call.submit(), std::move(on_reply));
+}
+
+void BatchHost::Own(const BatchId& id, const v1::BatchSpec& spec) {
+  auto batch = std::make_shared<OwnedBatch>(services_, copies_, id, spec);
+  owned_[id] = batch;
+  batch->Start();
+}
+
+void BatchHost::Forward(const v1::Member& owner, v1::BatchCall call,
+                        OnBatchReply on_reply) {
+  const auto endpoint = ParseEndpoint(owner.peer_endpoint());
+  std::chrono::milliseconds timeout = kForwardMargin;
+  if (call.has_pull()) {
+    timeout += std::chrono::milliseconds(call.pull().wait_ms());
+  } else if (call.has_submit()) {
+    timeout += services_.options.open_timeout;
+  }
+  const bool changes = !call.has_pull();
+  v1::PeerRequest request;
+  *request.mutable_batch() = std::move(call);
+  services_.transport.Call(
+      endpoint.value_or(Endpoint{}), std::move(request), timeout,
+      [changes, on_reply](std::optional<v1::PeerReply> reply,
+                          const std::string& reason) {
+        if (!reply.has_value()) {
+          v1::BatchReply refusal =
+              Refusal("the batch's owner did not answer: " + reason);
+          refusal.set_may_have_run(changes);
+          on_reply(refusal);
+          return;
+        }
+        if (reply->batch().outcome() == v1::BatchReply::NOT_OWNER) {
+          on_reply(Refusal("the batch is changing its owner"));
+          return;
+        }
+        on_reply(std::move(*reply->mutable_batch()));
+      });
+}
+
+v1::BatchReply BatchHost::WithoutOwner(const BatchId& id) {
+  const Instant now = services_.clock.now();
+  if (copies_.find(id) != nullptr) {
+    return Refusal("this node is taking the batch over");
+  }
+  if (LeaseOf(id).has_value()) {
+    const auto [since, added] = ownerless_.try_emplace(id, now);
+    if (now - since->second < services_.options.takeover_grace) {
+      return Refusal("the batch is changing its owner");
+    }
+  }
+  v1::BatchReply reply;
+  reply.set_outcome(v1::BatchReply::UNKNOWN_BATCH);
+  reply.set_reason(
+      "no node has this batch; submit it again with \"cursor\" set to the "
+      "first sample that you lack");
+  return reply;
+}
+
+std::optional<v1::LeaseState> BatchHost::LeaseOf(const BatchId& id) const {
+  for (const v1::LeaseState& state : services_.leases.states()) {
+    if (state.role() == RoleName(id)) {
+      return state;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<v1::Member> BatchHost::RemoteOwner(const BatchId& id) const {
+  const std::optional<v1::LeaseState> state = LeaseOf(id);
+  if (!state.has_value() ||
+      state->holder() == services_.members.self().node_id()) {
+    return std::nullopt;
+  }
+  const auto holder = services_.members.find(NodeId(state->holder()));
+  if (!holder.has_value() || holder->state() == v1::MEMBER_DEAD) {
+    return std::nullopt;
+  }
+  // A released batch is either closed, which its last owner knows, or about to
+  // be taken over.
+  const bool taken_over = state->released() && copies_.find(id) != nullptr;
+  return taken_over ? std::nullopt : holder;
+}
+
+bool BatchHost::IsEligible(const std::string& node) const {
+  const std::vector<v1::Member> eligible = services_.members.eligible();
+  return std::any_of(
+      eligible.begin(), eligible.end(),
+      [&node](const v1::Member& member) { return member.node_id() == node; });
+}
+
+void BatchHost::Tick() {
+  const Instant now = services_.clock.now();
+  RetireBatches();
+  if (services_.members.self().state() != v1::MEMBER_LEAVING) {
+    TakeOverOrphans();
+  }
+  std::vector<std::shared_ptr<OwnedBatch>> batches;
+  for (const auto& [id, batch] : owned_) {
+    batches.push_back(batch);
+  }
+  for (const auto& batch : batches) {
+    batch->Tick();
+  }
+  std::erase_if(closed_,
+                [now](const auto& entry) { return entry.second.until <= now; });
+}
+
+// The copy node takes a batch over once its owner is dead or has let go.
+void BatchHost::TakeOverOrphans() {
+  const Instant now = services_.clock.now();
+  for (const BatchId& id : copies_.batches()) {
+    const HeldCopy* held = copies_.find(id);
+    if (owned_.contains(id) || held->spec.id().empty()) {
+      continue;
+    }
+    const std::optional<v1::LeaseState> state = LeaseOf(id);
+    const bool orphaned =
+        state.has_value() ? state->released() || !IsEligible(state->holder())
+                          : now - held->received > kCopyWithoutLease;
+    if (orphaned) {
+      Own(id, held->spec);
+    }
+  }
+}
+
+void BatchHost::RetireBatches() {
+  std::vector<BatchId> over;
+  std::vector<BatchId> given_up;
+  for (const auto& [id, batch] : owned_) {
+    if (batch->finished()) {
+      over.push_back(id);
+    } else if (ShouldGiveUp(id, *batch)) {
+      given_up.push_back(id);
+    }
+  }
+  const Instant until = services_.clock.now() + services_.options.closed_kept;
+  for (const BatchId& id : over) {
+    const std::shared_ptr<OwnedBatch> batch = owned_.at(id);
+    owned_.erase(id);
+    copies_.Forget(id);
+    if (batch->closed()) {
+      closed_[id] = {until, batch->total_samples(), SpecDigest(batch->spec())};
+    }
+    batch->GiveUp();
+  }
+  for (const BatchId& id : given_up) {
+    const std::shared_ptr<OwnedBatch> batch = owned_.at(id);
+    owned_.erase(id);
+    copies_.Adopt(id, batch->Snapshot());
+    batch->GiveUp();
+  }
+}
+
+bool BatchHost::ShouldGiveUp(const BatchId& id, const OwnedBatch& batch) const {
+  if (batch.deposed()) {
+    return true;
+  }
+  if (services_.members.self().state() == v1::MEMBER_LEAVING) {
+    return batch.drained();
+  }
+  return !batch.holds_lease() && RemoteOwner(id).has_value() &&
+         !LeaseOf(id)->released() && IsEligible(LeaseOf(id)->holder());
+}
+
+}  // namespace mulberryroad::rollout
--- /dev/null
+++ b/src/rollout/freshness.cc
@@ -0,0 +1,60 @@
+#include "rollout/freshness.h"
+
+#include <algorithm>
+
+namespace mulberryroad::rollout {
+
+void Freshness::SetNewest(std::uint32_t version, Instant now) {
+  if (version <= newest_) {
+    return;
+  }
+  if (newest_ != 0) {
+    interval_ = now - newest_since_;
+  }
+  newest_ = version;
+  newest_since_ = now;
+}
+
+bool Freshness::VersionAllowed(std::uint32_t version) const {
+  return version >= LowestAllowed(newest_);
+}
+
+bool Freshness::Deliverable(const VersionRanges& ranges, Instant first_token,
+                            Instant now) const {
+  const std::optional<std::uint32_t> oldest = OldestVersion(ranges);
+  if (!oldest.has_value() || !VersionAllowed(*oldest)) {
+    return false;
+  }
+  return bound_.max_age.count() == 0 || now - first_token <= bound_.max_age;
+}
+
+bool Freshness::WillBeDeliverable(const VersionRanges& ranges,
+                                  Instant first_token, Instant now,
+                                  std::chrono::nanoseconds further) const {
+  const std::uint32_t oldest = OldestVersion(ranges).value_or(newest_);
+  if (oldest < LowestAllowed(NewestAt(now + further))) {
+    return false;
+  }
+  return bound_.max_age.count() == 0 ||
+         now + further - first_token <= bound_.max_age;
+}
+
+std::uint32_t Freshness::MinVersionToStart(
+    Instant now, std::chrono::nanoseconds expected) const {
+  // No engine can serve a version that does not exist yet.
+  return std::min(newest_, LowestAllowed(NewestAt(now + expected)));
+}
+
+// Expects at most one change more: a forecast further out is worth little.
+std::uint32_t Freshness::NewestAt(Instant later) const {
+  if (interval_.count() == 0 || later < newest_since_ + interval_) {
+    return newest_;
+  }
+  return newest_ + 1;
+}
+
+std::uint32_t Freshness::LowestAllowed(std::uint32_t newest) const {
+  return newest - std::min(newest, bound_.max_versions_behind);
+}
+
+}  // namespace mulberryroad::rollout
