--- a/src/control/order_executor.cc
+++ b/src/control/order_executor.cc
@@ -110,7 +110,7 @@
 }
 
 std::optional<v1::OrderIntent> OrderExecutor::Give(v1::OrderIntent order) {
-  const std::optional<v1::OrderIntent> intent =
+  std::optional<v1::OrderIntent> intent =
       book_.Intend(std::move(order), clock_.wall_now());
   if (intent) {
     v1::Record record;
