--- /dev/null
+++ b/src/platform/http_vm_directory.cc
@@ -0,0 +1,69 @@
+#include "platform/http_vm_directory.h"
+
+#include <event2/http.h>
+
+#include <cstdlib>
+#include <memory>
+#include <utility>
+
+#include "base/json.h"
+
+namespace mulberryroad::platform {
+
+namespace {
+
+constexpr std::chrono::milliseconds kTimeout{3'000};
+constexpr int kOk = 200;
+
+std::string Encode(const std::string& text) {
+  const std::unique_ptr<char, decltype(&std::free)> encoded(
+      evhttp_encode_uri(text.c_str()), std::free);
+  return encoded.get();
+}
+
+std::variant<v1::VmList, PlatformFailure> ToList(const http::Result& result) {
+  if (const auto* failure = std::get_if<http::Failure>(&result)) {
+    return PlatformFailure{failure->verdict, failure->reason};
+  }
+  const auto& response = std::get<http::Response>(result);
+  if (response.status != kOk) {
+    return PlatformFailure{Verdict::kRan, "the VM list answered " +
+                                              std::to_string(response.status)};
+  }
+  v1::VmList list;
+  std::string reason;
+  if (!base::FromJson(response.body, &list, &reason)) {
+    return PlatformFailure{Verdict::kRan,
+                           "the VM list cannot be read: " + reason};
+  }
+  return list;
+}
+
+}  // namespace
+
+HttpVmDirectory::HttpVmDirectory(http::Client& client, Endpoint endpoint)
+    : client_(client), endpoint_(std::move(endpoint)) {}
+
+void HttpVmDirectory::ListNodes(OnAnswer<v1::VmList> on_answer) {
+  Get("/vms?nodes=1", std::move(on_answer));
+}
+
+void HttpVmDirectory::ListPool(const PoolId& pool,
+                               OnAnswer<v1::VmList> on_answer) {
+  Get("/vms?target=" + Encode(pool.target.value()) +
+          "&failure_domain=" + Encode(pool.failure_domain.value()),
+      std::move(on_answer));
+}
+
+void HttpVmDirectory::Get(std::string path, OnAnswer<v1::VmList> on_answer) {
+  http::ClientRequest request;
+  request.endpoint = endpoint_;
+  request.path = std::move(path);
+  request.timeout = kTimeout;
+  client_.Send(std::move(request),
+               [on_answer = std::move(on_answer)](http::Result result) {
+                 on_answer(ToList(result));
+               });
+}
+
+}  // namespace mulberryroad::platform
--- /dev/null
+++ b/src/platform/http_vm_directory.h
@@ -0,0 +1,30 @@
+// The platform's list of VMs over HTTP.
+
+#ifndef MULBERRYROAD_SRC_PLATFORM_HTTP_VM_DIRECTORY_H_
+#define MULBERRYROAD_SRC_PLATFORM_HTTP_VM_DIRECTORY_H_
+
+#include <string>
+
+#include "http/client.h"
+#include "mulberryroad/endpoint.h"
+#include "platform/platform.h"
+
+namespace mulberryroad::platform {
+
+class HttpVmDirectory final : public VmDirectory {
+ public:
+  HttpVmDirectory(http::Client& client, Endpoint endpoint);
+
+  void ListNodes(OnAnswer<v1::VmList> on_answer) override;
+  void ListPool(const PoolId& pool, OnAnswer<v1::VmList> on_answer) override;
+
+ private:
+  void Get(std::string path, OnAnswer<v1::VmList> on_answer);
+
+  http::Client& client_;
+  Endpoint endpoint_;
+};
+
+}  // namespace mulberryroad::platform
+
+#endif  // MULBERRYROAD_SRC_PLATFORM_HTTP_VM_DIRECTORY_H_
