--- a/src/control/order_book.cc
+++ b/src/control/order_book.cc
@@ -104,7 +104,9 @@
 
 std::vector<OrderStep> OrderBook::Next(WallTime now) {
   std::vector<OrderStep> steps;
-  if (!epoch_) {
+  const bool succeeded = options_.check_epoch && epoch_ &&
+                         highest_epoch_offset_ && highest_epoch_ > *epoch_;
+  if (!epoch_ || succeeded) {
     return steps;
   }
   for (auto& [id, order] : orders_) {
--- a/src/control/order_book.h
+++ b/src/control/order_book.h
@@ -120,8 +120,9 @@
   std::optional<SettledOrder> OnRecord(platform::Offset offset,
                                        const v1::Record& record);
 
-  /// Returns the steps that are due. A step is returned once, until its result
-  /// is told or its time has come again.
+  /// Returns the steps that are due; none once a successor's intent was read. A
+  /// step is returned once, until its result is told or its time has come
+  /// again.
   std::vector<OrderStep> Next(WallTime now);
 
   /// Tells the answer to a sent or settled order.
