--- a/src/control/order_book.cc
+++ b/src/control/order_book.cc
@@ -27,7 +27,6 @@
 
 void OrderBook::Gained(std::uint64_t epoch) {
   epoch_ = epoch;
-  next_sequence_ = 0;
   proposed_.clear();
   for (auto& [id, order] : orders_) {
     order.state = Order::State::kUnknown;
