--- a/src/peer/grpc_transport.cc
+++ b/src/peer/grpc_transport.cc
@@ -89,7 +89,7 @@
       answered_ = true;
       writer_.FinishWithError(grpc::Status(grpc::StatusCode::UNIMPLEMENTED,
                                            "no handler of this kind"),
-                              this);
+                              static_cast<Operation*>(this));
       return;
     }
     handler->second(
