--- /dev/null
+++ b/test/drain_test.cc
@@ -0,0 +1,97 @@
+// Drain: a graceful shutdown waits for open requests and stops once.
+
+#include "daemon/drain.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+#include <vector>
+
+namespace mulberryroad::daemon {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Records the steps of a drain in order.
+struct Recorder {
+  base::EventLoop loop;
+  SystemClock clock;
+  std::vector<std::string> steps;
+  std::size_t open_requests = 0;
+
+  DrainSteps Steps() {
+    return {.announce = [this] { steps.emplace_back("announce"); },
+            .stop_accepting = [this] { steps.emplace_back("stop accepting"); },
+            .open_requests = [this] { return open_requests; },
+            .hand_over =
+                [this](const std::function<void()>& done) {
+                  steps.emplace_back("hand over");
+                  done();
+                  done();
+                },
+            .stop =
+                [this] {
+                  steps.emplace_back("stop");
+                  loop.Stop();
+                }};
+  }
+};
+
+std::string Join(const std::vector<std::string>& steps) {
+  std::string text;
+  for (const std::string& step : steps) {
+    text += (text.empty() ? "" : ", ") + step;
+  }
+  return text;
+}
+
+void ExpectSteps(const Recorder& recorder) {
+  const std::string expected = "announce, stop accepting, hand over, stop";
+  const std::string found = Join(recorder.steps);
+  cr_assert_eq(found, expected, "expected \"%s\", found \"%s\"",
+               expected.c_str(), found.c_str());
+}
+
+Test(drain, idle_node_goes_through_every_step_once) {
+  Recorder recorder;
+  Drain drain(recorder.loop, recorder.clock,
+              {.leave_delay = milliseconds(1), .limit = milliseconds(1000)},
+              recorder.Steps());
+  drain.Begin();
+  drain.Begin();
+  recorder.loop.Run();
+  ExpectSteps(recorder);
+}
+
+Test(drain, open_request_is_waited_for) {
+  Recorder recorder;
+  recorder.open_requests = 1;
+  Drain drain(recorder.loop, recorder.clock,
+              {.leave_delay = milliseconds(1), .limit = milliseconds(10'000)},
+              recorder.Steps());
+  drain.Begin();
+  std::string before;
+  const base::Timer answer = recorder.loop.After(milliseconds(80), [&] {
+    before = Join(recorder.steps);
+    recorder.open_requests = 0;
+  });
+  recorder.loop.Run();
+  cr_assert_eq(before, "announce, stop accepting",
+               "expected no hand-over before the answer, found \"%s\"",
+               before.c_str());
+  ExpectSteps(recorder);
+}
+
+Test(drain, request_that_never_ends_is_cut_at_the_limit) {
+  Recorder recorder;
+  recorder.open_requests = 1;
+  Drain drain(recorder.loop, recorder.clock,
+              {.leave_delay = milliseconds(1), .limit = milliseconds(60)},
+              recorder.Steps());
+  drain.Begin();
+  recorder.loop.Run();
+  ExpectSteps(recorder);
+}
+
+}  // namespace
+}  // namespace mulberryroad::daemon
