--- /dev/null
+++ b/src/dispatch/fair_queue.cc
@@ -0,0 +1,234 @@
+#include "dispatch/fair_queue.h"
+
+#include <algorithm>
+#include <chrono>
+#include <variant>
+
+namespace mulberryroad::dispatch {
+
+namespace {
+
+// A caller's request becomes late after this time.
+constexpr std::chrono::milliseconds kCallerPatience = std::chrono::seconds{1};
+// A sample without a deadline becomes late after this time.
+constexpr std::chrono::milliseconds kSamplePatience = std::chrono::seconds{600};
+constexpr double kLowestWeight = 1e-3;
+
+const std::string kSharedQueue;
+
+}  // namespace
+
+FairQueue::FairQueue(QueuePolicy policy)
+    : policy_(policy), fifo_(std::holds_alternative<FifoQueuePolicy>(policy)) {
+  if (const auto* fair = std::get_if<FairQueuePolicy>(&policy_)) {
+    max_saved_tokens_ = fair->max_saved_tokens;
+  }
+}
+
+const std::string& FairQueue::QueueName(const v1::GrantRequest& request) const {
+  return fifo_ ? kSharedQueue : request.organisation();
+}
+
+FairQueue::OrganisationIndex FairQueue::IndexOf(const std::string& name) {
+  const auto [found, added] = by_name_.try_emplace(
+      name, static_cast<OrganisationIndex>(organisations_.size()));
+  if (added) {
+    organisations_.emplace_back();
+    organisations_.back().name = name;
+    organisations_.back().counter = floor_;
+  }
+  return found->second;
+}
+
+const FairQueue::Organisation* FairQueue::FindOrganisation(
+    const std::string& name) const {
+  const auto found = by_name_.find(name);
+  return found == by_name_.end() ? nullptr : &organisations_[found->second];
+}
+
+void FairQueue::SetWeights(const std::vector<OrganisationWeight>& weights) {
+  for (const OrganisationWeight& declared : weights) {
+    const OrganisationIndex index = IndexOf(declared.organisation.value());
+    Detach(index);
+    Organisation& organisation = organisations_[index];
+    const double weight = declared.weight > 0 ? declared.weight : 1;
+    organisation.weight = std::max(weight, kLowestWeight);
+    Attach(index);
+  }
+}
+
+FairQueue::Urgency FairQueue::UrgencyOf(const QueueItem& item) const {
+  if (fifo_) {
+    return {item.arrived, item.ticket};
+  }
+  if (item.request.kind() == v1::WORK_SAMPLE) {
+    const std::chrono::milliseconds deadline{item.request.deadline_ms()};
+    const bool has_deadline = item.request.deadline_ms() > 0;
+    return {item.arrived + (has_deadline ? deadline : kSamplePatience),
+            item.ticket};
+  }
+  return {item.arrived + kCallerPatience, item.ticket};
+}
+
+// An organisation that comes back from idleness keeps at most the permitted
+// savings.
+void FairQueue::Activate(Organisation* organisation) {
+  const double lowest = active_.empty() ? floor_ : active_.begin()->first;
+  const double least =
+      std::max(floor_, lowest) - max_saved_tokens_ / organisation->weight;
+  organisation->counter = std::max(organisation->counter, least);
+}
+
+void FairQueue::Detach(OrganisationIndex index) {
+  const Organisation& organisation = organisations_[index];
+  if (organisation.queued == 0) {
+    return;
+  }
+  for (const auto& [requirement, waiting] : organisation.waiting) {
+    const auto ready = ready_.find(requirement);
+    ready->second.erase({organisation.counter, index});
+    if (ready->second.empty()) {
+      ready_.erase(ready);
+    }
+  }
+  by_backlog_.erase({organisation.backlog(), index});
+  active_.erase({organisation.counter, index});
+  active_weight_ -= organisation.weight;
+}
+
+void FairQueue::Attach(OrganisationIndex index) {
+  const Organisation& organisation = organisations_[index];
+  if (organisation.queued == 0) {
+    return;
+  }
+  for (const auto& [requirement, waiting] : organisation.waiting) {
+    ready_[requirement].emplace(organisation.counter, index);
+  }
+  by_backlog_.emplace(organisation.backlog(), index);
+  active_.emplace(organisation.counter, index);
+  active_weight_ += organisation.weight;
+}
+
+void FairQueue::Push(QueueItem item) {
+  const OrganisationIndex index = IndexOf(QueueName(item.request));
+  Detach(index);
+  Organisation& organisation = organisations_[index];
+  if (organisation.queued == 0) {
+    Activate(&organisation);
+  }
+  ++organisation.queued;
+  organisation.tickets.insert(item.ticket);
+  organisation.waiting[{item.request.min_version(), item.request.repeatable()}]
+      .insert(UrgencyOf(item));
+  Attach(index);
+  by_expiry_.emplace(item.expires, item.ticket);
+  const Ticket ticket = item.ticket;
+  items_.emplace(ticket, std::move(item));
+}
+
+std::optional<QueueItem> FairQueue::Remove(Ticket ticket) {
+  const auto found = items_.find(ticket);
+  if (found == items_.end()) {
+    return std::nullopt;
+  }
+  QueueItem item = std::move(found->second);
+  items_.erase(found);
+  by_expiry_.erase({item.expires, ticket});
+  const OrganisationIndex index = IndexOf(QueueName(item.request));
+  Detach(index);
+  Organisation& organisation = organisations_[index];
+  --organisation.queued;
+  organisation.tickets.erase(ticket);
+  const auto waiting = organisation.waiting.find(
+      {item.request.min_version(), item.request.repeatable()});
+  waiting->second.erase(UrgencyOf(item));
+  if (waiting->second.empty()) {
+    organisation.waiting.erase(waiting);
+  }
+  Attach(index);
+  return item;
+}
+
+const QueueItem* FairQueue::Next(
+    const std::function<bool(const Requirement&)>& can_meet) const {
+  const Urgency* best_urgency = nullptr;
+  double best_counter = 0;
+  for (const auto& [requirement, organisations] : ready_) {
+    if (!can_meet(requirement)) {
+      continue;
+    }
+    const auto& [counter, index] = *organisations.begin();
+    const Urgency& urgency =
+        *organisations_[index].waiting.at(requirement).begin();
+    const bool better = best_urgency == nullptr || counter < best_counter ||
+                        (counter == best_counter && urgency < *best_urgency);
+    if (better) {
+      best_counter = counter;
+      best_urgency = &urgency;
+    }
+  }
+  return best_urgency == nullptr ? nullptr : &items_.at(best_urgency->second);
+}
+
+std::optional<QueueItem> FairQueue::TakeExpired(Instant now) {
+  if (by_expiry_.empty() || by_expiry_.begin()->first > now) {
+    return std::nullopt;
+  }
+  return Remove(by_expiry_.begin()->second);
+}
+
+std::optional<QueueItem> FairQueue::TakeExcess(
+    const OrganisationId& organisation) {
+  if (fifo_ || by_backlog_.empty()) {
+    return std::nullopt;
+  }
+  const auto& [backlog, index] = *by_backlog_.rbegin();
+  const Organisation* newcomer = FindOrganisation(organisation.value());
+  const double weight = newcomer == nullptr ? 1 : newcomer->weight;
+  const double own = (static_cast<double>(size(organisation)) + 1) / weight;
+  if (backlog <= own || organisations_[index].name == organisation.value()) {
+    return std::nullopt;
+  }
+  return Remove(*organisations_[index].tickets.rbegin());
+}
+
+void FairQueue::Charge(const OrganisationId& organisation, double tokens) {
+  const OrganisationIndex index =
+      IndexOf(fifo_ ? kSharedQueue : organisation.value());
+  Detach(index);
+  Organisation& charged = organisations_[index];
+  floor_ = std::max(floor_, tokens > 0 ? charged.counter : floor_);
+  charged.counter += tokens / charged.weight;
+  Attach(index);
+}
+
+std::size_t FairQueue::size(const OrganisationId& organisation) const {
+  const Organisation* found =
+      FindOrganisation(fifo_ ? kSharedQueue : organisation.value());
+  return found == nullptr ? 0 : found->queued;
+}
+
+std::optional<Instant> FairQueue::next_expiry() const {
+  if (by_expiry_.empty()) {
+    return std::nullopt;
+  }
+  return by_expiry_.begin()->first;
+}
+
+double FairQueue::ShareOf(const OrganisationId& organisation) const {
+  if (fifo_) {
+    return 1;
+  }
+  const Organisation* found = FindOrganisation(organisation.value());
+  const double weight = found == nullptr ? 1 : found->weight;
+  const bool counted = found != nullptr && found->queued > 0;
+  const double total = active_weight_ + (counted ? 0 : weight);
+  return total > 0 ? weight / total : 1;
+}
+
+double FairQueue::counter(const OrganisationId& organisation) const {
+  const Organisation* found = FindOrganisation(organisation.value());
+  return found == nullptr ? floor_ : found->counter;
+}
+
+}  // namespace mulberryroad::dispatch
--- /dev/null
+++ b/src/dispatch/peer_broker.cc
@@ -0,0 +1,345 @@
+#include "dispatch/peer_broker.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace mulberryroad::dispatch {
+
+namespace {
+
+// Longest wait for a grant of a request without a deadline.
+constexpr std::chrono::milliseconds kLongestWait = std::chrono::seconds{30};
+// Added to the wait for the way of the answer.
+constexpr std::chrono::milliseconds kAnswerSlack = std::chrono::seconds{1};
+// Time between checks that the asked dispatcher is still the pool's.
+constexpr std::chrono::milliseconds kOwnerCheckInterval =
+    std::chrono::milliseconds{200};
+constexpr std::chrono::milliseconds kReleaseTimeout = std::chrono::seconds{1};
+constexpr int kReleaseAttempts = 3;
+constexpr std::uint64_t kUnknownRetryMs = 1'000;
+
+using AcquireReply = std::variant<v1::Grant, v1::GrantRefusal>;
+
+v1::GrantRefusal Refuse(std::string reason, std::uint64_t retry_after_ms) {
+  v1::GrantRefusal refusal;
+  refusal.set_reason(std::move(reason));
+  refusal.set_retry_after_ms(retry_after_ms);
+  return refusal;
+}
+
+}  // namespace
+
+/// One request on its way through the pools. Keeps itself alive until it is
+/// answered.
+class PeerBroker::Search final : public std::enable_shared_from_this<Search> {
+ public:
+  Search(PeerBroker& broker, v1::GrantRequest request,
+         std::vector<PoolId> pools, std::function<void(AcquireReply)> on_reply)
+      : broker_(broker),
+        broker_alive_(broker.alive_),
+        request_(std::move(request)),
+        pools_(std::move(pools)),
+        on_reply_(std::move(on_reply)),
+        started_(broker.clock_.now()) {}
+
+  void Start() {
+    self_ = shared_from_this();
+    owner_check_ =
+        broker_.loop_.Every(kOwnerCheckInterval, [weak = weak_from_this()] {
+          if (const auto self = weak.lock()) {
+            self->CheckOwner();
+          }
+        });
+    TryNext();
+  }
+
+  void GiveUp() {
+    if (done_) {
+      return;
+    }
+    ReturnUnknownGrant();
+    Finish(Refuse("the request was given up", 0));
+  }
+
+ private:
+  std::chrono::milliseconds Remaining() const {
+    const std::chrono::milliseconds deadline{request_.deadline_ms()};
+    const std::chrono::milliseconds limit =
+        deadline.count() > 0 ? deadline : kLongestWait;
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
+        broker_.clock_.now() - started_);
+    return limit - elapsed;
+  }
+
+  void TryNext() {
+    const std::chrono::milliseconds remaining = Remaining();
+    if (next_pool_ >= pools_.size() ||
+        remaining <= std::chrono::milliseconds{0}) {
+      FinishRefused();
+      return;
+    }
+    pool_ = pools_[next_pool_++];
+    const std::optional<v1::Member> owner =
+        broker_.members_.Owner(ToString(pool_));
+    if (!owner.has_value()) {
+      Note("no node hosts the dispatcher");
+      TryNext();
+      return;
+    }
+    asked_ = NodeId(owner->node_id());
+    Ask(*owner, remaining);
+  }
+
+  void Ask(const v1::Member& owner, std::chrono::milliseconds remaining) {
+    const std::uint64_t round = ++round_;
+    v1::GrantRequest request = request_;
+    request.set_failure_domain(pool_.failure_domain.value());
+    request.set_entry(broker_.members_.self().node_id());
+    request.set_deadline_ms(static_cast<std::uint64_t>(remaining.count()));
+    if (owner.node_id() == broker_.members_.self().node_id()) {
+      broker_.local_.Acquire(
+          request, [self = shared_from_this(), round](v1::GrantReply reply) {
+            self->Take(round, std::move(reply));
+          });
+      return;
+    }
+    const std::optional<Endpoint> endpoint =
+        ParseEndpoint(owner.peer_endpoint());
+    if (!endpoint.has_value()) {
+      Note("the dispatcher has no endpoint");
+      TryNext();
+      return;
+    }
+    v1::PeerRequest call;
+    *call.mutable_grant() = std::move(request);
+    broker_.transport_.Call(
+        *endpoint, std::move(call), remaining + kAnswerSlack,
+        [self = shared_from_this(), round](std::optional<v1::PeerReply> reply,
+                                           const std::string& reason) {
+          if (reply.has_value() && reply->has_grant()) {
+            self->Take(round, std::move(*reply->mutable_grant()));
+          } else {
+            self->TakeNone(round, reason);
+          }
+        });
+  }
+
+  void Take(std::uint64_t round, v1::GrantReply reply) {
+    if (!*broker_alive_) {
+      return;
+    }
+    const bool late = done_ || round != round_;
+    if (reply.has_grant()) {
+      const Origin origin{pool_, asked_};
+      if (late) {
+        return;
+      }
+      broker_.origins_[{reply.grant().upstream(), reply.grant().grant_id()}] =
+          origin;
+      Finish(std::move(*reply.mutable_grant()));
+      return;
+    }
+    if (!late) {
+      Note(reply.refusal().reason(), reply.refusal().retry_after_ms());
+      TryNext();
+    }
+  }
+
+  void TakeNone(std::uint64_t round, const std::string& reason) {
+    if (!*broker_alive_ || done_ || round != round_) {
+      return;
+    }
+    ReturnUnknownGrant();
+    Note("the dispatcher did not answer: " + reason);
+    TryNext();
+  }
+
+  // The asked node may be gone or frozen: its answer is not waited for once
+  // the pool has another dispatcher.
+  void CheckOwner() {
+    if (!*broker_alive_ || done_) {
+      return;
+    }
+    const std::optional<v1::Member> owner =
+        broker_.members_.Owner(ToString(pool_));
+    if (owner.has_value() && owner->node_id() == asked_.value()) {
+      return;
+    }
+    ReturnUnknownGrant();
+    Note("the dispatcher moved");
+    --next_pool_;
+    TryNext();
+  }
+
+  // Gives back a grant whose answer was lost or is no longer wanted.
+  void ReturnUnknownGrant() {
+    ++round_;
+    if (asked_.empty()) {
+      return;
+    }
+    v1::GrantRelease release;
+    release.set_request_id(request_.request_id());
+    broker_.SendRelease(Origin{pool_, asked_}, std::move(release),
+                        kReleaseAttempts);
+  }
+
+  void Note(const std::string& reason, std::uint64_t retry_after_ms = 0) {
+    reason_ = ToString(pool_) + ": " + reason;
+    v1::Candidate candidate;
+    candidate.set_name(ToString(pool_));
+    candidate.set_excluded(reason);
+    refused_pools_.push_back(std::move(candidate));
+    if (retry_after_ms > 0 &&
+        (retry_after_ms_ == 0 || retry_after_ms < retry_after_ms_)) {
+      retry_after_ms_ = retry_after_ms;
+    }
+  }
+
+  void FinishRefused() {
+    v1::Decision line;
+    line.set_kind("refuse");
+    line.set_request_id(request_.request_id());
+    line.set_organisation(request_.organisation());
+    line.set_target(request_.target());
+    line.set_reason("no pool gave a slot");
+    line.set_verdict(std::string(ToString(Verdict::kNotRun)));
+    line.mutable_candidates()->Assign(refused_pools_.begin(),
+                                      refused_pools_.end());
+    broker_.decisions_.Write(std::move(line));
+    const std::string reason =
+        reason_.empty() ? "no pool serves " + request_.target() : reason_;
+    Finish(Refuse(reason,
+                  retry_after_ms_ > 0 ? retry_after_ms_ : kUnknownRetryMs));
+  }
+
+  void Finish(AcquireReply reply) {
+    done_ = true;
+    owner_check_.Cancel();
+    const auto registered = broker_.searches_.find(request_.request_id());
+    if (registered != broker_.searches_.end() &&
+        registered->second.lock().get() == this) {
+      broker_.searches_.erase(registered);
+    }
+    broker_.loop_.Post([on_reply = std::move(on_reply_),
+                        reply = std::move(reply)] { on_reply(reply); });
+    const std::shared_ptr<Search> keep = std::move(self_);
+  }
+
+  PeerBroker& broker_;
+  std::shared_ptr<bool> broker_alive_;
+  v1::GrantRequest request_;
+  std::vector<PoolId> pools_;
+  std::function<void(AcquireReply)> on_reply_;
+  Instant started_;
+  std::size_t next_pool_ = 0;
+  PoolId pool_;
+  NodeId asked_;
+  // Answers to earlier rounds are late.
+  std::uint64_t round_ = 0;
+  std::string reason_;
+  std::uint64_t retry_after_ms_ = 0;
+  std::vector<v1::Candidate> refused_pools_;
+  base::Timer owner_check_;
+  bool done_ = false;
+  // Held until the request is answered.
+  std::shared_ptr<Search> self_;
+};
+
+PeerBroker::PeerBroker(base::EventLoop& loop, const Clock& clock,
+                       peer::Transport& transport, membership::Members& members,
+                       config::Configuration& configuration,
+                       DispatcherHost& local, base::DecisionLog& decisions,
+                       FailureDomainId own, std::uint64_t seed)
+    : loop_(loop),
+      clock_(clock),
+      transport_(transport),
+      members_(members),
+      configuration_(configuration),
+      local_(local),
+      decisions_(decisions),
+      own_(std::move(own)),
+      random_(seed) {}
+
+PeerBroker::~PeerBroker() { *alive_ = false; }
+
+std::vector<PoolId> PeerBroker::PoolsOf(const v1::GrantRequest& request) {
+  std::vector<PoolId> pools;
+  const v1::Declaration* declaration = configuration_.declaration();
+  if (declaration == nullptr) {
+    return pools;
+  }
+  for (const v1::Pool& pool : declaration->pools()) {
+    const std::string& target =
+        pool.has_model() ? pool.model() : pool.service();
+    const bool wanted = request.failure_domain().empty() ||
+                        request.failure_domain() == pool.failure_domain();
+    if (target == request.target() && wanted) {
+      pools.push_back(
+          {TargetId(target), FailureDomainId(pool.failure_domain())});
+    }
+  }
+  std::shuffle(pools.begin(), pools.end(), random_);
+  std::stable_partition(pools.begin(), pools.end(), [&](const PoolId& pool) {
+    return pool.failure_domain == own_;
+  });
+  return pools;
+}
+
+void PeerBroker::Acquire(v1::GrantRequest request,
+                         std::function<void(AcquireReply)> on_reply) {
+  std::vector<PoolId> pools = PoolsOf(request);
+  const std::string request_id = request.request_id();
+  auto search = std::make_shared<Search>(*this, std::move(request),
+                                         std::move(pools), std::move(on_reply));
+  searches_[request_id] = search;
+  search->Start();
+}
+
+void PeerBroker::Release(v1::GrantRelease release) {
+  if (release.grant_id() == 0) {
+    const auto search = searches_.find(release.request_id());
+    if (search != searches_.end()) {
+      if (const std::shared_ptr<Search> found = search->second.lock()) {
+        found->GiveUp();
+      }
+    }
+    return;
+  }
+  const auto found = origins_.find({release.upstream(), release.grant_id()});
+  if (found == origins_.end()) {
+    return;
+  }
+  const Origin origin = found->second;
+  origins_.erase(found);
+  SendRelease(origin, std::move(release), kReleaseAttempts);
+}
+
+void PeerBroker::SendRelease(const Origin& origin, v1::GrantRelease release,
+                             int attempts_left) {
+  release.set_target(origin.pool.target.value());
+  release.set_failure_domain(origin.pool.failure_domain.value());
+  if (origin.node.value() == members_.self().node_id()) {
+    local_.Release(release);
+    return;
+  }
+  const std::optional<v1::Member> member = members_.find(origin.node);
+  const std::optional<Endpoint> endpoint =
+      member.has_value() ? ParseEndpoint(member->peer_endpoint())
+                         : std::nullopt;
+  if (!endpoint.has_value() || attempts_left == 0) {
+    return;
+  }
+  v1::PeerRequest call;
+  *call.mutable_release() = release;
+  transport_.Call(*endpoint, std::move(call), kReleaseTimeout,
+                  [this, alive = alive_, origin, release, attempts_left](
+                      const std::optional<v1::PeerReply>& reply,
+                      const std::string& /*reason*/) {
+                    if (*alive && !reply.has_value()) {
+                      SendRelease(origin, release, attempts_left - 1);
+                    }
+                  });
+}
+
+}  // namespace mulberryroad::dispatch
--- /dev/null
+++ b/src/dispatch/peer_broker.h
@@ -0,0 +1,78 @@
+// Finds a slot for a request: asks the dispatcher of the own failure domain's
+// pool first, then those of the others.
+
+#ifndef MULBERRYROAD_SRC_DISPATCH_PEER_BROKER_H_
+#define MULBERRYROAD_SRC_DISPATCH_PEER_BROKER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "base/decision_log.h"
+#include "base/event_loop.h"
+#include "config/configuration.h"
+#include "dispatch/broker.h"
+#include "dispatch/dispatcher_host.h"
+#include "membership/members.h"
+#include "mulberryroad/clock.h"
+#include "peer/transport.h"
+
+namespace mulberryroad::dispatch {
+
+class PeerBroker final : public Broker {
+ public:
+  PeerBroker(base::EventLoop& loop, const Clock& clock,
+             peer::Transport& transport, membership::Members& members,
+             config::Configuration& configuration, DispatcherHost& local,
+             base::DecisionLog& decisions, FailureDomainId own,
+             std::uint64_t seed);
+  ~PeerBroker() override;
+  PeerBroker(const PeerBroker&) = delete;
+  PeerBroker& operator=(const PeerBroker&) = delete;
+
+  /// The callback never runs inside Acquire.
+  void Acquire(v1::GrantRequest request,
+               std::function<void(std::variant<v1::Grant, v1::GrantRefusal>)>
+                   on_reply) override;
+  /// With grant_id 0 and a request_id, the request is given up: it waits no
+  /// longer, its callback gets a refusal, and a grant on its way is returned.
+  void Release(v1::GrantRelease release) override;
+
+ private:
+  class Search;
+
+  /// The dispatcher that gave a grant.
+  struct Origin {
+    PoolId pool;
+    NodeId node;
+  };
+  using GrantKey = std::pair<std::string, std::uint64_t>;
+
+  std::vector<PoolId> PoolsOf(const v1::GrantRequest& request);
+  void SendRelease(const Origin& origin, v1::GrantRelease release,
+                   int attempts_left);
+
+  base::EventLoop& loop_;
+  const Clock& clock_;
+  peer::Transport& transport_;
+  membership::Members& members_;
+  config::Configuration& configuration_;
+  DispatcherHost& local_;
+  base::DecisionLog& decisions_;
+  FailureDomainId own_;
+  std::mt19937_64 random_;
+  std::map<GrantKey, Origin> origins_;
+  std::unordered_map<std::string, std::weak_ptr<Search>> searches_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace mulberryroad::dispatch
+
+#endif  // MULBERRYROAD_SRC_DISPATCH_PEER_BROKER_H_
--- /dev/null
+++ b/src/dispatch/pool_scheduler.cc
@@ -0,0 +1,353 @@
+#include "dispatch/pool_scheduler.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace mulberryroad::dispatch {
+
+namespace {
+
+// Cost of a prompt token relative to a generated one.
+constexpr double kPromptTokenCost = 0.25;
+// Cost of a request beside its tokens.
+constexpr double kRequestCost = 1;
+constexpr double kUsedShareGain = 0.05;
+// Items that cannot be placed for their exclusions and are passed over.
+constexpr std::size_t kMaxPassedOver = 16;
+constexpr unsigned kGrantIdShift = 20;
+
+}  // namespace
+
+PoolScheduler::PoolScheduler(SchedulerOptions options, std::uint64_t seed)
+    : options_(options),
+      upstreams_(options.report_lag),
+      chooser_(options.choice, seed),
+      queue_(options.queue),
+      prefixes_(options.max_prefixes, options.prefix_max_age),
+      // Grants of two dispatchers of one pool must not share ids.
+      next_grant_((std::mt19937_64(seed)() >> kGrantIdShift) + 1) {}
+
+double PoolScheduler::ExpectedTokens(const v1::GrantRequest& request) const {
+  return used_share_ * request.max_tokens();
+}
+
+std::optional<Refused> PoolScheduler::RefuseAtOnce(
+    const v1::GrantRequest& request, Instant now) const {
+  if (upstreams_.listed() == 0) {
+    return Refused{"the pool has no upstream",
+                   RetryAfter(OrganisationId(request.organisation()), now)};
+  }
+  const OrganisationId organisation(request.organisation());
+  const std::chrono::milliseconds deadline{request.deadline_ms()};
+  const bool measured = drain_rate_.interval(now).has_value();
+  if (deadline.count() > 0 && measured && queue_.size(organisation) > 0) {
+    const std::chrono::milliseconds wait = RetryAfter(organisation, now);
+    if (wait > deadline && request.kind() != v1::WORK_SAMPLE) {
+      return Refused{"the queue is longer than the deadline allows", wait};
+    }
+  }
+  return std::nullopt;
+}
+
+AdmissionDecision PoolScheduler::Admit(const v1::GrantRequest& request,
+                                       Instant now) {
+  upstreams_.Refresh(now);
+  ExpireGrants(now);
+  const Requirement requirement = RequirementOf(request);
+  const bool others_first = queue_.Next([&](const Requirement& waiting) {
+    return upstreams_.AnyEligible(waiting);
+  }) != nullptr;
+  if (!others_first && upstreams_.AnyEligible(requirement)) {
+    if (std::optional<Granted> granted = TryGrant(request, now)) {
+      return *std::move(granted);
+    }
+  }
+  if (std::optional<Refused> refused = RefuseAtOnce(request, now)) {
+    return *std::move(refused);
+  }
+  const OrganisationId organisation(request.organisation());
+  if (queue_.size() >= options_.max_queued) {
+    std::optional<QueueItem> excess = queue_.TakeExcess(organisation);
+    if (!excess.has_value()) {
+      return Refused{"the queue is full", RetryAfter(organisation, now)};
+    }
+    ticket_of_request_.erase(excess->request.request_id());
+    const OrganisationId owner(excess->request.organisation());
+    evicted_.push_back(
+        {excess->ticket, std::move(excess->request),
+         Refused{"the queue is full and the organisation is over its share",
+                 RetryAfter(owner, now)}});
+  }
+  return Queued{Enqueue(request, now)};
+}
+
+Ticket PoolScheduler::Enqueue(const v1::GrantRequest& request, Instant now) {
+  const std::chrono::milliseconds deadline{request.deadline_ms()};
+  QueueItem item;
+  item.ticket = next_ticket_++;
+  item.request = request;
+  item.arrived = now;
+  item.expires =
+      now + (deadline.count() > 0 ? deadline : options_.max_queue_time);
+  ticket_of_request_[request.request_id()] = item.ticket;
+  const Ticket ticket = item.ticket;
+  queue_.Push(std::move(item));
+  return ticket;
+}
+
+std::optional<Granted> PoolScheduler::TryGrant(const v1::GrantRequest& request,
+                                               Instant now) {
+  std::optional<Choice> choice =
+      chooser_.Choose(request, upstreams_, prefixes_, now);
+  if (!choice.has_value()) {
+    return std::nullopt;
+  }
+  return MakeGrant(request, *std::move(choice), now);
+}
+
+Granted PoolScheduler::MakeGrant(const v1::GrantRequest& request, Choice choice,
+                                 Instant now) {
+  const UpstreamIndex index = choice.upstream;
+  upstreams_.Take(index, now);
+  for (const std::uint64_t hash : request.prefix_hashes()) {
+    prefixes_.Add(hash, index, now);
+  }
+  ActiveGrant active;
+  active.upstream = index;
+  active.request_id = request.request_id();
+  active.organisation = OrganisationId(request.organisation());
+  active.entry = request.entry();
+  active.prompt_cost =
+      kRequestCost + kPromptTokenCost * request.prompt_tokens();
+  active.charged = active.prompt_cost + ExpectedTokens(request);
+  active.max_tokens = request.max_tokens();
+  active.repeatable = request.repeatable();
+  active.expires = now + options_.grant_lease;
+  queue_.Charge(active.organisation, active.charged);
+  repeatable_in_flight_ += active.repeatable ? 1 : 0;
+
+  const GrantId id = next_grant_++;
+  grant_expiry_.emplace(active.expires, id);
+  grant_of_request_[active.request_id] = id;
+  grants_.emplace(id, std::move(active));
+
+  const UpstreamState& state = upstreams_.at(index);
+  Granted granted;
+  granted.candidates = std::move(choice.candidates);
+  granted.grant.set_grant_id(id);
+  granted.grant.set_upstream(state.spec.id.value());
+  granted.grant.set_endpoint(state.spec.endpoint);
+  granted.grant.set_version(state.version);
+  granted.grant.set_reason(choice.reason);
+  return granted;
+}
+
+std::vector<ScheduledDecision> PoolScheduler::Schedule(Instant now) {
+  upstreams_.Refresh(now);
+  ExpireGrants(now);
+  std::vector<ScheduledDecision> decisions = std::exchange(evicted_, {});
+  RefuseExpired(now, &decisions);
+  GrantQueued(now, &decisions);
+  return decisions;
+}
+
+void PoolScheduler::RefuseExpired(Instant now,
+                                  std::vector<ScheduledDecision>* decisions) {
+  while (std::optional<QueueItem> item = queue_.TakeExpired(now)) {
+    ticket_of_request_.erase(item->request.request_id());
+    const OrganisationId organisation(item->request.organisation());
+    decisions->push_back(
+        {item->ticket, std::move(item->request),
+         Refused{"no slot came free in time", RetryAfter(organisation, now)}});
+  }
+}
+
+void PoolScheduler::GrantQueued(Instant now,
+                                std::vector<ScheduledDecision>* decisions) {
+  std::vector<QueueItem> passed_over;
+  while (passed_over.size() < kMaxPassedOver) {
+    const QueueItem* next = queue_.Next([&](const Requirement& requirement) {
+      return upstreams_.AnyEligible(requirement);
+    });
+    if (next == nullptr) {
+      break;
+    }
+    std::optional<Granted> granted = TryGrant(next->request, now);
+    QueueItem item = *queue_.Remove(next->ticket);
+    if (!granted.has_value()) {
+      passed_over.push_back(std::move(item));
+      continue;
+    }
+    ticket_of_request_.erase(item.request.request_id());
+    decisions->push_back(
+        {item.ticket, std::move(item.request), *std::move(granted)});
+  }
+  for (QueueItem& item : passed_over) {
+    queue_.Push(std::move(item));
+  }
+}
+
+bool PoolScheduler::Release(const v1::GrantRelease& release, Instant now) {
+  if (release.grant_id() == 0) {
+    return GiveUp(release.request_id(), now);
+  }
+  if (!grants_.contains(release.grant_id())) {
+    return false;
+  }
+  EndGrant(release.grant_id(), release, now);
+  return true;
+}
+
+bool PoolScheduler::GiveUp(const std::string& request_id, Instant now) {
+  const auto ticket = ticket_of_request_.find(request_id);
+  if (ticket != ticket_of_request_.end()) {
+    queue_.Remove(ticket->second);
+    ticket_of_request_.erase(ticket);
+    return true;
+  }
+  const auto grant = grant_of_request_.find(request_id);
+  if (grant == grant_of_request_.end()) {
+    return false;
+  }
+  EndGrant(grant->second, v1::GrantRelease(), now);
+  return true;
+}
+
+void PoolScheduler::EndGrant(GrantId id, const v1::GrantRelease& release,
+                             Instant now) {
+  const auto found = grants_.find(id);
+  const ActiveGrant grant = std::move(found->second);
+  grants_.erase(found);
+  grant_expiry_.erase({grant.expires, id});
+  const auto by_request = grant_of_request_.find(grant.request_id);
+  if (by_request != grant_of_request_.end() && by_request->second == id) {
+    grant_of_request_.erase(by_request);
+  }
+  repeatable_in_flight_ -= grant.repeatable ? 1 : 0;
+  const double actual = grant.prompt_cost + release.tokens();
+  if (grant.max_tokens > 0 && release.tokens() > 0) {
+    const double share = static_cast<double>(release.tokens()) /
+                         static_cast<double>(grant.max_tokens);
+    used_share_ += kUsedShareGain * (std::min(share, 1.0) - used_share_);
+  }
+  queue_.Charge(grant.organisation, actual - grant.charged);
+  drain_rate_.Add(now);
+  upstreams_.Return(grant.upstream, release.failed(),
+                    release.observed_version(), now);
+}
+
+void PoolScheduler::ExpireGrants(Instant now) {
+  while (!grant_expiry_.empty() && grant_expiry_.begin()->first <= now) {
+    EndGrant(grant_expiry_.begin()->second, v1::GrantRelease(), now);
+  }
+}
+
+void PoolScheduler::ReleaseEntry(const NodeId& entry, Instant now) {
+  std::vector<GrantId> ids;
+  for (const auto& [id, grant] : grants_) {
+    if (grant.entry == entry.value()) {
+      ids.push_back(id);
+    }
+  }
+  for (const GrantId id : ids) {
+    EndGrant(id, v1::GrantRelease(), now);
+  }
+}
+
+void PoolScheduler::SetUpstreams(const std::vector<UpstreamSpec>& upstreams) {
+  upstreams_.Replace(upstreams);
+}
+
+void PoolScheduler::SetWeights(const std::vector<OrganisationWeight>& weights) {
+  queue_.SetWeights(weights);
+}
+
+void PoolScheduler::Observe(const UpstreamId& upstream,
+                            const v1::EngineLoad& load, Instant now) {
+  upstreams_.Observe(upstream, load, now);
+}
+
+void PoolScheduler::ObserveSilence(const UpstreamId& upstream) {
+  upstreams_.ObserveSilence(upstream);
+}
+
+void PoolScheduler::ObserveCache(const UpstreamId& upstream,
+                                 const v1::CacheEvents& events, Instant now) {
+  const std::optional<UpstreamIndex> index = upstreams_.Find(upstream);
+  if (!index.has_value()) {
+    return;
+  }
+  for (const v1::CacheEvent& event : events.events()) {
+    if (event.evicted()) {
+      prefixes_.Remove(event.prefix_hash(), *index);
+    } else {
+      prefixes_.Add(event.prefix_hash(), *index, now);
+    }
+  }
+}
+
+void PoolScheduler::Notice(const v1::UpstreamNotice& notice, Instant now) {
+  upstreams_.Notice(notice, now);
+}
+
+std::optional<Instant> PoolScheduler::next_wakeup() const {
+  std::optional<Instant> earliest = queue_.next_expiry();
+  const auto consider = [&](Instant candidate) {
+    earliest = std::min(earliest.value_or(candidate), candidate);
+  };
+  if (!grant_expiry_.empty()) {
+    consider(grant_expiry_.begin()->first);
+  }
+  if (const std::optional<Instant> refresh = upstreams_.next_refresh()) {
+    consider(*refresh);
+  }
+  return earliest;
+}
+
+std::uint32_t PoolScheduler::in_flight(const UpstreamId& upstream) const {
+  const std::optional<UpstreamIndex> index = upstreams_.Find(upstream);
+  return index.has_value() ? upstreams_.at(*index).in_flight : 0;
+}
+
+v1::PoolStatus PoolScheduler::status() const {
+  v1::PoolStatus status;
+  status.set_queued(static_cast<std::uint32_t>(queued()));
+  status.set_in_flight(static_cast<std::uint32_t>(in_flight()));
+  for (const UpstreamIndex index : upstreams_.all()) {
+    const UpstreamState& state = upstreams_.at(index);
+    v1::UpstreamStatus& upstream = *status.add_upstreams();
+    upstream.set_name(state.spec.id.value());
+    upstream.set_endpoint(state.spec.endpoint);
+    upstream.set_upstream_class(state.spec.upstream_class);
+    upstream.set_version(state.version);
+    upstream.set_in_flight(state.in_flight);
+    upstream.set_leaving(state.leaving());
+    upstream.set_swapping(state.swapping);
+  }
+  return status;
+}
+
+v1::DemandReply PoolScheduler::demand() const {
+  v1::DemandReply reply;
+  reply.set_is_dispatcher(true);
+  reply.set_queued(static_cast<std::uint32_t>(queued()));
+  reply.set_in_flight(static_cast<std::uint32_t>(in_flight()));
+  reply.set_repeatable_in_flight(repeatable_in_flight_);
+  for (const UpstreamIndex index : upstreams_.all()) {
+    const UpstreamState& state = upstreams_.at(index);
+    v1::UpstreamDemand& upstream = *reply.add_upstreams();
+    upstream.set_upstream(state.spec.id.value());
+    upstream.set_in_flight(state.in_flight);
+    upstream.set_version(state.version);
+  }
+  return reply;
+}
+
+std::chrono::milliseconds PoolScheduler::RetryAfter(
+    const OrganisationId& organisation, Instant now) const {
+  const double ahead = static_cast<double>(queue_.size(organisation)) + 1;
+  return drain_rate_.TimeFor(ahead / queue_.ShareOf(organisation), now);
+}
+
+}  // namespace mulberryroad::dispatch
--- /dev/null
+++ b/src/platform/http_engine_control.cc
@@ -0,0 +1,84 @@
+#include "platform/http_engine_control.h"
+
+#include <chrono>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "base/json.h"
+
+namespace mulberryroad::platform {
+
+namespace {
+
+constexpr std::chrono::milliseconds kReportTimeout = std::chrono::seconds{2};
+// A load order is answered when the weights are in place.
+constexpr std::chrono::milliseconds kLoadTimeout = std::chrono::seconds{60};
+constexpr int kOk = 200;
+constexpr int kConflict = 409;
+
+template <typename Answer>
+std::variant<Answer, PlatformFailure> ReadAnswer(const http::Result& result) {
+  if (const auto* failure = std::get_if<http::Failure>(&result)) {
+    return PlatformFailure{failure->verdict, failure->reason};
+  }
+  const auto& response = std::get<http::Response>(result);
+  if (response.status != kOk) {
+    const Verdict verdict =
+        response.status == kConflict ? Verdict::kNotRun : Verdict::kMayHaveRun;
+    return PlatformFailure{
+        verdict, "status " + std::to_string(response.status) + " from engine"};
+  }
+  Answer answer;
+  std::string reason;
+  if (!base::FromJson(response.body, &answer, &reason)) {
+    return PlatformFailure{Verdict::kMayHaveRun,
+                           "malformed answer from engine: " + reason};
+  }
+  return answer;
+}
+
+template <typename Answer>
+http::OnDone Reading(OnAnswer<Answer> on_answer) {
+  return [on_answer = std::move(on_answer)](const http::Result& result) {
+    on_answer(ReadAnswer<Answer>(result));
+  };
+}
+
+http::ClientRequest Get(const Endpoint& engine, std::string path) {
+  http::ClientRequest request;
+  request.endpoint = engine;
+  request.path = std::move(path);
+  request.timeout = kReportTimeout;
+  return request;
+}
+
+}  // namespace
+
+HttpEngineControl::HttpEngineControl(http::Client& client) : client_(client) {}
+
+void HttpEngineControl::Load(const Endpoint& engine,
+                             const v1::LoadVersion& order,
+                             OnAnswer<v1::EngineLoad> on_answer) {
+  http::ClientRequest request;
+  request.endpoint = engine;
+  request.method = http::Method::kPost;
+  request.path = "/v1/load-version";
+  request.headers = {{"Content-Type", "application/json"}};
+  request.body = base::ToJson(order);
+  request.timeout = kLoadTimeout;
+  client_.Send(std::move(request), Reading(std::move(on_answer)));
+}
+
+void HttpEngineControl::Report(const Endpoint& engine,
+                               OnAnswer<v1::EngineLoad> on_answer) {
+  client_.Send(Get(engine, "/v1/load"), Reading(std::move(on_answer)));
+}
+
+void HttpEngineControl::Events(const Endpoint& engine, std::uint64_t from,
+                               OnAnswer<v1::CacheEvents> on_answer) {
+  client_.Send(Get(engine, "/v1/cache-events?from=" + std::to_string(from)),
+               Reading(std::move(on_answer)));
+}
+
+}  // namespace mulberryroad::platform
--- /dev/null
+++ b/src/platform/http_engine_control.h
@@ -0,0 +1,28 @@
+// Orders to engines and their reports over HTTP with JSON bodies.
+
+#ifndef MULBERRYROAD_SRC_PLATFORM_HTTP_ENGINE_CONTROL_H_
+#define MULBERRYROAD_SRC_PLATFORM_HTTP_ENGINE_CONTROL_H_
+
+#include "http/client.h"
+#include "platform/platform.h"
+
+namespace mulberryroad::platform {
+
+class HttpEngineControl final : public EngineControl {
+ public:
+  explicit HttpEngineControl(http::Client& client);
+
+  void Load(const Endpoint& engine, const v1::LoadVersion& order,
+            OnAnswer<v1::EngineLoad> on_answer) override;
+  void Report(const Endpoint& engine,
+              OnAnswer<v1::EngineLoad> on_answer) override;
+  void Events(const Endpoint& engine, std::uint64_t from,
+              OnAnswer<v1::CacheEvents> on_answer) override;
+
+ private:
+  http::Client& client_;
+};
+
+}  // namespace mulberryroad::platform
+
+#endif  // MULBERRYROAD_SRC_PLATFORM_HTTP_ENGINE_CONTROL_H_
