Entry: gateway for completions and plain services

Keys are checked at each request and again while one is under way; retries are for requests that were not run or are idempotent, under a budget; keyed non-idempotent requests go through the ledger.

--- /dev/null
+++ b/src/entry/completion_session.cc
@@ -0,0 +1,244 @@
+#include "entry/completion_session.h"
+
+#include <chrono>
+#include <utility>
+#include <variant>
+
+#include "base/json.h"
+#include "http/server_sent_events.h"
+
+namespace mulberryroad::entry {
+
+namespace {
+
+constexpr std::chrono::milliseconds kUnknownRetry = std::chrono::seconds{1};
+
+int StatusOf(const dispatch::GenerationFailure& failure) {
+  return failure.verdict == Verdict::kNotRun ? kUnavailable : kBadGateway;
+}
+
+}  // namespace
+
+CompletionSession::CompletionSession(std::shared_ptr<GatewayContext> context,
+                                     std::shared_ptr<http::Exchange> exchange,
+                                     RequestId request_id, Caller caller,
+                                     v1::CompletionRequest request,
+                                     bool idempotent)
+    : context_(std::move(context)),
+      open_(context_),
+      exchange_(std::move(exchange)),
+      request_id_(std::move(request_id)),
+      caller_(std::move(caller)),
+      request_(std::move(request)),
+      idempotent_(idempotent) {}
+
+CompletionSession::~CompletionSession() {
+  for (sigc::connection& connection : connections_) {
+    connection.disconnect();
+  }
+}
+
+void CompletionSession::Start() {
+  self_ = shared_from_this();
+  const std::weak_ptr<CompletionSession> weak = weak_from_this();
+  const auto check_key = [weak] {
+    if (const auto self = weak.lock()) {
+      self->CheckKey();
+    }
+  };
+  connections_.push_back(exchange_->on_closed().connect([weak] {
+    if (const auto self = weak.lock()) {
+      self->CallerGone();
+    }
+  }));
+  connections_.push_back(context_->configuration.changed().connect(check_key));
+  key_timer_ =
+      context_->loop.Every(context_->options.key_check_interval, check_key);
+  Generate();
+}
+
+void CompletionSession::Generate() {
+  ++attempts_;
+  dispatch::GenerationRequest wanted;
+  wanted.request_id = request_id_;
+  wanted.organisation = caller_.organisation;
+  wanted.model = TargetId(request_.model());
+  wanted.prompt = request_.prompt();
+  wanted.max_tokens = request_.max_tokens();
+  wanted.deadline = context_->options.queue_timeout;
+  wanted.repeatable = idempotent_;
+  wanted.excluded_upstreams = failed_upstreams_;
+  wanted.resume_text = text_;
+  wanted.resume_tokens = tokens_;
+  const std::weak_ptr<CompletionSession> weak = weak_from_this();
+  call_ = context_->generator.Start(
+      std::move(wanted),
+      [weak](const dispatch::GenerationPiece& piece) {
+        if (const auto self = weak.lock()) {
+          self->TakePiece(piece);
+        }
+      },
+      [weak](const std::variant<dispatch::Generated,
+                                dispatch::GenerationFailure>& outcome) {
+        if (const auto self = weak.lock()) {
+          std::visit([&](const auto& result) { self->Take(result); }, outcome);
+        }
+      });
+}
+
+v1::CompletionChunk CompletionSession::NewChunk() const {
+  v1::CompletionChunk chunk;
+  chunk.set_request_id(request_id_.value());
+  chunk.set_model(request_.model());
+  return chunk;
+}
+
+void CompletionSession::WriteChunk(const v1::CompletionChunk& chunk) {
+  if (!streaming_) {
+    streaming_ = true;
+    exchange_->StartStream(
+        kOk, {{"Content-Type", std::string(http::kEventStreamType)},
+              {"Cache-Control", "no-cache"},
+              {"X-Request-Id", request_id_.value()}});
+  }
+  exchange_->Write(http::FormatEvent(base::ToJson(chunk)));
+}
+
+void CompletionSession::TakePiece(const dispatch::GenerationPiece& piece) {
+  if (ended_ || !request_.stream()) {
+    return;
+  }
+  v1::CompletionChunk chunk = NewChunk();
+  chunk.set_text(piece.text);
+  chunk.set_tokens(piece.tokens);
+  for (const v1::VersionRange& range : piece.versions) {
+    v1::VersionRange& from_chunk = *chunk.add_versions();
+    from_chunk.set_begin_token(range.begin_token() - delivered_);
+    from_chunk.set_end_token(range.end_token() - delivered_);
+    from_chunk.set_version(range.version());
+  }
+  delivered_ += piece.tokens;
+  WriteChunk(chunk);
+}
+
+void CompletionSession::Keep(const std::string& text, std::uint32_t tokens,
+                             const std::vector<v1::VersionRange>& versions) {
+  text_ += text;
+  tokens_ += tokens;
+  versions_.insert(versions_.end(), versions.begin(), versions.end());
+}
+
+void CompletionSession::Take(const dispatch::Generated& generated) {
+  if (ended_) {
+    return;
+  }
+  Keep(generated.text, generated.tokens, generated.versions);
+  prompt_tokens_ = generated.prompt_tokens;
+  v1::CompletionChunk last = NewChunk();
+  last.set_done(true);
+  last.set_prompt_tokens(prompt_tokens_);
+  if (request_.stream()) {
+    WriteChunk(last);
+    exchange_->Finish();
+  } else {
+    last.set_text(text_);
+    last.set_tokens(tokens_);
+    last.mutable_versions()->Assign(versions_.begin(), versions_.end());
+    exchange_->Reply(kOk, base::ToJson(last),
+                     {{"Content-Type", "application/json"},
+                      {"X-Request-Id", request_id_.value()}});
+  }
+  Bill(tokens_);
+  End();
+}
+
+bool CompletionSession::MayTryAgain(
+    const dispatch::GenerationFailure& failure) {
+  const bool safe = failure.verdict == Verdict::kNotRun || idempotent_;
+  const bool refused_by_all = failure.upstream.empty();
+  return safe && !refused_by_all &&
+         attempts_ < context_->options.max_attempts && context_->budget.Spend();
+}
+
+void CompletionSession::Take(const dispatch::GenerationFailure& failure) {
+  if (ended_) {
+    return;
+  }
+  Keep(failure.partial_text, failure.partial_tokens, failure.partial_versions);
+  if (failure.verdict != Verdict::kNotRun) {
+    verdict_ = Verdict::kMayHaveRun;
+  }
+  const bool again = MayTryAgain(failure);
+  WriteRetry(*context_, request_id_, caller_, TargetId(request_.model()), again,
+             failure.reason, verdict_);
+  if (!again) {
+    const std::chrono::milliseconds retry_after =
+        failure.retry_after.count() > 0 ? failure.retry_after : kUnknownRetry;
+    Fail({StatusOf(failure), failure.reason, verdict_, retry_after});
+    return;
+  }
+  failed_upstreams_.push_back(failure.upstream);
+  retry_timer_ = context_->loop.After(
+      RetryPause(attempts_ - 1, context_->random), [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+          self->Generate();
+        }
+      });
+}
+
+void CompletionSession::CheckKey() {
+  if (ended_) {
+    return;
+  }
+  std::optional<RequestError> error =
+      CheckAgain(context_->configuration, caller_);
+  if (error.has_value()) {
+    call_->Cancel();
+    error->verdict = Verdict::kMayHaveRun;
+    Fail(*error);
+  }
+}
+
+void CompletionSession::CallerGone() {
+  if (ended_) {
+    return;
+  }
+  call_->Cancel();
+  if (delivered_ > 0) {
+    Bill(delivered_);
+  }
+  End();
+}
+
+void CompletionSession::Fail(const RequestError& error) {
+  if (streaming_) {
+    exchange_->Write("event: error\n" + http::FormatEvent(base::ToJson(
+                                            ToMessage(error, request_id_))));
+    exchange_->Finish();
+    Bill(delivered_);
+  } else {
+    ReplyError(*exchange_, error, request_id_);
+  }
+  End();
+}
+
+void CompletionSession::Bill(std::uint32_t tokens) {
+  if (caller_.organisation.empty()) {
+    return;
+  }
+  billing::Usage usage;
+  usage.prompt_tokens = prompt_tokens_;
+  usage.generated_tokens = tokens;
+  context_->meter.Count(caller_.organisation, usage);
+}
+
+void CompletionSession::End() {
+  ended_ = true;
+  key_timer_.Cancel();
+  retry_timer_.Cancel();
+  const std::shared_ptr<CompletionSession> keep = std::move(self_);
+  // Freed from the loop: this may run inside one of the session's callbacks.
+  context_->loop.Post([keep] {});
+}
+
+}  // namespace mulberryroad::entry
--- /dev/null
+++ b/src/entry/completion_session.h
@@ -0,0 +1,80 @@
+// One completion for a caller: from the checked body to the last byte of the
+// answer, over as many upstreams as it takes.
+
+#ifndef MULBERRYROAD_SRC_ENTRY_COMPLETION_SESSION_H_
+#define MULBERRYROAD_SRC_ENTRY_COMPLETION_SESSION_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/event_loop.h"
+#include "dispatch/broker.h"
+#include "entry/gateway_context.h"
+#include "http/server.h"
+#include "mulberryroad/platform.pb.h"
+
+namespace mulberryroad::entry {
+
+/// Keeps itself alive until the caller has the answer or has gone.
+class CompletionSession final
+    : public std::enable_shared_from_this<CompletionSession> {
+ public:
+  /// @param idempotent the request may be sent again after it may have run
+  CompletionSession(std::shared_ptr<GatewayContext> context,
+                    std::shared_ptr<http::Exchange> exchange,
+                    RequestId request_id, Caller caller,
+                    v1::CompletionRequest request, bool idempotent);
+  ~CompletionSession();
+  CompletionSession(const CompletionSession&) = delete;
+  CompletionSession& operator=(const CompletionSession&) = delete;
+
+  void Start();
+
+ private:
+  void Generate();
+  void TakePiece(const dispatch::GenerationPiece& piece);
+  void Take(const dispatch::Generated& generated);
+  void Take(const dispatch::GenerationFailure& failure);
+  void Keep(const std::string& text, std::uint32_t tokens,
+            const std::vector<v1::VersionRange>& versions);
+  bool MayTryAgain(const dispatch::GenerationFailure& failure);
+  void CheckKey();
+  void CallerGone();
+  void Fail(const RequestError& error);
+  void WriteChunk(const v1::CompletionChunk& chunk);
+  v1::CompletionChunk NewChunk() const;
+  void Bill(std::uint32_t tokens);
+  void End();
+
+  std::shared_ptr<GatewayContext> context_;
+  OpenRequest open_;
+  std::shared_ptr<http::Exchange> exchange_;
+  RequestId request_id_;
+  Caller caller_;
+  v1::CompletionRequest request_;
+  bool idempotent_;
+  int attempts_ = 0;
+  bool streaming_ = false;
+  bool ended_ = false;
+  // Of all attempts together.
+  Verdict verdict_ = Verdict::kNotRun;
+  std::vector<UpstreamId> failed_upstreams_;
+  // What earlier upstreams generated.
+  std::string text_;
+  std::uint32_t tokens_ = 0;
+  std::vector<v1::VersionRange> versions_;
+  // Tokens passed on to the caller of a stream.
+  std::uint32_t delivered_ = 0;
+  std::uint32_t prompt_tokens_ = 0;
+  std::shared_ptr<dispatch::GenerationCall> call_;
+  base::Timer key_timer_;
+  base::Timer retry_timer_;
+  std::vector<sigc::connection> connections_;
+  // Held until the session ends.
+  std::shared_ptr<CompletionSession> self_;
+};
+
+}  // namespace mulberryroad::entry
+
+#endif  // MULBERRYROAD_SRC_ENTRY_COMPLETION_SESSION_H_
--- /dev/null
+++ b/src/entry/service_session.h
@@ -0,0 +1,70 @@
+// One request to a plain service: slot, ledger, upstream exchange, answer.
+
+#ifndef MULBERRYROAD_SRC_ENTRY_SERVICE_SESSION_H_
+#define MULBERRYROAD_SRC_ENTRY_SERVICE_SESSION_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/event_loop.h"
+#include "entry/gateway_context.h"
+#include "entry/idempotency.h"
+#include "entry/route_table.h"
+#include "http/client.h"
+#include "http/server.h"
+
+namespace mulberryroad::entry {
+
+/// Keeps itself alive until the caller has the answer. A request that is not
+/// idempotent runs to its end even if the caller has gone, so that its outcome
+/// is recorded.
+class ServiceSession final
+    : public std::enable_shared_from_this<ServiceSession> {
+ public:
+  ServiceSession(std::shared_ptr<GatewayContext> context,
+                 std::shared_ptr<http::Exchange> exchange, RequestId request_id,
+                 Caller caller, ResolvedRoute route);
+  ~ServiceSession();
+  ServiceSession(const ServiceSession&) = delete;
+  ServiceSession& operator=(const ServiceSession&) = delete;
+
+  void Start();
+
+ private:
+  void AcquireSlot();
+  void Take(const v1::GrantRefusal& refusal);
+  void Take(const v1::Grant& grant);
+  void Send(const Endpoint& endpoint);
+  void Take(const http::Response& response);
+  void Take(const http::Failure& failure);
+  void AfterFailure(Verdict verdict, const std::string& reason);
+  void ReleaseSlot(bool failed);
+  void CallerGone();
+  void Fail(const RequestError& error);
+  void End();
+
+  std::shared_ptr<GatewayContext> context_;
+  OpenRequest open_;
+  std::shared_ptr<http::Exchange> exchange_;
+  RequestId request_id_;
+  Caller caller_;
+  ResolvedRoute route_;
+  int attempts_ = 0;
+  // Of all attempts together.
+  Verdict verdict_ = Verdict::kNotRun;
+  bool ended_ = false;
+  std::shared_ptr<KeyedTry> keyed_;
+  std::optional<v1::Grant> grant_;
+  std::shared_ptr<http::Call> call_;
+  std::vector<std::string> failed_upstreams_;
+  base::Timer retry_timer_;
+  sigc::connection closed_;
+  // Held until the session ends.
+  std::shared_ptr<ServiceSession> self_;
+};
+
+}  // namespace mulberryroad::entry
+
+#endif  // MULBERRYROAD_SRC_ENTRY_SERVICE_SESSION_H_
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -74,6 +74,11 @@
   const evhttp_uri* uri = evhttp_request_get_evhttp_uri(native);
   const char* path = uri == nullptr ? nullptr : evhttp_uri_get_path(uri);
   request.path = path == nullptr || *path == '\0' ? "/" : path;
+  const char* query = uri == nullptr ? nullptr : evhttp_uri_get_query(uri);
+  request.target = request.path;
+  if (query != nullptr) {
+    request.target += std::string("?") + query;
+  }
   ReadHeaders(native, &request);
   if (uri != nullptr) {
     ReadQuery(uri, &request);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -37,6 +37,8 @@
 struct Request {
   Method method = Method::kGet;
   std::string path;
+  /// Path with its query, as received.
+  std::string target;
   std::map<std::string, std::string> query;
   std::map<std::string, std::string> headers;
   std::string body;
