--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -176,7 +176,7 @@
       {"wait", 'w', POPT_ARG_NONE, &raw.wait, 0, nullptr, nullptr},
       {"help", 'h', POPT_ARG_NONE, &raw.help, 0, nullptr, nullptr},
       {nullptr, '\0', 0, nullptr, 0, nullptr, nullptr}};
-  const std::vector<const char*> arguments(argv, argv + argc);
+  std::vector<const char*> arguments(argv, argv + argc);
   const std::unique_ptr<std::remove_pointer_t<poptContext>,
                         decltype(&poptFreeContext)>
       context(poptGetContext(nullptr, argc, arguments.data(), table.data(), 0),
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -1,7 +1,9 @@
 #include "daemon/node.h"
 
 #include <csignal>
+#include <functional>
 #include <random>
+#include <utility>
 #include <vector>
 
 #include "base/decision_log.h"
@@ -39,6 +41,10 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds kHandOverPoll{20};
+// Time for the release records of leases to reach the log.
+constexpr std::chrono::milliseconds kReleaseTime{200};
+
 std::chrono::milliseconds Millis(std::uint32_t count) {
   return std::chrono::milliseconds(count);
 }
@@ -79,6 +85,16 @@
   return limits;
 }
 
+entry::GatewayOptions GatewayOptionsOf(const v1::NodeSettings& settings,
+                                       std::uint64_t seed) {
+  entry::GatewayOptions options;
+  options.node = NodeId(settings.node_id());
+  options.upstream_credential = settings.upstream_credential();
+  options.request_timeout = Millis(settings.request_timeout_ms());
+  options.seed = seed;
+  return options;
+}
+
 }  // namespace
 
 /// All objects of a node, in the order of their dependencies.
@@ -92,6 +108,8 @@
  private:
   AdminSources Sources();
   DrainSteps Steps();
+  std::size_t OpenWork() const;
+  void HandOver(std::function<void()> done);
   void RegisterGauges();
 
   v1::NodeSettings settings_;
@@ -144,6 +162,8 @@
   rollout::TrainerApi trainer_api_;
   AdminApi admin_api_;
   Drain drain_;
+  std::function<void()> hand_over_done_;
+  base::Timer hand_over_poll_;
 };
 
 Node::Parts::Parts(const v1::NodeSettings& settings)
@@ -175,7 +195,8 @@
                   failure_domain_,
                   {.interval = Millis(settings_.control_interval_ms())}),
       gateway_(loop_, clock_, caller_server_, http_client_, configuration_,
-               broker_, generator_, ledger_client_, meter_, decisions_, {}),
+               broker_, generator_, ledger_client_, meter_, decisions_,
+               GatewayOptionsOf(settings_, seed_)),
       trainer_api_(caller_server_, configuration_, batches_, decisions_),
       admin_api_(admin_server_, configuration_, members_, leases_, journal_,
                  decisions_, metrics_, Sources()),
@@ -201,11 +222,32 @@
                 members_.Leave();
               },
           .stop_accepting = [this] { caller_server_.StopAccepting(); },
-          .open_requests = [this] { return caller_server_.open_exchanges(); },
-          .hand_over = [](const std::function<void()>& done) { done(); },
+          .open_requests = [this] { return OpenWork(); },
+          .hand_over =
+              [this](std::function<void()> done) { HandOver(std::move(done)); },
           .stop = [this] { loop_.Stop(); }};
 }
 
+std::size_t Node::Parts::OpenWork() const {
+  return caller_server_.open_exchanges() + gateway_.open_requests() +
+         batches_.owned();
+}
+
+// Usage is appended and leases are released before the process ends, so that
+// successors need not wait for a term to run out.
+void Node::Parts::HandOver(std::function<void()> done) {
+  controller_.Stop();
+  reporter_.Stop();
+  meter_.Flush();
+  hand_over_done_ = std::move(done);
+  hand_over_poll_ = loop_.Every(kHandOverPoll, [this] {
+    if (meter_.settled()) {
+      // Kept until here: the release records need the loop as well.
+      hand_over_poll_ = loop_.After(kReleaseTime, hand_over_done_);
+    }
+  });
+}
+
 void Node::Parts::RegisterGauges() {
   metrics_.Gauge("config_revision", [this] {
     return static_cast<double>(configuration_.revision());
