--- a/src/config/config_store.cc
+++ b/src/config/config_store.cc
@@ -1,5 +1,6 @@
 #include "config/config_store.h"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -32,11 +33,12 @@
 
 }  // namespace
 
-ConfigStore::ConfigStore(base::EventLoop& loop, const Clock& /*clock*/,
+ConfigStore::ConfigStore(base::EventLoop& loop, const Clock& clock,
                          log::Journal& journal, peer::Transport& transport,
                          membership::Membership& members,
                          ConfigStoreOptions options)
     : loop_(loop),
+      clock_(clock),
       journal_(journal),
       transport_(transport),
       members_(members),
@@ -88,10 +90,15 @@
 Authority ConfigStore::authority() const {
   Contact contact;
   contact.log_silence = journal_.silence();
+  contact.log_read = journal_.caught_up(kConfigStream);
+  if (behind_since_.has_value()) {
+    contact.behind = std::chrono::duration_cast<std::chrono::milliseconds>(
+        clock_.now() - *behind_since_);
+  }
   contact.peer_silence = members_.peer_contact();
   contact.peers_log_silence = members_.peers_log_silence();
   contact.peers_known = members_.all().size() - 1;
-  contact.answered_share = members_.answered_share();
+  contact.reach = members_.reach();
   return Judge(contact, options_.isolation_limit);
 }
 
@@ -161,6 +168,9 @@
   if (revision() == before) {
     return;
   }
+  if (revision() >= highest_heard_) {
+    behind_since_.reset();
+  }
   organisation_of_digest_.clear();
   for (const auto& organisation :
        history_.in_force().declaration().organisations()) {
@@ -175,7 +185,12 @@
 }
 
 void ConfigStore::OnHeard(const v1::Member& peer) {
-  if (peer.config_revision() > revision() && !fetching_) {
+  if (peer.config_revision() <= revision()) {
+    return;
+  }
+  highest_heard_ = std::max(highest_heard_, peer.config_revision());
+  behind_since_ = behind_since_.value_or(clock_.now());
+  if (!fetching_) {
     Fetch(peer);
   }
 }
--- a/src/config/config_store.h
+++ b/src/config/config_store.h
@@ -63,6 +63,7 @@
                           const std::string& reason) const;
 
   base::EventLoop& loop_;
+  const Clock& clock_;
   log::Journal& journal_;
   peer::Transport& transport_;
   membership::Membership& members_;
@@ -70,6 +71,9 @@
   RevisionHistory history_;
   std::unordered_map<std::string, OrganisationId> organisation_of_digest_;
   bool fetching_ = false;
+  // The highest revision that a peer reported, and since when it is missing.
+  std::uint64_t highest_heard_ = 0;
+  std::optional<Instant> behind_since_;
   sigc::signal<void()> changed_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   base::Timer tick_;
--- a/src/config/isolation.h
+++ b/src/config/isolation.h
@@ -14,14 +14,19 @@
 struct Contact {
   /// Time since the log answered this node.
   std::chrono::milliseconds log_silence{0};
+  /// The configurations in the log were read to their end, without a gap.
+  bool log_read = true;
+  /// Time since a revision is known that this node could not get; 0 if it has
+  /// the highest known one.
+  std::chrono::milliseconds behind{0};
   /// Time since any peer answered or called.
   std::chrono::milliseconds peer_silence{0};
   /// Shortest time since any peer read the log; nullopt if none ever told.
   std::optional<std::chrono::milliseconds> peers_log_silence;
   /// Nodes known beside this one.
   std::size_t peers_known = 0;
-  /// Share of the latest probes that were answered.
-  double answered_share = 1.0;
+  /// Share of the other nodes that are within reach.
+  double reach = 1.0;
 };
 
 enum class Authority {
--- a/src/log/log_journal.cc
+++ b/src/log/log_journal.cc
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr std::uint32_t kPageRecords = 512;
-constexpr std::chrono::milliseconds kReadWait{2'000};
 constexpr std::chrono::milliseconds kFirstReadBackoff{100};
 constexpr std::chrono::milliseconds kMaxReadBackoff{1'000};
 constexpr std::chrono::milliseconds kGapRetry{1'000};
@@ -33,6 +32,7 @@
   std::string writer;
   std::mt19937_64 random;
   Instant last_answer;
+  std::chrono::milliseconds read_wait;
   std::uint64_t appends_sent = 0;
   std::map<std::string, std::shared_ptr<Tail>> tails{};
   std::map<std::string, std::map<std::uint64_t, std::shared_ptr<PendingAppend>>>
@@ -204,7 +204,8 @@
     } else if (main_ != nullptr && reader_.position() < page.next_offset) {
       ReadAfter(kCatchUpPause);
     } else {
-      Read(main_ == nullptr ? kReadWait : std::chrono::milliseconds(0));
+      Read(main_ == nullptr ? shared_->read_wait
+                            : std::chrono::milliseconds(0));
     }
   }
 
@@ -258,11 +259,11 @@
 
 LogJournal::LogJournal(base::EventLoop& loop, const Clock& clock,
                        platform::LogService& service, const NodeId& node,
-                       std::uint64_t incarnation) {
+                       std::uint64_t incarnation, LogJournalOptions options) {
   const std::string writer = node.value() + "#" + std::to_string(incarnation);
-  shared_ = std::make_shared<Shared>(
-      Shared{loop, clock, service, writer,
-             std::mt19937_64(base::StableHash(writer)), clock.now()});
+  shared_ = std::make_shared<Shared>(Shared{
+      loop, clock, service, writer, std::mt19937_64(base::StableHash(writer)),
+      clock.now(), options.read_wait});
 }
 
 LogJournal::~LogJournal() {
--- a/src/log/log_journal.h
+++ b/src/log/log_journal.h
@@ -4,6 +4,7 @@
 #ifndef MULBERRYROAD_SRC_LOG_LOG_JOURNAL_H_
 #define MULBERRYROAD_SRC_LOG_LOG_JOURNAL_H_
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -19,6 +20,11 @@
 
 namespace mulberryroad::log {
 
+struct LogJournalOptions {
+  /// How long a read waits for a new record; an idle log answers this often.
+  std::chrono::milliseconds read_wait{2'000};
+};
+
 /// The callback of Append runs after the subscribers of the stream have had the
 /// record. A gap in a stream is logged, and stops the stream until a snapshot
 /// closes it.
@@ -26,7 +32,7 @@
  public:
   LogJournal(base::EventLoop& loop, const Clock& clock,
              platform::LogService& service, const NodeId& node,
-             std::uint64_t incarnation);
+             std::uint64_t incarnation, LogJournalOptions options = {});
   ~LogJournal() override;
   LogJournal(const LogJournal&) = delete;
   LogJournal& operator=(const LogJournal&) = delete;
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -11,6 +11,8 @@
 
 // The list is read this often until the first peer is found.
 constexpr std::chrono::milliseconds kFirstListInterval{1'000};
+// Dead nodes are not forgotten while the log is silent for longer than this.
+constexpr std::chrono::milliseconds kLogIsSilent{5'000};
 
 std::chrono::milliseconds Since(Instant then, Instant now) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(now - then);
@@ -70,7 +72,7 @@
 }
 
 void Membership::ProbeNext() {
-  Apply(roster_.Tick(clock_.now()));
+  Apply(roster_.Tick(clock_.now(), log_silence_ > kLogIsSilent));
   if (const auto endpoint = roster_.NextUnknownEndpoint()) {
     ProbeEndpoint(*endpoint, "", "", [](bool) {});
   }
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -57,8 +57,9 @@
   /// The shortest time since any peer read the log, of what peers reported and
   /// aged since; nullopt if none ever reported.
   std::optional<std::chrono::milliseconds> peers_log_silence() const;
-  /// The share of the latest probes that were answered.
-  double answered_share() const { return roster_.answered_share(); }
+  /// The share of the other nodes that this node can reach. Dead nodes count
+  /// for as long as the log is silent.
+  double reach() const { return roster_.reach(); }
 
   /// Emitted with a peer's report of itself: on its probes and its answers.
   sigc::signal<void(const v1::Member&)>& heard() { return heard_; }
--- a/src/membership/roster.cc
+++ b/src/membership/roster.cc
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr std::size_t kTransmissionsPerDoubling = 3;
-constexpr std::size_t kRecentProbes = 8;
+constexpr std::size_t kRecentProbes = 5;
 
 int Rank(v1::MemberState state) {
   switch (state) {
@@ -163,6 +163,8 @@
   entry->member = member;
   entry->member.set_config_revision(revision);
   entry->deadline.reset();
+  entry->left = member.state() == v1::MEMBER_LEAVING ||
+                (entry->left && member.state() == v1::MEMBER_DEAD);
   if (member.state() == v1::MEMBER_SUSPECT) {
     entry->deadline = now + options_.suspicion;
   } else if (member.state() == v1::MEMBER_DEAD) {
@@ -207,7 +209,7 @@
   return Merge(suspect, now);
 }
 
-RosterChange Roster::Tick(Instant now) {
+RosterChange Roster::Tick(Instant now, bool keep_dead) {
   RosterChange change;
   std::vector<std::string> forgotten;
   for (auto& [name, entry] : others_) {
@@ -215,7 +217,9 @@
       continue;
     }
     if (entry.member.state() == v1::MEMBER_DEAD) {
-      forgotten.push_back(name);
+      if (!keep_dead || entry.left) {
+        forgotten.push_back(name);
+      }
       continue;
     }
     v1::Member dead = entry.member;
@@ -360,14 +364,22 @@
   return change;
 }
 
-double Roster::answered_share() const {
-  if (recent_probes_.empty()) {
-    return 1.0;
+double Roster::reach() const {
+  std::size_t alive = 0;
+  std::size_t known = 0;
+  for (const auto& [name, entry] : others_) {
+    if (!entry.left) {
+      ++known;
+      alive += entry.member.state() == v1::MEMBER_ALIVE ? 1 : 0;
+    }
   }
   const auto answered =
       std::count(recent_probes_.begin(), recent_probes_.end(), true);
-  return static_cast<double>(answered) /
-         static_cast<double>(recent_probes_.size());
+  const auto share = [](std::size_t part, std::size_t whole) {
+    return whole == 0 ? 1.0
+                      : static_cast<double>(part) / static_cast<double>(whole);
+  };
+  return std::min(share(alive, known), share(answered, recent_probes_.size()));
 }
 
 void Roster::NoteProbe(bool answered) {
--- a/src/membership/roster.h
+++ b/src/membership/roster.h
@@ -73,7 +73,8 @@
   /// Takes in the platform's list of VMs.
   RosterChange TakeVmList(const v1::VmList& list, Instant now);
   /// Declares suspects dead and forgets the dead whose time has come.
-  RosterChange Tick(Instant now);
+  /// @param keep_dead forget nobody for now
+  RosterChange Tick(Instant now, bool keep_dead = false);
 
   /// Returns the next node to probe: each once in a round, in random order.
   std::optional<v1::Member> NextTarget();
@@ -88,10 +89,11 @@
   /// Makes this node a leaving one; there is no way back.
   RosterChange Leave();
 
-  /// The share of nodes that answered among the latest probes, 1 if there were
-  /// none.
-  double answered_share() const;
-  /// Notes whether a probe was answered, for answered_share().
+  /// The share of the other nodes that this node can reach: the lower of the
+  /// share of the latest probes that were answered and the share of the
+  /// remembered nodes that are alive. Nodes that left on purpose do not count.
+  double reach() const;
+  /// Notes whether a probe was answered, for reach().
   void NoteProbe(bool answered);
 
  private:
@@ -100,6 +102,8 @@
     std::uint64_t hash = 0;
     /// When the suspicion, or the remembering of a dead node, ends.
     std::optional<Instant> deadline;
+    /// The node was leaving before it was dead.
+    bool left = false;
   };
   struct News {
     std::size_t left = 0;
--- a/test/fakes/memory_log.h
+++ b/test/fakes/memory_log.h
@@ -172,6 +172,56 @@
   std::chrono::milliseconds delay_{0};
 };
 
+/// One node's connection to a log service, which can be cut.
+class LogLink final : public platform::LogService {
+ public:
+  LogLink(base::EventLoop& loop, platform::LogService& log)
+      : loop_(loop), log_(log) {}
+
+  void SetCut(bool cut) { *cut_ = cut; }
+
+  void Append(const std::string& stream, std::string record,
+              std::chrono::milliseconds timeout,
+              platform::OnAppended on_appended) override {
+    if (*cut_) {
+      return Fail(std::move(on_appended));
+    }
+    log_.Append(stream, std::move(record), timeout,
+                Through(std::move(on_appended)));
+  }
+  void Read(const std::string& stream, platform::Offset from,
+            std::uint32_t max_records, std::chrono::milliseconds wait,
+            platform::OnPage on_page) override {
+    if (*cut_) {
+      return Fail(std::move(on_page));
+    }
+    log_.Read(stream, from, max_records, wait, Through(std::move(on_page)));
+  }
+
+ private:
+  // An answer that comes while the link is cut is lost.
+  template <typename Callback>
+  Callback Through(Callback callback) {
+    return [cut = cut_, callback = std::move(callback)](auto result) {
+      if (*cut) {
+        result = platform::PlatformFailure{Verdict::kMayHaveRun, "cut off"};
+      }
+      callback(std::move(result));
+    };
+  }
+
+  template <typename Callback>
+  void Fail(Callback callback) {
+    loop_.Post([callback = std::move(callback)] {
+      callback(platform::PlatformFailure{Verdict::kNotRun, "cut off"});
+    });
+  }
+
+  base::EventLoop& loop_;
+  platform::LogService& log_;
+  std::shared_ptr<bool> cut_ = std::make_shared<bool>(false);
+};
+
 }  // namespace mulberryroad::fakes
 
 #endif  // MULBERRYROAD_TEST_FAKES_MEMORY_LOG_H_
