--- a/test/weight_rollout_test.cc
+++ b/test/weight_rollout_test.cc
@@ -17,6 +17,7 @@
 
 std::vector<EngineState> MakeEngines(int count, std::uint32_t version) {
   std::vector<EngineState> engines;
+  engines.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     engines.push_back({UpstreamId("e" + std::to_string(i)), version});
   }
