--- a/include/mulberryroad/clock.h
+++ b/include/mulberryroad/clock.h
@@ -15,7 +15,9 @@
   using period = std::chrono::nanoseconds::period;
   using duration = std::chrono::nanoseconds;
   using time_point = std::chrono::time_point<BootTime>;
-  static constexpr bool is_steady = true;
+  // Named by the standard's requirements on clocks.
+  static constexpr bool is_steady =
+      true;  // NOLINT(readability-identifier-naming)
 };
 
 /// An instant of the monotonic clock; comparable within one process only.
--- a/src/base/decision_log.cc
+++ b/src/base/decision_log.cc
@@ -18,9 +18,9 @@
 namespace {
 
 const log4cxx::LoggerPtr& Logger() {
-  static const log4cxx::LoggerPtr kLogger =
+  static const log4cxx::LoggerPtr logger =
       log4cxx::Logger::getLogger("mulberryroad");
-  return kLogger;
+  return logger;
 }
 
 std::string FormatTime(WallTime time) {
--- a/src/base/event_loop.cc
+++ b/src/base/event_loop.cc
@@ -34,8 +34,7 @@
   return result;
 }
 
-void RunTimer(evutil_socket_t /*fd*/, short /*what*/,
-              void* argument) {  // NOLINT
+void RunTimer(evutil_socket_t /*fd*/, EventFlags /*what*/, void* argument) {
   const std::shared_ptr<TimerState> state =
       static_cast<TimerState*>(argument)->self;
   if (state == nullptr || state->callback == nullptr) {
@@ -59,7 +58,7 @@
   state->repeating = repeating;
   state->callback = std::move(callback);
   state->self = state;
-  const short flags = repeating ? EV_PERSIST : 0;  // NOLINT(google-runtime-int)
+  const EventFlags flags = repeating ? EV_PERSIST : 0;
   state->handle = event_new(base, -1, flags, RunTimer, state.get());
   const timeval timeout = ToTimeval(delay);
   event_add(state->handle, &timeout);
@@ -136,8 +135,7 @@
   handler->callback = std::move(callback);
   handler->handle = evsignal_new(
       base_, signal_number,
-      [](evutil_socket_t, short,
-         void* argument) {  // NOLINT(google-runtime-int)
+      [](evutil_socket_t, EventFlags, void* argument) {
         static_cast<SignalHandler*>(argument)->callback();
       },
       handler.get());
@@ -151,7 +149,7 @@
   Post([this] { event_base_loopbreak(base_); });
 }
 
-void EventLoop::RunPosted(int /*fd*/, short /*what*/, void* self) {  // NOLINT
+void EventLoop::RunPosted(int /*fd*/, EventFlags /*what*/, void* self) {
   auto* loop = static_cast<EventLoop*>(self);
   std::deque<std::function<void()>> ready;
   {
--- a/src/base/event_loop.h
+++ b/src/base/event_loop.h
@@ -14,6 +14,9 @@
 
 namespace mulberryroad::base {
 
+/// The type of libevent's event flags, as its callbacks have it.
+using EventFlags = short;  // NOLINT(google-runtime-int)
+
 namespace internal {
 struct TimerState;
 }
@@ -65,8 +68,7 @@
  private:
   struct SignalHandler;
 
-  static void RunPosted(int fd, short what,
-                        void* self);  // NOLINT(google-runtime-int)
+  static void RunPosted(int fd, EventFlags what, void* self);
 
   event_base* base_;
   event* posted_event_;
--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -265,7 +265,7 @@
 }  // namespace
 
 const std::vector<Command>& Commands() {
-  static const std::vector<Command> kCommands = {
+  static const std::vector<Command> commands = {
       {"validate", "FILE", "Checks a declaration without asking any node.",
        "mulberryctl validate samples/armor.textproto", Validate},
       {"plan", "FILE",
@@ -291,7 +291,7 @@
       {"settings", "", "Prints the settings of mulberryd as a Markdown table.",
        "mulberryctl settings", Settings},
   };
-  return kCommands;
+  return commands;
 }
 
 std::string CommandHelp(const Command& command) {
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -136,8 +136,7 @@
       evhttp_connection_get_bufferevent(evhttp_request_get_connection(native_));
   caller_watch_ = event_new(
       loop_.base(), bufferevent_getfd(stream), EV_CLOSED,
-      [](evutil_socket_t, short,
-         void* argument) {  // NOLINT(google-runtime-int)
+      [](evutil_socket_t, base::EventFlags, void* argument) {
         static_cast<Exchange*>(argument)->shared_from_this()->MarkClosed();
       },
       this);
