--- a/src/config/config_store.cc
+++ b/src/config/config_store.cc
@@ -23,6 +23,10 @@
   return reply;
 }
 
+std::string StateDigest(const v1::ConfigRevision& revision) {
+  return std::to_string(revision.revision()) + ":" + revision.sha256();
+}
+
 std::string Join(const std::vector<Problem>& problems) {
   std::string text;
   for (const Problem& problem : problems) {
@@ -161,9 +165,18 @@
              record.snapshot().covered_offset() == offset) {
     history_.Load(record.snapshot().config());
   }
+  if (record.has_snapshot()) {
+    digests_.Compare(offset, record.snapshot());
+  }
+  digests_.Note(offset, StateDigest(history_.chain()));
   Update(before);
 }
 
+void ConfigStore::Save(v1::Snapshot* snapshot) const {
+  *snapshot->mutable_config() = history_.chain();
+  snapshot->set_state_sha256(StateDigest(history_.chain()));
+}
+
 void ConfigStore::Update(std::uint64_t before) {
   if (revision() == before) {
     return;
--- a/src/config/config_store.h
+++ b/src/config/config_store.h
@@ -18,6 +18,7 @@
 #include "config/isolation.h"
 #include "config/revision_history.h"
 #include "log/journal.h"
+#include "log/state_digests.h"
 #include "membership/membership.h"
 #include "mulberryroad/clock.h"
 #include "peer/transport.h"
@@ -51,6 +52,11 @@
   /// Under which authority this node honours keys now.
   Authority authority() const;
   const RevisionHistory& history() const { return history_; }
+  /// Writes the configuration into a snapshot, with its digest.
+  void Save(v1::Snapshot* snapshot) const;
+  /// Snapshots that differ from the state that this node had at their covered
+  /// offset.
+  std::uint64_t mismatches() const { return digests_.mismatches(); }
 
  private:
   void OnRecord(platform::Offset offset, const v1::Record& record);
@@ -69,6 +75,7 @@
   membership::Membership& members_;
   ConfigStoreOptions options_;
   RevisionHistory history_;
+  log::StateDigests digests_{kConfigStream};
   std::unordered_map<std::string, OrganisationId> organisation_of_digest_;
   bool fetching_ = false;
   // The highest revision that a peer reported, and since when it is missing.
--- a/src/lease/lease_keeper.cc
+++ b/src/lease/lease_keeper.cc
@@ -49,6 +49,17 @@
 
 void LeaseKeeper::OnRecord(platform::Offset offset, const v1::Record& record) {
   Run(agent_.OnRecord(offset, record, clock_.now()));
+  if (record.has_snapshot()) {
+    digests_.Compare(offset, record.snapshot());
+  }
+  v1::Snapshot state;
+  agent_.table().Save(&state);
+  digests_.Note(offset, LeaseDigest(state));
+}
+
+void LeaseKeeper::Save(v1::Snapshot* snapshot) const {
+  agent_.table().Save(snapshot);
+  snapshot->set_state_sha256(LeaseDigest(*snapshot));
 }
 
 void LeaseKeeper::Run(const LeaseDecisions& decisions) {
--- a/src/lease/lease_keeper.h
+++ b/src/lease/lease_keeper.h
@@ -13,6 +13,7 @@
 #include "lease/lease_agent.h"
 #include "lease/leases.h"
 #include "log/journal.h"
+#include "log/state_digests.h"
 
 namespace mulberryroad::lease {
 
@@ -34,6 +35,11 @@
   sigc::signal<void(const RoleId&)>& lost() override { return lost_; }
 
   const LeaseTable& table() const { return agent_.table(); }
+  /// Writes the leases into a snapshot, with their digest.
+  void Save(v1::Snapshot* snapshot) const;
+  /// Snapshots that differ from the state that this node had at their covered
+  /// offset.
+  std::uint64_t mismatches() const { return digests_.mismatches(); }
 
  private:
   void Run(const LeaseDecisions& decisions);
@@ -48,6 +54,7 @@
   NodeId node_;
   LeaseTiming timing_;
   LeaseAgent agent_;
+  log::StateDigests digests_{kLeaseStream};
   sigc::signal<void(const RoleId&, std::uint64_t)> gained_;
   sigc::signal<void(const RoleId&)> lost_;
   // Ends with this object, so that callbacks of the journal find it gone.
--- /dev/null
+++ b/src/log/compactor.cc
@@ -0,0 +1,102 @@
+#include "log/compactor.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/decision_log.h"
+
+namespace mulberryroad::log {
+
+namespace {
+constexpr std::chrono::milliseconds kMaxTick{1'000};
+constexpr std::chrono::milliseconds kGiveUpAfter{10'000};
+}  // namespace
+
+Compactor::Compactor(base::EventLoop& loop, const Clock& clock,
+                     LogJournal& journal, lease::Leases& leases,
+                     CompactorOptions options)
+    : clock_(clock), journal_(journal), leases_(leases), options_(options) {
+  leases_.Want(RoleId(kCompactorRole), true);
+  tick_ =
+      loop.Every(std::min(kMaxTick, options_.interval / 4), [this] { Tick(); });
+}
+
+void Compactor::Add(const std::string& stream, SaveState save) {
+  streams_[stream].save = std::move(save);
+  Watch(stream);
+}
+
+void Compactor::AddRecords(const std::string& stream, LiveOffsets live) {
+  Stream& entry = streams_[stream];
+  entry.live = std::move(live);
+  entry.records = std::make_shared<LiveRecords>();
+  entry.save = [records = entry.records](v1::Snapshot* snapshot) {
+    records->Save(snapshot);
+  };
+  Watch(stream);
+}
+
+void Compactor::Watch(const std::string& stream) {
+  journal_.Subscribe(stream,
+                     [this, stream, alive = std::weak_ptr<bool>(alive_)](
+                         platform::Offset offset, const v1::Record& record) {
+                       if (alive.expired()) {
+                         return;
+                       }
+                       Stream& entry = streams_[stream];
+                       if (record.has_snapshot()) {
+                         entry.last = clock_.now();
+                       }
+                       if (entry.records != nullptr) {
+                         entry.records->OnRecord(offset, record);
+                       }
+                     });
+}
+
+void Compactor::Tick() {
+  const bool holder = leases_.term(RoleId(kCompactorRole)).has_value();
+  for (auto& [name, stream] : streams_) {
+    if (stream.records != nullptr && journal_.caught_up(name)) {
+      stream.records->Keep(stream.live());
+    }
+    if (holder && Due(name, stream)) {
+      Write(name, &stream);
+    }
+  }
+}
+
+// A stream without records needs no snapshot; one that this node cannot read
+// to its end gets none from here.
+bool Compactor::Due(const std::string& name, const Stream& stream) const {
+  if (stream.open || !journal_.caught_up(name) ||
+      journal_.position(name) == 0) {
+    return false;
+  }
+  return !stream.last.has_value() ||
+         clock_.now() - *stream.last >= options_.interval;
+}
+
+void Compactor::Write(const std::string& name, Stream* stream) {
+  v1::Record record;
+  v1::Snapshot* snapshot = record.mutable_snapshot();
+  snapshot->set_covered_offset(journal_.position(name) - 1);
+  stream->save(snapshot);
+  journal_.writers(name)->Save(snapshot->mutable_writers());
+  stream->open = true;
+  journal_.Append(
+      name, std::move(record), kGiveUpAfter,
+      [this, name, alive = std::weak_ptr<bool>(alive_)](
+          std::optional<platform::Offset> offset, const std::string& reason) {
+        if (alive.expired()) {
+          return;
+        }
+        streams_[name].open = false;
+        if (offset.has_value()) {
+          ++written_;
+        } else {
+          base::LogWarning("snapshot-not-written", name + ": " + reason);
+        }
+      });
+}
+
+}  // namespace mulberryroad::log
--- a/src/log/journal.h
+++ b/src/log/journal.h
@@ -34,7 +34,10 @@
                       std::chrono::milliseconds give_up_after,
                       OnJournaled on_journaled) = 0;
 
-  /// Tails a stream from its newest whole snapshot, or its start. Handlers of
+  /// Tails a stream from its newest whole snapshot, or its start. A snapshot
+  /// whose covered_offset equals the offset it is handed out with replaces all
+  /// state of the stream; the records that it keeps alive follow, each with its
+  /// own offset. Other snapshots are for comparison only. Handlers of
   /// one stream are called in the order of subscription; a late subscriber gets
   /// the records from the start again.
   virtual void Subscribe(const std::string& stream, OnRecord on_record) = 0;
