--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -25,6 +25,7 @@
 #include "lease/lease_keeper.h"
 #include "ledger/ledger_client.h"
 #include "ledger/ledger_host.h"
+#include "log/compactor.h"
 #include "log/log_journal.h"
 #include "membership/membership.h"
 #include "peer/grpc_transport.h"
@@ -111,6 +112,7 @@
   std::size_t OpenWork() const;
   void HandOver(std::function<void()> done);
   void RegisterGauges();
+  void RegisterSnapshots();
 
   v1::NodeSettings settings_;
   SystemClock clock_;
@@ -151,6 +153,7 @@
   billing::Reporter reporter_{loop_,     clock_,         journal_,
                               leases_,   configuration_, usage_service_,
                               decisions_};
+  log::Compactor compactor_;
   dispatch::DispatcherHost dispatchers_;
   dispatch::PeerBroker broker_;
   dispatch::EngineGenerator generator_;
@@ -177,6 +180,7 @@
       configuration_(
           loop_, clock_, journal_, transport_, members_,
           {.isolation_limit = Millis(settings_.isolation_limit_ms())}),
+      compactor_(loop_, clock_, journal_, leases_, {}),
       dispatchers_(loop_, clock_, transport_, members_, configuration_, vms_,
                    engines_, decisions_, seed_),
       broker_(loop_, clock_, transport_, members_, configuration_, dispatchers_,
@@ -206,6 +210,17 @@
              Steps()) {
   admin_api_.ServeHealth(caller_server_);
   RegisterGauges();
+  RegisterSnapshots();
+}
+
+void Node::Parts::RegisterSnapshots() {
+  compactor_.Add(config::kConfigStream, [this](v1::Snapshot* snapshot) {
+    configuration_.Save(snapshot);
+  });
+  compactor_.Add(lease::kLeaseStream,
+                 [this](v1::Snapshot* snapshot) { leases_.Save(snapshot); });
+  compactor_.AddRecords(billing::kUsageStream,
+                        [this] { return reporter_.book().live_offsets(); });
 }
 
 AdminSources Node::Parts::Sources() {
@@ -238,6 +253,7 @@
 void Node::Parts::HandOver(std::function<void()> done) {
   controller_.Stop();
   reporter_.Stop();
+  compactor_.Stop();
   meter_.Flush();
   hand_over_done_ = std::move(done);
   hand_over_poll_ = loop_.Every(kHandOverPoll, [this] {
--- a/src/log/compactor.cc
+++ b/src/log/compactor.cc
@@ -36,6 +36,8 @@
   Watch(stream);
 }
 
+void Compactor::Stop() { leases_.Want(RoleId(kCompactorRole), false); }
+
 void Compactor::Watch(const std::string& stream) {
   journal_.Subscribe(stream,
                      [this, stream, alive = std::weak_ptr<bool>(alive_)](
--- a/src/log/compactor.h
+++ b/src/log/compactor.h
@@ -52,6 +52,8 @@
   /// Adds a stream whose state is made of records. Subscribes to it.
   void AddRecords(const std::string& stream, LiveOffsets live);
 
+  /// Gives the role up, for a graceful stop.
+  void Stop();
   /// Number of snapshots that this node appended.
   std::uint64_t written() const { return written_; }
 
--- /dev/null
+++ b/test/contract/log_contract_test.cc
@@ -0,0 +1,310 @@
+// What every log service must do, in tables of cases that run against the
+// in-memory log and against the HTTP adapter with the stand-in.
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fakes/fake_log.h"
+#include "fakes/faulty_server.h"
+#include "fakes/loop_wait.h"
+#include "fakes/memory_log.h"
+#include "log/log_journal.h"
+#include "platform/http_log_service.h"
+
+namespace mulberryroad::platform {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char kStream[] = "lease";
+constexpr milliseconds kTimeout{400};
+
+enum class Fault { kNone, kOutage, kLoseBefore, kLoseAfter };
+
+const char* Name(Fault fault) {
+  switch (fault) {
+    case Fault::kNone:
+      return "no fault";
+    case Fault::kOutage:
+      return "outage";
+    case Fault::kLoseBefore:
+      return "lost before the effect";
+    case Fault::kLoseAfter:
+      return "lost after the effect";
+  }
+  return "?";
+}
+
+/// A log service with switches for its faults.
+class Subject {
+ public:
+  virtual ~Subject() = default;
+  virtual const char* name() const = 0;
+  virtual LogService& service() = 0;
+  /// Applies to the next append, and an outage until the next call.
+  virtual void Set(Fault fault) = 0;
+  /// Lets all but the last records of the stream expire.
+  virtual void Retain(std::uint32_t last) = 0;
+};
+
+class MemorySubject final : public Subject {
+ public:
+  explicit MemorySubject(base::EventLoop& loop) : log_(loop) {}
+  const char* name() const override { return "memory"; }
+  LogService& service() override { return log_; }
+  void Set(Fault fault) override {
+    using MemoryFault = fakes::MemoryLog::Fault;
+    log_.SetDown(fault == Fault::kOutage);
+    if (fault == Fault::kLoseBefore) {
+      log_.FailNextAppends({MemoryFault::kLoseBefore});
+    } else if (fault == Fault::kLoseAfter) {
+      log_.FailNextAppends({MemoryFault::kLoseAfter});
+    }
+  }
+  void Retain(std::uint32_t last) override {
+    log_.Retain(kStream, log_.end(kStream) - last);
+  }
+
+ private:
+  fakes::MemoryLog log_;
+};
+
+class HttpSubject final : public Subject {
+ public:
+  explicit HttpSubject(base::EventLoop& loop)
+      : endpoint_{"127.0.0.1", fakes::FreePort()},
+        log_(loop, clock_),
+        client_(loop),
+        service_(loop, client_, endpoint_) {
+    cr_assert(log_.Listen(endpoint_), "port %d is taken", endpoint_.port);
+  }
+  const char* name() const override { return "http"; }
+  LogService& service() override { return service_; }
+  void Set(Fault fault) override {
+    v1::FakeFaults* faults = log_.control().mutable_faults();
+    faults->set_outage(fault == Fault::kOutage);
+    faults->set_lose_before(fault == Fault::kLoseBefore ? 1 : 0);
+    faults->set_lose_after(fault == Fault::kLoseAfter ? 1 : 0);
+  }
+  void Retain(std::uint32_t last) override {
+    log_.control().set_retention_records(last);
+  }
+
+ private:
+  SystemClock clock_;
+  Endpoint endpoint_;
+  fakes::FakeLog log_;
+  http::Client client_;
+  HttpLogService service_;
+};
+
+using Appended = std::variant<LogPosition, PlatformFailure>;
+using Paged = std::variant<LogPage, PlatformFailure>;
+
+class Run {
+ public:
+  explicit Run(bool http) {
+    if (http) {
+      subject = std::make_unique<HttpSubject>(loop);
+    } else {
+      subject = std::make_unique<MemorySubject>(loop);
+    }
+  }
+
+  Appended Append(const std::string& record) {
+    std::optional<Appended> result;
+    subject->service().Append(kStream, record, kTimeout,
+                              [&](Appended answer) { result = answer; });
+    cr_assert(!result.has_value(), "never inside Append");
+    cr_assert(fakes::RunUntil(loop, [&] { return result.has_value(); }),
+              "%s: no answer to an append", subject->name());
+    return *result;
+  }
+  Paged Read(const std::string& stream, Offset from, std::uint32_t max,
+             milliseconds wait) {
+    std::optional<Paged> result;
+    subject->service().Read(stream, from, max, wait,
+                            [&](Paged answer) { result = std::move(answer); });
+    cr_assert(fakes::RunUntil(loop, [&] { return result.has_value(); }),
+              "%s: no answer to a read", subject->name());
+    return *result;
+  }
+  /// "first/next from: records", or "failed".
+  std::string Text(const Paged& paged) const {
+    const auto* page = std::get_if<LogPage>(&paged);
+    if (page == nullptr) {
+      return "failed";
+    }
+    std::string text = std::to_string(page->first_offset) + "/" +
+                       std::to_string(page->next_offset);
+    if (!page->records.empty()) {
+      text += " " + std::to_string(page->records_from) + ":";
+    }
+    for (const std::string& record : page->records) {
+      text += " " + record;
+    }
+    return text;
+  }
+
+  base::EventLoop loop;
+  std::unique_ptr<Subject> subject;
+};
+
+void ForBoth(const std::function<void(bool http)>& check) {
+  check(false);
+  check(true);
+}
+
+Test(log_contract, pages) {
+  struct Case {
+    const char* stream;
+    Offset from;
+    std::uint32_t max;
+    const char* expected;
+  };
+  const Case cases[] = {
+      {kStream, 0, 10, "0/3 0: a b c"}, {kStream, 1, 10, "0/3 1: b c"},
+      {kStream, 0, 2, "0/3 0: a b"},    {kStream, 3, 10, "0/3"},
+      {"config", 0, 10, "0/0"},
+  };
+  ForBoth([&](bool http) {
+    Run run(http);
+    Offset expected = 0;
+    for (const char* record : {"a", "b", "c"}) {
+      const Appended appended = run.Append(record);
+      const auto* position = std::get_if<LogPosition>(&appended);
+      cr_assert(position != nullptr && position->offset == expected,
+                "%s: expected offset %d", run.subject->name(),
+                static_cast<int>(expected));
+      ++expected;
+    }
+    for (const Case& c : cases) {
+      const std::string found =
+          run.Text(run.Read(c.stream, c.from, c.max, milliseconds(0)));
+      cr_expect(found == c.expected, "%s, from %d: expected %s, found %s",
+                run.subject->name(), static_cast<int>(c.from), c.expected,
+                found.c_str());
+    }
+  });
+}
+
+Test(log_contract, expired_records_show_as_a_higher_first_offset) {
+  ForBoth([](bool http) {
+    Run run(http);
+    for (const char* record : {"a", "b", "c", "d"}) {
+      run.Append(record);
+    }
+    run.subject->Retain(2);
+    const std::string found =
+        run.Text(run.Read(kStream, 0, 10, milliseconds(0)));
+    cr_expect(found == "2/4 2: c d", "%s: found %s", run.subject->name(),
+              found.c_str());
+  });
+}
+
+Test(log_contract, a_read_waits_for_the_next_record) {
+  ForBoth([](bool http) {
+    Run run(http);
+    std::optional<Paged> result;
+    run.subject->service().Read(
+        kStream, 0, 10, milliseconds(5'000),
+        [&](Paged answer) { result = std::move(answer); });
+    fakes::RunFor(run.loop, milliseconds(50));
+    cr_expect(!result.has_value(), "%s: nothing to read yet",
+              run.subject->name());
+    run.Append("a");
+    cr_assert(fakes::RunUntil(
+        run.loop, [&] { return result.has_value(); }, milliseconds(2'000)));
+    cr_expect(run.Text(*result) == "0/1 0: a");
+    const std::string found =
+        run.Text(run.Read(kStream, 1, 10, milliseconds(100)));
+    cr_expect(found == "0/1", "%s: found %s", run.subject->name(),
+              found.c_str());
+  });
+}
+
+Test(log_contract, faults_of_an_append) {
+  struct Case {
+    Fault fault;
+    bool answered;
+    const char* in_log;
+  };
+  const Case cases[] = {
+      {Fault::kNone, true, "0/1 0: a"},
+      {Fault::kOutage, false, "0/0"},
+      {Fault::kLoseBefore, false, "0/0"},
+      {Fault::kLoseAfter, false, "0/1 0: a"},
+  };
+  ForBoth([&](bool http) {
+    for (const Case& c : cases) {
+      Run fresh(http);
+      fresh.subject->Set(c.fault);
+      const Appended appended = fresh.Append("a");
+      const auto* failure = std::get_if<PlatformFailure>(&appended);
+      cr_expect((failure == nullptr) == c.answered, "%s, %s",
+                fresh.subject->name(), Name(c.fault));
+      const bool honest =
+          failure == nullptr || failure->verdict == Verdict::kMayHaveRun ||
+          (failure->verdict == Verdict::kNotRun && c.fault == Fault::kOutage);
+      cr_expect(honest, "%s, %s: an effect must not be denied",
+                fresh.subject->name(), Name(c.fault));
+      fresh.subject->Set(Fault::kNone);
+      const std::string found =
+          fresh.Text(fresh.Read(kStream, 0, 10, milliseconds(0)));
+      cr_expect(found == c.in_log, "%s, %s: expected %s, found %s",
+                fresh.subject->name(), Name(c.fault), c.in_log, found.c_str());
+    }
+  });
+}
+
+Test(log_contract, a_read_in_an_outage_fails) {
+  ForBoth([](bool http) {
+    Run run(http);
+    run.Append("a");
+    run.subject->Set(Fault::kOutage);
+    const Paged page = run.Read(kStream, 0, 10, milliseconds(0));
+    cr_expect(std::holds_alternative<PlatformFailure>(page), "%s",
+              run.subject->name());
+  });
+}
+
+Test(log_contract, the_journal_settles_every_fault_with_one_record) {
+  ForBoth([](bool http) {
+    for (const Fault fault : {Fault::kNone, Fault::kOutage, Fault::kLoseBefore,
+                              Fault::kLoseAfter}) {
+      Run fresh(http);
+      const SystemClock clock;
+      log::LogJournal journal(fresh.loop, clock, fresh.subject->service(),
+                              NodeId("a"), 1);
+      int delivered = 0;
+      journal.Subscribe(kStream,
+                        [&](Offset, const v1::Record&) { ++delivered; });
+      fresh.subject->Set(fault);
+      bool settled = false;
+      v1::Record record;
+      record.mutable_lease_release()->set_role("r");
+      journal.Append(kStream, record, milliseconds(8'000),
+                     [&](std::optional<Offset> offset, const std::string&) {
+                       settled = offset.has_value();
+                     });
+      fakes::RunFor(fresh.loop, milliseconds(100));
+      if (fault == Fault::kOutage) {
+        fresh.subject->Set(Fault::kNone);
+      }
+      cr_expect(fakes::RunUntil(fresh.loop, [&] { return settled; }),
+                "%s, %s: not settled", fresh.subject->name(), Name(fault));
+      fakes::RunFor(fresh.loop, milliseconds(100));
+      cr_expect(delivered == 1, "%s, %s: delivered %d times",
+                fresh.subject->name(), Name(fault), delivered);
+    }
+  });
+}
+
+}  // namespace
+}  // namespace mulberryroad::platform
