--- a/include/mulberryroad/clock.h
+++ b/include/mulberryroad/clock.h
@@ -16,8 +16,8 @@
   using duration = std::chrono::nanoseconds;
   using time_point = std::chrono::time_point<BootTime>;
   // Named by the standard's requirements on clocks.
-  static constexpr bool is_steady =
-      true;  // NOLINT(readability-identifier-naming)
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  static constexpr bool is_steady = true;
 };
 
 /// An instant of the monotonic clock; comparable within one process only.
