--- a/test/capacity_policy_test.cc
+++ b/test/capacity_policy_test.cc
@@ -204,3 +204,30 @@
   Expect(Describe(policy.Decide(pool, At(1))), "start durable", "reclaimed");
   Expect(Describe(policy.Decide(pool, At(31))), "start cheap", "later");
 }
+
+// All cheap upstreams of the failure domain are taken back at once.
+Test(capacity_policy, replaces_a_reclaimed_failure_domain_by_durable_ones) {
+  PoolState pool = MakePool(2, 3);
+  pool.in_flight = 30;
+  pool.repeatable_in_flight = 24;
+  CapacityPolicy policy;
+  Expect(Describe(policy.Decide(pool, At(0))), "", "before");
+  for (UpstreamState& upstream : pool.upstreams) {
+    if (upstream.upstream_class == "cheap") {
+      upstream.phase = UpstreamPhase::kLeaving;
+    }
+  }
+  policy.Reclaimed(kPool, "cheap", At(1));
+  Expect(Describe(policy.Decide(pool, At(1))),
+         "start durable,start durable,start durable",
+         "the cheap class is left alone, the rest is bought");
+}
+
+Test(capacity_policy, keeps_to_the_bounds_of_the_declaration) {
+  PoolState pool = MakePool(2, 0);
+  pool.classes[0].max_upstreams = 1;
+  pool.classes[1].max_upstreams = 0;
+  pool.in_flight = 100;
+  CapacityPolicy policy;
+  Expect(Describe(policy.Decide(pool, At(0))), "drain d0", "over the maximum");
+}
