--- a/src/control/weight_rollout.cc
+++ b/src/control/weight_rollout.cc
@@ -23,6 +23,13 @@
   for (const EngineState& engine : engines) {
     Observe(engine, now, decisions);
   }
+  const bool proven = std::any_of(
+      engines.begin(), engines.end(), [&target](const EngineState& engine) {
+        return engine.version == target.version && !engine.swapping;
+      });
+  for (auto& [id, progress] : progress_) {
+    GiveUp(id, progress, proven, now, decisions);
+  }
   if (target.version == 0 ||
       target.newest_in_store.value_or(0) < target.version) {
     return decisions;
@@ -78,14 +85,25 @@
       Fail(progress, now);
     }
   }
+}
+
+void WeightRollout::GiveUp(const UpstreamId& engine, Progress& progress,
+                           bool proven, Instant now,
+                           std::vector<RolloutDecision>& decisions) {
   const bool exhausted = progress.attempts >= options_.max_attempts &&
                          progress.phase == Progress::Phase::kIdle;
-  if (exhausted) {
-    progress.phase = Progress::Phase::kOut;
-    decisions.emplace_back(TakeOut{
-        engine.id, std::to_string(progress.attempts) + " swaps to version " +
-                       std::to_string(progress.version) + " failed"});
+  if (!exhausted) {
+    return;
+  }
+  if (!proven) {
+    progress.attempts = 0;
+    progress.not_before = now + options_.unproven_pause;
+    return;
   }
+  progress.phase = Progress::Phase::kOut;
+  decisions.emplace_back(
+      TakeOut{engine, std::to_string(progress.attempts) + " swaps to version " +
+                          std::to_string(progress.version) + " failed"});
 }
 
 void WeightRollout::Fail(Progress& progress, Instant now) {
--- a/src/control/weight_rollout.h
+++ b/src/control/weight_rollout.h
@@ -60,10 +60,16 @@
   std::chrono::milliseconds swap_timeout{60'000};
   /// Pause before an engine is tried again.
   std::chrono::milliseconds retry_pause{2'000};
+  /// Pause after max_attempts with a version that no engine serves yet.
+  std::chrono::milliseconds unproven_pause{120'000};
   std::uint32_t max_attempts = 3;
 };
 
 /// Pure state of one pool's rollout. The version is observed, never assumed.
+///
+/// An engine is taken out for failed swaps only if another one serves the
+/// version; else the version is at fault, and the engine goes on serving its
+/// old one.
 class WeightRollout {
  public:
   explicit WeightRollout(RolloutOptions options = {});
@@ -94,6 +100,8 @@
   void ForgetGone(const std::vector<EngineState>& engines);
   void Observe(const EngineState& engine, Instant now,
                std::vector<RolloutDecision>& decisions);
+  void GiveUp(const UpstreamId& engine, Progress& progress, bool proven,
+              Instant now, std::vector<RolloutDecision>& decisions);
   void Fail(Progress& progress, Instant now);
   bool WantsSwap(const EngineState& engine, const RolloutTarget& target,
                  Instant now);
--- a/test/weight_rollout_test.cc
+++ b/test/weight_rollout_test.cc
@@ -82,7 +82,8 @@
 
 Test(weight_rollout, retries_a_failed_swap_and_then_takes_the_engine_out) {
   WeightRollout rollout;
-  const std::vector<EngineState> engines = MakeEngines(1, 1);
+  std::vector<EngineState> engines = MakeEngines(2, 1);
+  engines[1].version = 2;
   const RolloutTarget target{2, 2, 25};
   int second = 0;
   for (int attempt = 0; attempt < 3; ++attempt) {
@@ -110,21 +111,25 @@
   cr_assert_not(rollout.swapping(engines[0].id));
 }
 
-// A version that no engine can load takes out no more than the share.
-Test(weight_rollout, stops_a_bad_version_at_the_share) {
+// Gone engines are replaced; yet a version that no engine can load takes none
+// out, and costs no more than the share at a time.
+Test(weight_rollout, never_takes_engines_out_for_a_version_nobody_serves) {
   WeightRollout rollout;
   const std::vector<EngineState> engines = MakeEngines(12, 1);
   const RolloutTarget target{2, 2, 25};
   std::size_t taken_out = 0;
+  std::size_t swaps = 0;
   for (int second = 0; second < 600; ++second) {
     for (const auto& decision : rollout.Step(target, engines, At(second))) {
       if (const auto* begin = std::get_if<BeginSwap>(&decision)) {
         rollout.LoadFailed(begin->upstream, At(second));
+        ++swaps;
       }
       taken_out += std::holds_alternative<TakeOut>(decision) ? 1 : 0;
     }
   }
-  cr_assert_leq(taken_out, 3, "expected at most 3 of 12, got %zu", taken_out);
+  cr_assert_eq(taken_out, 0, "expected 0 of 12, got %zu", taken_out);
+  cr_assert_gt(swaps, 12, "the version is tried again");
 }
 
 Test(weight_rollout, swaps_neither_silent_nor_leaving_engines) {
