--- a/src/control/pool_observer.cc
+++ b/src/control/pool_observer.cc
@@ -11,6 +11,11 @@
 
 constexpr std::chrono::milliseconds kCallTimeout{2'000};
 
+/// Names one run of a node: a dispatcher that restarts knows no notices.
+std::string RunOf(const v1::Member& member) {
+  return member.node_id() + "/" + std::to_string(member.incarnation());
+}
+
 }  // namespace
 
 PoolObserver::PoolObserver(const Clock& clock, peer::Transport& transport,
@@ -62,8 +67,11 @@
   if (!owner) {
     return;
   }
-  if (owner->node_id() != dispatcher_) {
-    dispatcher_ = owner->node_id();
+  if (RunOf(*owner) != dispatcher_) {
+    dispatcher_ = RunOf(*owner);
+    dispatcher_since_ = clock_.now();
+    // No decision and no notice until the new one says that it is in charge.
+    demand_time_.reset();
     for (auto& [upstream, notice] : notices_) {
       notice.acknowledged.reset();
     }
@@ -78,9 +86,11 @@
   request.mutable_demand()->set_failure_domain(pool_.failure_domain.value());
   transport_.Call(
       *endpoint, std::move(request), kCallTimeout,
-      [this, alive = std::weak_ptr(alive_), asked = clock_.now()](
-          const std::optional<v1::PeerReply>& reply, const std::string&) {
-        if (alive.expired() || !reply || !reply->demand().is_dispatcher()) {
+      [this, alive = std::weak_ptr(alive_), asked = clock_.now(),
+       from = dispatcher_](const std::optional<v1::PeerReply>& reply,
+                           const std::string&) {
+        if (alive.expired() || !reply || from != dispatcher_ ||
+            !reply->demand().is_dispatcher()) {
           return;
         }
         demand_ = reply->demand();
@@ -152,8 +162,8 @@
   transport_.Call(
       *endpoint, std::move(request), kCallTimeout,
       [this, alive = std::weak_ptr(alive_), sent = notice.sent,
-       to = owner->node_id()](const std::optional<v1::PeerReply>& reply,
-                              const std::string&) {
+       to = RunOf(*owner)](const std::optional<v1::PeerReply>& reply,
+                           const std::string&) {
         if (alive.expired()) {
           return;
         }
@@ -202,9 +212,15 @@
     return false;
   }
   const bool quiet = demand_asked_ - *found->second.acknowledged >= kDrainQuiet;
+  if (!quiet || InFlight(upstream) > 0) {
+    return false;
+  }
   const v1::EngineLoad* report = engine(upstream);
-  const bool engine_busy = report != nullptr && report->running() > 0;
-  return quiet && InFlight(upstream) == 0 && !engine_busy;
+  if (report != nullptr) {
+    return report->running() == 0 && report->waiting() == 0;
+  }
+  // A new dispatcher does not know what its predecessor granted.
+  return clock_.now() - dispatcher_since_ >= kLongestRequest;
 }
 
 }  // namespace mulberryroad::control
--- a/src/control/pool_observer.h
+++ b/src/control/pool_observer.h
@@ -49,7 +49,9 @@
   static constexpr std::chrono::milliseconds kFreshFor{5'000};
   /// From the dispatcher's acknowledgement until an idle upstream counts as
   /// drained.
-  static constexpr std::chrono::milliseconds kDrainQuiet{2'000};
+  static constexpr std::chrono::milliseconds kDrainQuiet{5'000};
+  /// A request granted by an earlier dispatcher has ended after this time.
+  static constexpr std::chrono::milliseconds kLongestRequest{120'000};
 
  private:
   struct Seen {
@@ -87,7 +89,9 @@
   Instant demand_asked_{};
   std::map<std::string, Seen> reports_;
   std::map<std::string, Notice> notices_;
+  /// Run of the node that is the pool's dispatcher.
   std::string dispatcher_;
+  Instant dispatcher_since_{};
   std::optional<std::uint32_t> newest_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
