--- a/test/bench/control_bench.cc
+++ b/test/bench/control_bench.cc
@@ -35,7 +35,7 @@
   const PoolState pool = MakePool(state.range(0));
   CapacityPolicy policy;
   Instant now{};
-  for (auto step : state) {
+  while (state.KeepRunning()) {
     now += seconds(1);
     benchmark::DoNotOptimize(policy.Decide(pool, now));
   }
@@ -55,7 +55,7 @@
   }
   WeightRollout rollout;
   Instant now{};
-  for (auto step : state) {
+  while (state.KeepRunning()) {
     now += seconds(1);
     benchmark::DoNotOptimize(rollout.Step({2, 2, 25}, engines, now));
   }
@@ -85,7 +85,7 @@
   billing::WindowBook book;
   platform::Offset offset = 0;
   std::uint64_t requests = 0;
-  for (auto step : state) {
+  while (state.KeepRunning()) {
     state.PauseTiming();
     const v1::Record record = UsageRecord(state.range(0), ++requests);
     state.ResumeTiming();
@@ -107,7 +107,7 @@
     book.OnRecord(node, record);
   }
   v1::Record close;
-  for (auto step : state) {
+  while (state.KeepRunning()) {
     *close.mutable_window_close() = book.Prepare(1'764'799'200, 7, {});
     benchmark::DoNotOptimize(close);
   }
@@ -123,7 +123,7 @@
   platform::Offset offset = 0;
   v1::Record intent_record;
   v1::Record outcome_record;
-  for (auto step : state) {
+  while (state.KeepRunning()) {
     now += seconds(1);
     v1::OrderIntent order;
     order.set_kind(v1::ORDER_START);
--- a/test/control_trace_test.cc
+++ b/test/control_trace_test.cc
@@ -21,14 +21,14 @@
 using std::chrono::milliseconds;
 
 OrderAnswer AnswerNamed(const std::string& name) {
-  static const std::map<std::string, OrderAnswer> kAnswers = {
+  static const std::map<std::string, OrderAnswer> answers = {
       {"done", OrderDone{"vm"}},
       {"refused", OrderRefused{"refused"}},
       {"not seen", OrderNotSeen{}},
       {"not run", OrderNoAnswer{Verdict::kNotRun, "no connection"}},
       {"lost", OrderNoAnswer{Verdict::kMayHaveRun, "lost"}},
   };
-  return kAnswers.at(name);
+  return answers.at(name);
 }
 
 /// Several nodes' books over one stream.
