--- a/src/billing/window_book.cc
+++ b/src/billing/window_book.cc
@@ -53,6 +53,10 @@
 
 CloseVerdict WindowBook::OnRecord(platform::Offset offset,
                                   const v1::Record& record) {
+  if (record.has_snapshot()) {
+    FoldSnapshot(offset, record.snapshot());
+    return CloseVerdict::kNotAClose;
+  }
   AgeGrowth(offset);
   CloseVerdict verdict = CloseVerdict::kNotAClose;
   if (record.has_usage_append()) {
@@ -62,10 +66,18 @@
   } else if (record.has_window_reported()) {
     FoldReported(offset, record.window_reported());
   }
-  last_offset_ = offset;
+  last_offset_ = std::max(last_offset_.value_or(offset), offset);
   return verdict;
 }
 
+void WindowBook::FoldSnapshot(platform::Offset offset,
+                              const v1::Snapshot& snapshot) {
+  if (snapshot.covered_offset() == offset) {
+    *this = WindowBook(options_);
+  }
+  last_offset_ = offset;
+}
+
 void WindowBook::FoldUsage(platform::Offset offset,
                            const v1::UsageAppend& append) {
   bool grew = false;
--- a/src/billing/window_book.h
+++ b/src/billing/window_book.h
@@ -87,7 +87,9 @@
  public:
   explicit WindowBook(WindowBookOptions options = {});
 
-  /// Folds one record of the stream, in offset order.
+  /// Folds one record of the stream, in offset order. A snapshot handed out
+  /// with the offset that it covers replaces all state; its live records follow
+  /// with their own, lower offsets.
   CloseVerdict OnRecord(platform::Offset offset, const v1::Record& record);
 
   /// Returns the close record of a window over all records read so far.
@@ -156,6 +158,7 @@
     Mark aged;
   };
 
+  void FoldSnapshot(platform::Offset offset, const v1::Snapshot& snapshot);
   void FoldUsage(platform::Offset offset, const v1::UsageAppend& append);
   CloseVerdict FoldClose(platform::Offset offset, const v1::WindowClose& close);
   CloseVerdict Judge(platform::Offset offset,
--- a/src/control/order_book.cc
+++ b/src/control/order_book.cc
@@ -65,6 +65,12 @@
 
 std::optional<SettledOrder> OrderBook::OnRecord(platform::Offset offset,
                                                 const v1::Record& record) {
+  if (record.has_snapshot() && record.snapshot().covered_offset() == offset) {
+    orders_.clear();
+    highest_epoch_ = 0;
+    highest_epoch_offset_.reset();
+    return std::nullopt;
+  }
   if (record.has_order_intent()) {
     FoldIntent(offset, record.order_intent());
     return std::nullopt;
--- a/src/control/order_book.h
+++ b/src/control/order_book.h
@@ -115,7 +115,8 @@
   /// @return nullopt without a term
   std::optional<v1::OrderIntent> Intend(v1::OrderIntent order, WallTime now);
 
-  /// Folds one record of the stream, in offset order.
+  /// Folds one record of the stream, in offset order. A snapshot handed out
+  /// with the offset that it covers replaces all state.
   /// @return the order that the record settles, if it settles one
   std::optional<SettledOrder> OnRecord(platform::Offset offset,
                                        const v1::Record& record);
--- a/test/window_book_test.cc
+++ b/test/window_book_test.cc
@@ -180,13 +180,22 @@
   for (const auto& [at, record] : stream) {
     whole.OnRecord(at, record);
   }
+  // It fell behind before, and knows an old part of the stream.
   WindowBook restored;
+  restored.OnRecord(0, stream[0]);
+  v1::Record snapshot;
+  snapshot.mutable_snapshot()->set_covered_offset(offset - 1);
+  restored.OnRecord(offset - 1, snapshot);
+  cr_assert_eq(OpenRequests(restored), 0, "a snapshot replaces all state");
   for (const platform::Offset live : whole.live_offsets()) {
     restored.OnRecord(live, stream[live]);
   }
   cr_assert_eq(OpenRequests(restored), OpenRequests(whole),
                "expected %lu open, got %lu", OpenRequests(whole),
                OpenRequests(restored));
+  cr_assert_eq(restored.Prepare(kSecond, 9, {}).SerializeAsString(),
+               whole.Prepare(kSecond, 9, {}).SerializeAsString(),
+               "both readers prepare the same close");
   cr_assert_eq(restored.highest_epoch(), 9);
   cr_assert_eq(*restored.last_closed(), kFirst);
   const v1::Record close = Close(kSecond, 4, offset - 1, 0);
