--- a/src/log/compactor.cc
+++ b/src/log/compactor.cc
@@ -10,6 +10,8 @@
 namespace {
 constexpr std::chrono::milliseconds kMaxTick{1'000};
 constexpr std::chrono::milliseconds kGiveUpAfter{10'000};
+// Records beyond twice the live ones that may pile up before the next trim.
+constexpr std::size_t kSlackRecords = 1'024;
 }  // namespace
 
 Compactor::Compactor(base::EventLoop& loop, const Clock& clock,
@@ -58,8 +60,9 @@
 void Compactor::Tick() {
   const bool holder = leases_.term(RoleId(kCompactorRole)).has_value();
   for (auto& [name, stream] : streams_) {
-    if (stream.records != nullptr && journal_.caught_up(name)) {
-      stream.records->Keep(stream.live());
+    if (stream.records != nullptr && journal_.caught_up(name) &&
+        stream.records->size() > 2 * stream.kept + kSlackRecords) {
+      Trim(&stream);
     }
     if (holder && Due(name, stream)) {
       Write(name, &stream);
@@ -78,7 +81,15 @@
          clock_.now() - *stream.last >= options_.interval;
 }
 
+void Compactor::Trim(Stream* stream) {
+  stream->records->Keep(stream->live());
+  stream->kept = stream->records->size();
+}
+
 void Compactor::Write(const std::string& name, Stream* stream) {
+  if (stream->records != nullptr) {
+    Trim(stream);
+  }
   v1::Record record;
   v1::Snapshot* snapshot = record.mutable_snapshot();
   snapshot->set_covered_offset(journal_.position(name) - 1);
--- a/src/log/compactor.h
+++ b/src/log/compactor.h
@@ -4,6 +4,7 @@
 #define MULBERRYROAD_SRC_LOG_COMPACTOR_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -62,6 +63,8 @@
     SaveState save;
     std::shared_ptr<LiveRecords> records;
     LiveOffsets live;
+    /// Live records at the last trim.
+    std::size_t kept = 0;
     /// When a snapshot was last read or begun.
     std::optional<Instant> last;
     bool open = false;
@@ -69,6 +72,7 @@
 
   void Watch(const std::string& stream);
   void Tick();
+  static void Trim(Stream* stream);
   bool Due(const std::string& name, const Stream& stream) const;
   void Write(const std::string& name, Stream* stream);
 
--- a/test/compactor_test.cc
+++ b/test/compactor_test.cc
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -42,6 +43,9 @@
     compactor.Add(kConfig, [this](v1::Snapshot* s) { store.Save(s); });
     compactor.Add(kLease, [this](v1::Snapshot* s) { keeper.Save(s); });
     compactor.AddRecords(kOrders, [this] { return live; });
+    for (const char* stream : {kConfig, kLease, kOrders}) {
+      Watch(stream);
+    }
     journal.Subscribe(
         kOrders, [this](platform::Offset offset, const v1::Record& record) {
           if (record.has_order_intent()) {
@@ -56,7 +60,18 @@
     return self;
   }
 
+  /// Notes the newest snapshot of a stream.
+  void Watch(const char* stream) {
+    journal.Subscribe(
+        stream, [this, stream](platform::Offset, const v1::Record& record) {
+          if (record.has_snapshot()) {
+            covered[stream] = record.snapshot().covered_offset();
+          }
+        });
+  }
+
   std::string name;
+  std::map<std::string, platform::Offset> covered;
   std::set<platform::Offset> live;
   std::string seen;
   fakes::MemoryTransport transport;
@@ -89,12 +104,14 @@
     record.mutable_order_intent()->set_order_id(id);
     log.Put(kOrders, record.SerializeAsString());
   }
-  /// Lets all records expire that a snapshot stands for.
+  /// Lets all records expire that the newest snapshots stand for.
   void WaitForSnapshotsAndExpire(Node& node) {
     const std::uint64_t before = node.compactor.written();
     cr_assert(Until([&] { return node.compactor.written() >= before + 6; }));
-    for (const char* stream : {kConfig, kLease, kOrders}) {
-      log.Retain(stream, log.end(stream) - 1);
+    cr_assert(node.covered.size() == 3, "found snapshots of %zu streams",
+              node.covered.size());
+    for (const auto& [stream, covered] : node.covered) {
+      log.Retain(stream, covered + 1);
     }
   }
   bool Ready(const Node& node) {
