--- a/test/lease_agent_test.cc
+++ b/test/lease_agent_test.cc
@@ -53,21 +53,19 @@
   platform::Offset next_ = 0;
 };
 
-#define EXPECT_TEXT(found_expression, expected)                     \
-  do {                                                              \
-    const std::string found = (found_expression);                   \
-    cr_expect(found == (expected), "expected \"%s\", found \"%s\"", \
-              (expected), found.c_str());                           \
-  } while (false)
+void ExpectText(const std::string& found, const std::string& expected) {
+  cr_expect(found == expected, "expected \"%s\", found \"%s\"",
+            expected.c_str(), found.c_str());
+}
 
 Test(lease_agent, claims_a_free_role_and_keeps_it) {
   Cluster cluster;
   cluster.a.Want(kRole, true, At(0));
   cluster.b.Want(kRole, true, At(0));
-  EXPECT_TEXT(cluster.TickUntil(&cluster.a, 0, 1'000), "+a");
-  EXPECT_TEXT(cluster.TickUntil(&cluster.b, 1'000, 9'000), "");
+  ExpectText(cluster.TickUntil(&cluster.a, 0, 1'000), "+a");
+  ExpectText(cluster.TickUntil(&cluster.b, 1'000, 9'000), "");
   cr_expect(cluster.a.term(kRole, At(9'000)).has_value());
-  EXPECT_TEXT(cluster.TickUntil(&cluster.a, 9'000, 60'000), "");
+  ExpectText(cluster.TickUntil(&cluster.a, 9'000, 60'000), "");
   cr_expect(cluster.a.term(kRole, At(60'000)).has_value(),
             "the holder must renew in time");
 }
@@ -101,17 +99,17 @@
 Test(lease_agent, a_challenger_waits_from_when_it_read_the_renewal) {
   Cluster cluster;
   cluster.a.Want(kRole, true, At(0));
-  EXPECT_TEXT(cluster.TickUntil(&cluster.a, 0, 1'000), "+a");
+  ExpectText(cluster.TickUntil(&cluster.a, 0, 1'000), "+a");
   cluster.b.Want(kRole, true, At(1'000));
-  EXPECT_TEXT(cluster.TickUntil(&cluster.b, 1'000, 11'000), "");
-  EXPECT_TEXT(cluster.TickUntil(&cluster.b, 11'000, 12'500), "-a+b");
+  ExpectText(cluster.TickUntil(&cluster.b, 1'000, 11'000), "");
+  ExpectText(cluster.TickUntil(&cluster.b, 11'000, 12'500), "-a+b");
   cr_expect(!cluster.a.term(kRole, At(12'500)).has_value());
 }
 
 Test(lease_agent, an_expired_term_is_reported_lost) {
   Cluster cluster;
   cluster.a.Want(kRole, true, At(0));
-  EXPECT_TEXT(cluster.TickUntil(&cluster.a, 0, 1'000), "+a");
+  ExpectText(cluster.TickUntil(&cluster.a, 0, 1'000), "+a");
   const LeaseDecisions decisions = cluster.a.Tick(At(30'000), false);
   cr_assert(decisions.size() == 1);
   cr_expect(std::holds_alternative<Lost>(decisions[0]));
@@ -120,15 +118,15 @@
 Test(lease_agent, a_release_frees_the_role_at_once) {
   Cluster cluster;
   cluster.a.Want(kRole, true, At(0));
-  EXPECT_TEXT(cluster.TickUntil(&cluster.a, 0, 1'000), "+a");
+  ExpectText(cluster.TickUntil(&cluster.a, 0, 1'000), "+a");
   cluster.b.Want(kRole, true, At(0));
-  EXPECT_TEXT(
+  ExpectText(
       cluster.Run(&cluster.a, cluster.a.Want(kRole, false, At(2'000)), 2'000),
       "-a");
   cr_expect(!cluster.a.term(kRole, At(2'000)).has_value(),
             "no term between the wish and the release");
-  EXPECT_TEXT(cluster.Tick(&cluster.a, 2'100), "");
-  EXPECT_TEXT(cluster.TickUntil(&cluster.b, 2'200, 3'000), "+b");
+  ExpectText(cluster.Tick(&cluster.a, 2'100), "");
+  ExpectText(cluster.TickUntil(&cluster.b, 2'200, 3'000), "+b");
 }
 
 Test(lease_agent, another_process_of_the_same_name_is_not_the_holder) {
--- a/test/roster_test.cc
+++ b/test/roster_test.cc
@@ -175,6 +175,7 @@
 
 Test(roster, news_is_bounded_and_ends) {
   std::vector<std::string> names;
+  names.reserve(40);
   for (int i = 0; i < 40; ++i) {
     names.push_back("a" + std::to_string(i));
   }
