--- a/src/control/controller.cc
+++ b/src/control/controller.cc
@@ -25,6 +25,16 @@
   domains_.clear();
 }
 
+std::vector<log::LedStream> Controller::led_streams() {
+  std::vector<log::LedStream> led;
+  for (const auto& [domain, controller] : domains_) {
+    if (std::optional<log::LedStream> stream = controller->led_stream()) {
+      led.push_back(*std::move(stream));
+    }
+  }
+  return led;
+}
+
 void Controller::Tick() {
   const std::set<FailureDomainId> wanted = WantedDomains();
   std::erase_if(domains_, [&wanted](const auto& entry) {
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <vector>
 
 #include "base/event_loop.h"
 #include "control/domain_controller.h"
@@ -34,6 +35,8 @@
   void Stop();
   /// Does the work that is due; a timer calls it.
   void Tick();
+  /// Returns the streams of orders that this node leads.
+  std::vector<log::LedStream> led_streams();
 
  private:
   std::set<FailureDomainId> WantedDomains() const;
--- a/src/control/domain_controller.cc
+++ b/src/control/domain_controller.cc
@@ -55,6 +55,15 @@
   orders_.Step();
 }
 
+std::optional<log::LedStream> DomainController::led_stream() {
+  if (!services_.leases.term(role_).has_value()) {
+    return std::nullopt;
+  }
+  return log::LedStream{orders_.stream(), [this](v1::Snapshot* snapshot) {
+                          orders_.Save(snapshot);
+                        }};
+}
+
 void DomainController::UpdatePools() {
   std::set<PoolId> declared;
   const v1::Declaration& declaration = *services_.configuration.declaration();
--- a/src/control/domain_controller.h
+++ b/src/control/domain_controller.h
@@ -19,6 +19,7 @@
 #include "control/pool_observer.h"
 #include "control/weight_rollout.h"
 #include "lease/leases.h"
+#include "log/compactor.h"
 #include "log/journal.h"
 #include "membership/members.h"
 #include "mulberryroad/clock.h"
@@ -54,6 +55,8 @@
 
   /// Looks, decides and acts if the lease is held.
   void Tick();
+  /// Returns the stream of orders if the lease is held, else nullopt.
+  std::optional<log::LedStream> led_stream();
 
  private:
   /// One pool with its observed and decided state.
--- a/src/control/order_executor.cc
+++ b/src/control/order_executor.cc
@@ -84,6 +84,7 @@
     if (alive.expired()) {
       return;
     }
+    records_.OnRecord(offset, record);
     const std::optional<SettledOrder> settled = book_.OnRecord(offset, record);
     if (settled) {
       on_settled_(*settled);
@@ -93,6 +94,11 @@
 
 OrderExecutor::~OrderExecutor() { journal_.Unsubscribe(stream_); }
 
+void OrderExecutor::Save(v1::Snapshot* snapshot) {
+  records_.Keep(book_.live_offsets());
+  records_.Save(snapshot);
+}
+
 std::optional<std::uint64_t> OrderExecutor::UpdateTerm() {
   const std::optional<lease::Term> term = leases_.term(role_);
   const std::optional<std::uint64_t> epoch =
--- a/src/control/order_executor.h
+++ b/src/control/order_executor.h
@@ -12,6 +12,7 @@
 #include "control/order_book.h"
 #include "lease/leases.h"
 #include "log/journal.h"
+#include "log/live_records.h"
 #include "mulberryroad/clock.h"
 #include "platform/platform.h"
 
@@ -44,6 +45,9 @@
   /// Takes the steps that are due.
   void Step();
   const OrderBook& book() const { return book_; }
+  const std::string& stream() const { return stream_; }
+  /// Writes the records that a reader needs to come to this state.
+  void Save(v1::Snapshot* snapshot);
 
  private:
   void Take(const SendOrder& step);
@@ -64,6 +68,7 @@
   EndpointOf endpoint_of_;
   OnSettled on_settled_;
   OrderBook book_;
+  log::LiveRecords records_;
   std::optional<std::uint64_t> epoch_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -221,6 +221,8 @@
                  [this](v1::Snapshot* snapshot) { leases_.Save(snapshot); });
   compactor_.AddRecords(billing::kUsageStream,
                         [this] { return reporter_.book().live_offsets(); });
+  compactor_.AddLed([this] { return controller_.led_streams(); });
+  compactor_.AddLed([this] { return ledger_host_.led_streams(); });
 }
 
 AdminSources Node::Parts::Sources() {
--- a/src/ledger/ledger_host.cc
+++ b/src/ledger/ledger_host.cc
@@ -97,6 +97,18 @@
   }
 }
 
+std::vector<log::LedStream> LedgerHost::led_streams() const {
+  std::vector<log::LedStream> led;
+  for (const std::shared_ptr<Partition>& partition : partitions_) {
+    if (partition->serving()) {
+      led.push_back({partition->name(), [partition](v1::Snapshot* snapshot) {
+                       partition->Save(snapshot);
+                     }});
+    }
+  }
+  return led;
+}
+
 bool LedgerHost::serves(std::uint32_t partition) const {
   return partition < partitions_.size() && partitions_[partition]->serving();
 }
--- a/src/ledger/ledger_host.h
+++ b/src/ledger/ledger_host.h
@@ -12,6 +12,7 @@
 
 #include "base/event_loop.h"
 #include "lease/leases.h"
+#include "log/compactor.h"
 #include "log/journal.h"
 #include "membership/members.h"
 #include "mulberryroad/clock.h"
@@ -38,6 +39,9 @@
   /// Serves a call on a partition. Calls back exactly once.
   void Serve(const v1::LedgerCall& call, OnLedgerReply on_reply);
 
+  /// Returns the streams of the partitions that this node serves.
+  std::vector<log::LedStream> led_streams() const;
+
   /// True if this node holds the partition and has read it.
   bool serves(std::uint32_t partition) const;
 
--- a/src/ledger/ledger_partition.cc
+++ b/src/ledger/ledger_partition.cc
@@ -104,6 +104,14 @@
 
 void LedgerHost::Partition::TakeRecord(platform::Offset offset,
                                        const v1::Record& record) {
+  // A snapshot counts where it starts the stream; further on it repeats what
+  // was read, less what has changed since.
+  if (record.has_snapshot()) {
+    if (record.snapshot().covered_offset() != offset) {
+      return;
+    }
+    table_ = LedgerTable();
+  }
   table_.Apply(record);
   read_to_ = offset + 1;
   if (open_ && opening_offset_.has_value() && read_to_ > *opening_offset_) {
@@ -116,6 +124,11 @@
   }
 }
 
+void LedgerHost::Partition::Save(v1::Snapshot* snapshot) const {
+  *snapshot->add_live_records()->mutable_ledger_commit() = table_.Snapshot();
+  snapshot->add_live_offsets(snapshot->covered_offset());
+}
+
 bool LedgerHost::Partition::serving() const {
   const std::optional<lease::Term> term = leases_.term(role_);
   return open_ && epoch_opened_ && term.has_value() && term->epoch == epoch_ &&
--- a/src/ledger/ledger_partition.h
+++ b/src/ledger/ledger_partition.h
@@ -34,6 +34,8 @@
   void Finish(const v1::LedgerOutcome& outcome, OnLedgerReply on_reply);
 
   bool serving() const;
+  /// Writes all entries as one record.
+  void Save(v1::Snapshot* snapshot) const;
   const std::string& name() const { return name_; }
 
  private:
--- a/src/log/compactor.cc
+++ b/src/log/compactor.cc
@@ -38,6 +38,10 @@
   Watch(stream);
 }
 
+void Compactor::AddLed(LedStreams led) {
+  led_sources_.push_back(std::move(led));
+}
+
 void Compactor::Stop() { leases_.Want(RoleId(kCompactorRole), false); }
 
 void Compactor::Watch(const std::string& stream) {
@@ -68,6 +72,28 @@
       Write(name, &stream);
     }
   }
+  WriteLed();
+}
+
+// A stream that is no longer led is forgotten, so that it gets a snapshot at
+// once when it is led again.
+void Compactor::WriteLed() {
+  std::map<std::string, Stream> led;
+  for (const LedStreams& source : led_sources_) {
+    for (LedStream& each : source()) {
+      const auto known = led_.find(each.stream);
+      Stream& stream = led[each.stream];
+      stream = known == led_.end() ? Stream{} : known->second;
+      stream.save = std::move(each.save);
+    }
+  }
+  led_ = std::move(led);
+  for (auto& [name, stream] : led_) {
+    if (Due(name, stream)) {
+      stream.last = clock_.now();
+      Write(name, &stream);
+    }
+  }
 }
 
 // A stream without records needs no snapshot; one that this node cannot read
@@ -100,16 +126,26 @@
       name, std::move(record), kGiveUpAfter,
       [this, name, alive = std::weak_ptr<bool>(alive_)](
           std::optional<platform::Offset> offset, const std::string& reason) {
-        if (alive.expired()) {
-          return;
-        }
-        streams_[name].open = false;
-        if (offset.has_value()) {
-          ++written_;
-        } else {
-          base::LogWarning("snapshot-not-written", name + ": " + reason);
+        if (!alive.expired()) {
+          OnWritten(name, offset, reason);
         }
       });
 }
 
+void Compactor::OnWritten(const std::string& name,
+                          std::optional<platform::Offset> offset,
+                          const std::string& reason) {
+  for (std::map<std::string, Stream>* streams : {&streams_, &led_}) {
+    const auto stream = streams->find(name);
+    if (stream != streams->end()) {
+      stream->second.open = false;
+    }
+  }
+  if (offset.has_value()) {
+    ++written_;
+  } else {
+    base::LogWarning("snapshot-not-written", name + ": " + reason);
+  }
+}
+
 }  // namespace mulberryroad::log
--- a/src/log/compactor.h
+++ b/src/log/compactor.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "base/event_loop.h"
 #include "lease/leases.h"
@@ -38,6 +39,15 @@
 /// present state.
 using LiveOffsets = std::function<std::set<platform::Offset>()>;
 
+/// A stream whose snapshots come from the holder of a role of its own, this
+/// node at the moment.
+struct LedStream {
+  std::string stream;
+  SaveState save;
+};
+/// Returns the streams that this node leads now and has read to their end.
+using LedStreams = std::function<std::vector<LedStream>()>;
+
 /// Strives for the role on every node. Two holders at once would be harmless:
 /// each snapshot names the offset that it covers.
 class Compactor {
@@ -53,6 +63,10 @@
   /// Adds a stream whose state is made of records. Subscribes to it.
   void AddRecords(const std::string& stream, LiveOffsets live);
 
+  /// Adds streams that only the holders of their roles read. A stream gets a
+  /// snapshot whenever this node begins to lead it, and then at the interval.
+  void AddLed(LedStreams led);
+
   /// Gives the role up, for a graceful stop.
   void Stop();
   /// Number of snapshots that this node appended.
@@ -72,15 +86,21 @@
 
   void Watch(const std::string& stream);
   void Tick();
+  void WriteLed();
   static void Trim(Stream* stream);
   bool Due(const std::string& name, const Stream& stream) const;
   void Write(const std::string& name, Stream* stream);
+  void OnWritten(const std::string& name,
+                 std::optional<platform::Offset> offset,
+                 const std::string& reason);
 
   const Clock& clock_;
   LogJournal& journal_;
   lease::Leases& leases_;
   CompactorOptions options_;
   std::map<std::string, Stream> streams_;
+  std::vector<LedStreams> led_sources_;
+  std::map<std::string, Stream> led_;
   std::uint64_t written_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   base::Timer tick_;
--- a/test/compactor_test.cc
+++ b/test/compactor_test.cc
@@ -206,5 +206,38 @@
   cr_expect(node->store.revision() == 1, "its own state stays");
 }
 
+Test(compactor, a_led_stream_gets_snapshots_while_it_is_led) {
+  Fixture f;
+  const auto node = f.Start();
+  constexpr char kLed[] = "ledger/0";
+  int snapshots = 0;
+  node->journal.Subscribe(kLed,
+                          [&](platform::Offset, const v1::Record& record) {
+                            snapshots += record.has_snapshot() ? 1 : 0;
+                          });
+  v1::Record record;
+  record.set_writer("holder#1");
+  record.mutable_ledger_intent()->set_idempotency_key("k");
+  f.log.Put(kLed, record.SerializeAsString());
+  bool led = false;
+  node->compactor.AddLed([&led, kLed]() -> std::vector<LedStream> {
+    if (!led) {
+      return {};
+    }
+    return {{kLed, [](v1::Snapshot*) {}}};
+  });
+  fakes::RunFor(f.loop, 2 * kInterval);
+  cr_expect(snapshots == 0, "expected none before, found %d", snapshots);
+  led = true;
+  cr_expect(f.Until([&] { return snapshots >= 2; }));
+  led = false;
+  fakes::RunFor(f.loop, kInterval);
+  const int after = snapshots;
+  fakes::RunFor(f.loop, 2 * kInterval);
+  cr_expect(snapshots == after, "expected %d, found %d", after, snapshots);
+  led = true;
+  cr_expect(f.Until([&] { return snapshots > after; }));
+}
+
 }  // namespace
 }  // namespace mulberryroad::log
