--- a/test/fakes/fake_engine.cc
+++ b/test/fakes/fake_engine.cc
@@ -343,8 +343,9 @@
     return {400, R"({"error":"malformed body"})", {}};
   }
   std::uint64_t& highest = highest_fencing_[order.role()];
-  if (control_.checks_fencing() && order.fencing() < highest) {
-    stats_.set_refused_orders(stats_.refused_orders() + 1);
+  const bool old = order.fencing() < highest;
+  stats_.set_old_fencing_orders(stats_.old_fencing_orders() + (old ? 1 : 0));
+  if (control_.checks_fencing() && old) {
     return {409, R"({"error":"old fencing number"})", {}};
   }
   highest = std::max(highest, order.fencing());
--- a/test/fakes/fake_ordering.cc
+++ b/test/fakes/fake_ordering.cc
@@ -61,8 +61,9 @@
     return {200, base::ToJson(known->second.status()), {}};
   }
   std::uint64_t& highest = highest_fencing_[order.role()];
-  if (control_.checks_fencing() && order.fencing() < highest) {
-    stats_.set_refused_by_fencing(stats_.refused_by_fencing() + 1);
+  const bool old = order.fencing() < highest;
+  stats_.set_old_fencing_orders(stats_.old_fencing_orders() + (old ? 1 : 0));
+  if (control_.checks_fencing() && old) {
     return {409, R"({"error":"old fencing number"})", {}};
   }
   highest = std::max(highest, order.fencing());
@@ -111,7 +112,7 @@
 }
 
 std::string FakeOrdering::Start(const v1::StartUpstream& start) {
-  const std::string name = start.target() + "-" + start.failure_domain() + "-" +
+  std::string name = start.target() + "-" + start.failure_domain() + "-" +
                            std::to_string(next_name_++);
   Upstream& upstream = upstreams_[name];
   upstream.version = start.version();
--- a/test/fakes/fake_usage.cc
+++ b/test/fakes/fake_usage.cc
@@ -32,8 +32,9 @@
   if (!base::FromJson(request.body, &report, &reason)) {
     return {400, reason, {}};
   }
-  if (control_.checks_fencing() && report.fencing() < highest_fencing_) {
-    stats_.set_refused_by_fencing(stats_.refused_by_fencing() + 1);
+  const bool old = report.fencing() < highest_fencing_;
+  stats_.set_old_fencing_reports(stats_.old_fencing_reports() + (old ? 1 : 0));
+  if (control_.checks_fencing() && old) {
     return {409, R"({"error":"old fencing number"})", {}};
   }
   highest_fencing_ = std::max(highest_fencing_, report.fencing());
--- a/test/process/load.cc
+++ b/test/process/load.cc
@@ -15,6 +15,12 @@
 constexpr int kOk = 200;
 constexpr std::chrono::milliseconds kPauseAfterRefusal{20};
 
+// Contents of one load differ from those of another.
+std::string NextName() {
+  static int loads = 0;
+  return "content " + std::to_string(++loads) + "-";
+}
+
 }  // namespace
 
 Load::Load(base::EventLoop& loop, http::Client& client,
@@ -22,7 +28,8 @@
     : loop_(loop),
       client_(client),
       nodes_(std::move(nodes)),
-      options_(std::move(options)) {}
+      options_(std::move(options)),
+      name_(NextName()) {}
 
 Load::~Load() { *alive_ = false; }
 
@@ -41,57 +48,84 @@
 }
 
 void Load::SendNext() {
-  if (stopped_ || nodes_.empty()) {
-    return;
+  if (!stopped_) {
+    Send(name_ + std::to_string(next_content_++));
   }
-  const std::string prompt = "prompt " + std::to_string(next_prompt_++);
-  v1::CompletionRequest body;
-  body.set_model(options_.model);
-  body.set_prompt(prompt);
-  body.set_max_tokens(options_.max_tokens);
+}
+
+http::ClientRequest Load::MakeRequest(const std::string& content) const {
   http::ClientRequest request;
-  request.endpoint = nodes_[next_node_++ % nodes_.size()];
   request.method = http::Method::kPost;
-  request.path = "/v1/completions";
   request.headers = {{"Authorization", "Bearer " + options_.secret}};
-  request.body = base::ToJson(body);
   request.timeout = options_.timeout;
+  if (options_.kind == LoadKind::kCompletions) {
+    v1::CompletionRequest body;
+    body.set_model(options_.model);
+    body.set_prompt(content);
+    body.set_max_tokens(options_.max_tokens);
+    request.path = "/v1/completions";
+    request.body = base::ToJson(body);
+    return request;
+  }
+  request.path = "/intake/reports";
+  request.body = content;
+  if (options_.kind == LoadKind::kKeyedReports) {
+    request.headers.push_back({"Idempotency-Key", content});
+  }
+  return request;
+}
+
+void Load::Send(const std::string& content) {
+  if (nodes_.empty()) {
+    return;
+  }
+  http::ClientRequest request = MakeRequest(content);
+  request.endpoint = nodes_[next_node_++ % nodes_.size()];
   ++open_;
   client_.Send(std::move(request),
-               [this, prompt, alive = alive_](const http::Result& result) {
+               [this, content, alive = alive_](const http::Result& result) {
                  if (*alive) {
-                   Take(prompt, result);
+                   Take(content, result);
                  }
                });
 }
 
-void Load::Take(const std::string& prompt, const http::Result& result) {
+void Load::Take(const std::string& content, const http::Result& result) {
   --open_;
   if (const auto* failure = std::get_if<http::Failure>(&result)) {
     counts_.last_fault = failure->reason;
     ++(failure->verdict == Verdict::kNotRun ? counts_.not_run : counts_.cut);
-    Later();
+    Later(content);
     return;
   }
   const auto& response = std::get<http::Response>(result);
-  Count(prompt, response);
+  Count(content, response);
   if (response.status == kOk) {
     SendNext();
   } else {
     counts_.last_fault = response.body;
-    Later();
+    Later(content);
   }
 }
 
-void Load::Count(const std::string& prompt, const http::Response& response) {
+bool Load::IsWhole(const std::string& content, const std::string& body) const {
+  if (options_.kind != LoadKind::kCompletions) {
+    return body == content;
+  }
+  v1::CompletionChunk answer;
+  return base::FromJson(body, &answer, nullptr) &&
+         answer.text() ==
+             fakes::FakeEngine::TextOf(content, 0, options_.max_tokens);
+}
+
+void Load::Count(const std::string& content, const http::Response& response) {
   if (response.status == kOk) {
-    v1::CompletionChunk answer;
-    const bool whole = base::FromJson(response.body, &answer, nullptr) &&
-                       answer.text() == fakes::FakeEngine::TextOf(
-                                            prompt, 0, options_.max_tokens);
+    const bool whole = IsWhole(content, response.body);
     ++(whole ? counts_.whole : counts_.wrong);
     if (!whole) {
-      counts_.last_fault = prompt + " got " + response.body;
+      counts_.last_fault = content + " got " + response.body;
+    } else if (options_.kind != LoadKind::kCompletions) {
+      answered_reports_.push_back(content);
     }
     return;
   }
@@ -107,12 +141,19 @@
 }
 
 // A caller comes back after a short pause.
-void Load::Later() {
+void Load::Later(const std::string& content) {
   constexpr std::size_t kKeptTimers = 1'000;
   if (timers_.size() >= kKeptTimers) {
     timers_.erase(timers_.begin(), timers_.begin() + kKeptTimers / 2);
   }
-  timers_.push_back(loop_.After(kPauseAfterRefusal, [this] { SendNext(); }));
+  const bool again = options_.kind == LoadKind::kKeyedReports && !stopped_;
+  timers_.push_back(loop_.After(kPauseAfterRefusal, [this, content, again] {
+    if (again) {
+      Send(content);
+    } else {
+      SendNext();
+    }
+  }));
 }
 
 }  // namespace mulberryroad::process
--- a/test/process/load.h
+++ b/test/process/load.h
@@ -16,7 +16,19 @@
 
 namespace mulberryroad::process {
 
+/// What callers send.
+enum class LoadKind {
+  /// Completions, which may be generated again.
+  kCompletions,
+  /// Landing reports, each with a body of its own, which must run at most once.
+  kReports,
+  /// Landing reports with an Idempotency-Key; a caller sends one that did not
+  /// get its answer again, to the next node, until it is answered.
+  kKeyedReports,
+};
+
 struct LoadOptions {
+  LoadKind kind = LoadKind::kCompletions;
   /// Requests under way at once.
   std::size_t callers = 8;
   std::uint32_t max_tokens = 40;
@@ -58,22 +70,31 @@
   /// Returns the number of requests under way.
   std::size_t open() const { return open_; }
   const LoadCounts& counts() const { return counts_; }
+  /// Returns the bodies of reports that were answered whole.
+  const std::vector<std::string>& answered_reports() const {
+    return answered_reports_;
+  }
   /// Takes a node out of, or back into, the balancer's set.
   void Balance(const Endpoint& node, bool in_use);
 
  private:
   void SendNext();
-  void Take(const std::string& prompt, const http::Result& result);
-  void Count(const std::string& prompt, const http::Response& response);
-  void Later();
+  void Send(const std::string& content);
+  http::ClientRequest MakeRequest(const std::string& content) const;
+  void Take(const std::string& content, const http::Result& result);
+  void Count(const std::string& content, const http::Response& response);
+  bool IsWhole(const std::string& content, const std::string& body) const;
+  void Later(const std::string& content);
 
   base::EventLoop& loop_;
   http::Client& client_;
   std::vector<Endpoint> nodes_;
   LoadOptions options_;
+  std::string name_;
   LoadCounts counts_;
+  std::vector<std::string> answered_reports_;
   std::size_t next_node_ = 0;
-  std::uint64_t next_prompt_ = 0;
+  std::uint64_t next_content_ = 0;
   std::size_t open_ = 0;
   bool stopped_ = false;
   std::vector<base::Timer> timers_;
