Outlive callers whose connection breaks in a streamed answer

Cause: when a caller's connection fails while an answer is under way, evhttp unties the request from the connection and closes it; the close callback then asked the request for its connection (null) and freed the connection a second time. One caller killed in mid-stream ended the process (signal 11, seen with the engine stand-in and curl, and in the process test of a killed node, where it took all upstreams with it). A reset before an answer was not noticed at all, since epoll reports it as readable only. Ruled out: the stand-ins' own code (the crash is in Exchange::Abort). Conclusion: the library's own close frees nothing again; a readable caller is peeked at.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -5,6 +5,7 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <cctype>
@@ -96,6 +97,32 @@
   return result;
 }
 
+// The library unties a request from a connection that failed while its answer
+// was under way; nobody else frees it then.
+void FreeIfUntied(evhttp_request* request) {
+  if (evhttp_request_get_connection(request) == nullptr) {
+    evhttp_request_free(request);
+  }
+}
+
+// A connection that is to be closed soon, unless the library closes it first.
+struct PendingClose {
+  evhttp_connection* connection = nullptr;
+  evhttp_request* request = nullptr;
+
+  static void OnGone(evhttp_connection* /*connection*/, void* argument) {
+    auto* pending = static_cast<PendingClose*>(argument);
+    pending->connection = nullptr;
+    FreeIfUntied(pending->request);
+  }
+  void Close() const {
+    if (connection != nullptr) {
+      evhttp_connection_set_closecb(connection, nullptr, nullptr);
+      evhttp_connection_free(connection);
+    }
+  }
+};
+
 struct BufferDeleter {
   void operator()(evbuffer* buffer) const { evbuffer_free(buffer); }
 };
@@ -134,20 +161,40 @@
 void Exchange::WatchCaller() {
   bufferevent* stream =
       evhttp_connection_get_bufferevent(evhttp_request_get_connection(native_));
-  caller_watch_ = event_new(
-      loop_.base(), bufferevent_getfd(stream), EV_CLOSED,
-      [](evutil_socket_t, short,
-         void* argument) {  // NOLINT(google-runtime-int)
-        static_cast<Exchange*>(argument)->shared_from_this()->MarkClosed();
-      },
-      this);
-  event_add(caller_watch_, nullptr);
+  WatchFor(bufferevent_getfd(stream), EV_READ | EV_CLOSED);
   evhttp_connection_set_closecb(
       evhttp_request_get_connection(native_),
       [](evhttp_connection*, void* argument) {
-        static_cast<Exchange*>(argument)->shared_from_this()->MarkClosed();
+        static_cast<Exchange*>(argument)->ConnectionGone();
+      },
+      this);
+}
+
+void Exchange::WatchFor(int handle, int events) {
+  if (caller_watch_ != nullptr) {
+    event_free(caller_watch_);
+  }
+  caller_watch_ = event_new(
+      loop_.base(), handle, static_cast<short>(events),        // NOLINT
+      [](evutil_socket_t ready, short what, void* argument) {  // NOLINT
+        static_cast<Exchange*>(argument)->shared_from_this()->CheckCaller(ready,
+                                                                          what);
       },
       this);
+  event_add(caller_watch_, nullptr);
+}
+
+// A reset shows as readable only, as does a next request sent ahead.
+void Exchange::CheckCaller(int handle, int events) {
+  char byte = 0;
+  const bool next_request =
+      (events & EV_CLOSED) == 0 &&
+      recv(handle, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0;
+  if (next_request) {
+    WatchFor(handle, EV_CLOSED);
+  } else {
+    MarkClosed();
+  }
 }
 
 void Exchange::MarkClosed() {
@@ -161,6 +208,17 @@
   }
 }
 
+// The library is closing the connection itself; it must not be freed again.
+void Exchange::ConnectionGone() {
+  const std::shared_ptr<Exchange> keep = shared_from_this();
+  evhttp_request* native = native_;
+  answered_ = true;
+  Detach();
+  FreeIfUntied(native);
+  closed_ = true;
+  on_closed_.emit();
+}
+
 void Exchange::Detach() {
   if (caller_watch_ != nullptr) {
     event_free(caller_watch_);
@@ -235,12 +293,15 @@
   }
   const std::shared_ptr<Exchange> keep = shared_from_this();
   answered_ = true;
-  evhttp_connection* connection = evhttp_request_get_connection(native_);
-  evhttp_connection_set_closecb(connection, nullptr, nullptr);
+  const auto pending = std::make_shared<PendingClose>();
+  pending->connection = evhttp_request_get_connection(native_);
+  pending->request = native_;
+  evhttp_connection_set_closecb(pending->connection, PendingClose::OnGone,
+                                pending.get());
   Detach();
   // Freed from the loop: this may run inside one of the connection's own
   // callbacks.
-  loop_.Post([connection] { evhttp_connection_free(connection); });
+  loop_.Post([pending] { pending->Close(); });
 }
 
 Server::Server(base::EventLoop& loop, ServerLimits limits)
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -83,7 +83,10 @@
   friend class Server;
 
   void WatchCaller();
+  void WatchFor(int handle, int events);
+  void CheckCaller(int handle, int events);
   void MarkClosed();
+  void ConnectionGone();
   void Detach();
 
   base::EventLoop& loop_;
--- /dev/null
+++ b/test/http_server_test.cc
@@ -0,0 +1,118 @@
+// The HTTP server when callers go away.
+
+#include <arpa/inet.h>
+#include <criterion/criterion.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include "base/event_loop.h"
+#include "fakes/faulty_server.h"
+#include "http/server.h"
+
+using mulberryroad::Endpoint;
+using mulberryroad::base::EventLoop;
+using mulberryroad::base::Timer;
+using mulberryroad::http::Exchange;
+using mulberryroad::http::Method;
+using mulberryroad::http::Server;
+using mulberryroad::http::ServerLimits;
+
+namespace {
+
+constexpr std::chrono::milliseconds kTick{5};
+constexpr std::chrono::seconds kLimit{10};
+
+int Connect(std::uint16_t port) {
+  const int handle = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  connect(handle, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  return handle;
+}
+
+/// Closes a connection with a reset, as the death of its process does while
+/// data is unread.
+void Reset(int handle) {
+  const linger at_once{1, 0};
+  setsockopt(handle, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+  close(handle);
+}
+
+struct Case {
+  const char* name;
+  bool streamed;
+  bool reset;
+};
+
+class Streamer {
+ public:
+  explicit Streamer(EventLoop* loop) : loop_(*loop) {}
+
+  void Serve(const std::shared_ptr<Exchange>& exchange, bool streamed) {
+    exchange_ = exchange;
+    exchange->on_closed().connect([this] { ++closed_; });
+    if (!streamed) {
+      return;
+    }
+    exchange->StartStream(200);
+    writer_ = loop_.Every(std::chrono::milliseconds(1),
+                          [this] { exchange_->Write(std::string(4096, 'x')); });
+  }
+  int closed() const { return closed_; }
+
+ private:
+  EventLoop& loop_;
+  std::shared_ptr<Exchange> exchange_;
+  Timer writer_;
+  int closed_ = 0;
+};
+
+void RunCase(const Case& test_case) {
+  EventLoop loop;
+  Server server(loop, ServerLimits());
+  const std::uint16_t port = mulberryroad::fakes::FreePort();
+  cr_assert(server.Listen(Endpoint{"127.0.0.1", port}));
+  Streamer streamer(&loop);
+  server.Route(Method::kGet, "/", [&](const auto& exchange) {
+    streamer.Serve(exchange, test_case.streamed);
+  });
+  const int caller = Connect(port);
+  const std::string request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+  cr_assert(send(caller, request.data(), request.size(), 0) ==
+            static_cast<ssize_t>(request.size()));
+  const Timer leave = loop.After(std::chrono::milliseconds(50), [&] {
+    test_case.reset ? Reset(caller) : static_cast<void>(close(caller));
+  });
+  const Timer poll = loop.Every(kTick, [&] {
+    if (streamer.closed() > 0) {
+      loop.Stop();
+    }
+  });
+  const Timer limit = loop.After(kLimit, [&] { loop.Stop(); });
+  loop.Run();
+  const Timer settle =
+      loop.After(std::chrono::milliseconds(50), [&] { loop.Stop(); });
+  loop.Run();
+  cr_expect(streamer.closed() == 1, "%s: expected 1 notice, found %d",
+            test_case.name, streamer.closed());
+  cr_expect(server.open_exchanges() == 0, "%s: %zu exchanges are left open",
+            test_case.name, server.open_exchanges());
+}
+
+}  // namespace
+
+Test(http_server, outlives_callers_that_go_away) {
+  const Case cases[] = {{"before an answer, closed", false, false},
+                        {"before an answer, reset", false, true},
+                        {"in a stream, closed", true, false},
+                        {"in a stream, reset", true, true}};
+  for (const Case& test_case : cases) {
+    RunCase(test_case);
+  }
+}
