--- a/test/fakes/fake_ordering.cc
+++ b/test/fakes/fake_ordering.cc
@@ -113,7 +113,7 @@
 
 std::string FakeOrdering::Start(const v1::StartUpstream& start) {
   std::string name = start.target() + "-" + start.failure_domain() + "-" +
-                           std::to_string(next_name_++);
+                     std::to_string(next_name_++);
   Upstream& upstream = upstreams_[name];
   upstream.version = start.version();
   upstream.vm.set_name(name);
--- a/test/process/cluster.cc
+++ b/test/process/cluster.cc
@@ -62,8 +62,17 @@
 }
 
 Cluster::~Cluster() {
+  if (std::getenv("MULBERRY_KEEP_LOGS") != nullptr) {
+    std::ofstream(work_dir_ + "/ordering.json")
+        << Get(ordering_, "/stats").body;
+    std::ofstream(work_dir_ + "/usage.json") << Get(usage_, "/stats").body;
+    std::ofstream(work_dir_ + "/log.json") << Get(log_, "/stats").body;
+  }
   nodes_.clear();
   stand_ins_.clear();
+  if (std::getenv("MULBERRY_KEEP_LOGS") != nullptr) {
+    return;
+  }
   std::error_code ignored;
   std::filesystem::remove_all(work_dir_, ignored);
 }
--- a/test/process/cluster.h
+++ b/test/process/cluster.h
@@ -47,6 +47,8 @@
 
 class Cluster {
  public:
+  /// With MULBERRY_KEEP_LOGS in the environment, logs and figures of the
+  /// stand-ins stay in the temporary directory.
   explicit Cluster(ClusterOptions options = {});
   ~Cluster();
   Cluster(const Cluster&) = delete;
--- a/tools/lib/local-cluster.sh
+++ b/tools/lib/local-cluster.sh
@@ -1,3 +1,4 @@
+# shellcheck shell=bash
 # Functions to run stand-ins and nodes on this machine, for ./demo and the measurements in tools/.
 # A script that reads this file sets bin_dir (build directory) and work_dir (for logs) and calls stop_all
 # at its end. Everything started is stopped by its pid.
@@ -16,8 +17,9 @@
   echo "$port"
 }
 declare -A taken_ports=()
-new_port() {  # new_port NAME: sets port_of[NAME].
-  port_of[$1]=$(free_port)
+declare -A fixed_port_of=()
+new_port() {  # new_port NAME: sets port_of[NAME], to fixed_port_of[NAME] if a script set that.
+  port_of[$1]=${fixed_port_of[$1]:-$(free_port)}
   taken_ports[${port_of[$1]}]=1
 }
 
