--- a/test/fakes/faulty_server.cc
+++ b/test/fakes/faulty_server.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <random>
+#include <set>
 #include <utility>
 
 #include "base/json.h"
@@ -166,6 +167,7 @@
   constexpr std::uint16_t kLowest = 10'000;
   constexpr std::uint16_t kHighest = 32'000;
   static std::mt19937 random(std::random_device{}());
+  static std::set<std::uint16_t> given;
   std::uniform_int_distribution<std::uint16_t> ports(kLowest, kHighest);
   while (true) {
     const std::uint16_t port = ports(random);
@@ -177,7 +179,7 @@
     const int bound =
         bind(handle, reinterpret_cast<sockaddr*>(&address), sizeof(address));
     close(handle);
-    if (bound == 0) {
+    if (bound == 0 && given.insert(port).second) {
       return port;
     }
   }
