--- a/test/http_server_test.cc
+++ b/test/http_server_test.cc
@@ -32,7 +32,9 @@
   address.sin_family = AF_INET;
   address.sin_port = htons(port);
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  connect(handle, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  const int connected =
+      connect(handle, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  cr_assert(connected == 0, "the server cannot be reached");
   return handle;
 }
 
--- a/test/process/kill_process_test.cc
+++ b/test/process/kill_process_test.cc
@@ -12,7 +12,6 @@
 using mulberryroad::process::Cluster;
 using mulberryroad::process::FastOptions;
 using mulberryroad::process::kLong;
-using mulberryroad::process::kShort;
 using mulberryroad::process::Load;
 using mulberryroad::process::LoadKind;
 using mulberryroad::process::LoadOptions;
--- a/test/process/outage_process_test.cc
+++ b/test/process/outage_process_test.cc
@@ -14,7 +14,6 @@
 using mulberryroad::process::kLong;
 using mulberryroad::process::kShort;
 using mulberryroad::process::Load;
-using mulberryroad::process::LoadOptions;
 using mulberryroad::process::Replace;
 using mulberryroad::process::StartServing;
 using mulberryroad::v1::FakeUsageStats;
--- a/test/process/repeat_process_test.cc
+++ b/test/process/repeat_process_test.cc
@@ -7,7 +7,6 @@
 #include "mulberryroad/platform.pb.h"
 #include "process/scenario.h"
 
-using mulberryroad::Endpoint;
 using mulberryroad::process::Cluster;
 using mulberryroad::process::FastOptions;
 using mulberryroad::process::kBrestKey;
--- a/test/process/withdraw_process_test.cc
+++ b/test/process/withdraw_process_test.cc
@@ -14,7 +14,6 @@
 using mulberryroad::process::CompletionStatus;
 using mulberryroad::process::FastOptions;
 using mulberryroad::process::kBrestKey;
-using mulberryroad::process::kLong;
 using mulberryroad::process::kShort;
 using mulberryroad::process::kVannesKey;
 using mulberryroad::process::StartServing;
