--- a/src/rollout/batch_plan.cc
+++ b/src/rollout/batch_plan.cc
@@ -134,6 +134,7 @@
   SampleState& sample = state(attempt.sample);
   std::erase(sample.attempts, id);
   if (failure.verdict == Verdict::kNotRun) {
+    sample.excluded.clear();
     const auto reduced =
         static_cast<std::size_t>(static_cast<double>(window_) * kWindowBackoff);
     window_ = std::max(options_.min_outstanding, reduced);
--- /dev/null
+++ b/test/fakes/plan_driver.h
@@ -0,0 +1,151 @@
+// Drives a BatchPlan by hand and keeps its decisions by kind.
+
+#ifndef MULBERRYROAD_TEST_FAKES_PLAN_DRIVER_H_
+#define MULBERRYROAD_TEST_FAKES_PLAN_DRIVER_H_
+
+#include <chrono>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "rollout/batch_plan.h"
+
+namespace mulberryroad::fakes {
+
+/// Returns a batch of groups "g0", "g1", ... with equal numbers of samples.
+inline v1::BatchSpec MakeSpec(int groups, std::uint32_t samples,
+                              std::uint32_t max_tokens = 100) {
+  v1::BatchSpec spec;
+  spec.set_id("step-1");
+  spec.set_organisation("armor");
+  spec.set_model("draft");
+  for (int i = 0; i < groups; ++i) {
+    v1::GroupSpec& group = *spec.add_groups();
+    group.set_id("g" + std::to_string(i));
+    group.set_prompt("prompt " + std::to_string(i));
+    group.set_samples(samples);
+    group.set_max_tokens(max_tokens);
+  }
+  return spec;
+}
+
+inline v1::VersionRange MakeRange(std::uint32_t begin, std::uint32_t end,
+                                  std::uint32_t version) {
+  v1::VersionRange range;
+  range.set_begin_token(begin);
+  range.set_end_token(end);
+  range.set_version(version);
+  return range;
+}
+
+class PlanDriver {
+ public:
+  explicit PlanDriver(v1::BatchSpec spec,
+                      rollout::BatchPlanOptions options = {},
+                      rollout::FreshnessBound bound = {1,
+                                                       std::chrono::seconds(0)},
+                      std::uint32_t version = 5)
+      : plan(std::move(spec), options, MakeFreshness(bound, version), now) {}
+
+  static rollout::Freshness MakeFreshness(rollout::FreshnessBound bound,
+                                          std::uint32_t version) {
+    rollout::Freshness freshness(bound);
+    freshness.SetNewest(version, Instant{});
+    return freshness;
+  }
+
+  void Take(const rollout::BatchDecisions& decisions) {
+    for (const rollout::BatchDecision& decision : decisions) {
+      std::visit([this](const auto& item) { Keep(item); }, decision);
+    }
+  }
+  void Advance(std::chrono::milliseconds by) { now += by; }
+  void Tick() { Take(plan.Tick(now)); }
+
+  /// Gives a running attempt tokens of one version.
+  void Tokens(const rollout::StartSample& start, std::uint32_t tokens,
+              std::uint32_t version, const std::string& upstream = "e1") {
+    const std::uint32_t begin = position[start.attempt] == 0
+                                    ? start.resume.tokens
+                                    : position[start.attempt];
+    position[start.attempt] = begin + tokens;
+    plan.OnTokens(start.attempt,
+                  {std::string(tokens, 'x'),
+                   tokens,
+                   {MakeRange(begin, begin + tokens, version)},
+                   UpstreamId(upstream)},
+                  now);
+  }
+  /// Ends an attempt that generated tokens of one version.
+  void Finish(const rollout::StartSample& start, std::uint32_t tokens,
+              std::uint32_t version) {
+    Take(plan.OnFinished(start.attempt,
+                         {UpstreamId("e1"),
+                          std::string(tokens, 'x'),
+                          tokens,
+                          10,
+                          {MakeRange(start.resume.tokens,
+                                     start.resume.tokens + tokens, version)}},
+                         now));
+  }
+  void Fail(const rollout::StartSample& start, Verdict verdict,
+            std::chrono::milliseconds retry_after = {}) {
+    Take(plan.OnFailed(start.attempt,
+                       {verdict, "failed", retry_after, UpstreamId("e1")},
+                       now));
+  }
+  /// Lets all copies and bindings that were asked for succeed.
+  void Settle() {
+    while (!copies.empty() || !binds.empty()) {
+      std::vector<rollout::SampleKey> keys;
+      for (const auto& copy : std::exchange(copies, {})) {
+        keys.push_back(copy.key);
+      }
+      if (!keys.empty()) {
+        Take(plan.OnCopied(keys, now));
+      }
+      for (const auto& bind : std::exchange(binds, {})) {
+        Take(plan.OnBound({bind.first_sequence, bind.groups}));
+      }
+    }
+  }
+  /// Finishes everything that was started so far.
+  void FinishAll(std::uint32_t version, std::uint32_t tokens = 20) {
+    for (const auto& start : std::exchange(starts, {})) {
+      Finish(start, tokens, version);
+    }
+    Settle();
+  }
+  rollout::Deliver Pull(std::uint64_t cursor, std::uint32_t max = 100) {
+    pages.clear();
+    Take(plan.Pull(cursor, max, now));
+    return pages.back();
+  }
+
+  Instant now = Instant{} + std::chrono::hours(1);
+  std::vector<rollout::StartSample> starts;
+  std::vector<rollout::CancelAttempt> cancels;
+  std::vector<rollout::CopySample> copies;
+  std::vector<rollout::BindGroups> binds;
+  std::vector<rollout::Deliver> pages;
+  std::vector<rollout::DropSample> drops;
+  std::vector<rollout::Bill> bills;
+  std::vector<rollout::CloseBatch> closes;
+  std::map<rollout::AttemptId, std::uint32_t> position;
+  rollout::BatchPlan plan;
+
+ private:
+  void Keep(const rollout::StartSample& item) { starts.push_back(item); }
+  void Keep(const rollout::CancelAttempt& item) { cancels.push_back(item); }
+  void Keep(const rollout::CopySample& item) { copies.push_back(item); }
+  void Keep(const rollout::BindGroups& item) { binds.push_back(item); }
+  void Keep(const rollout::Deliver& item) { pages.push_back(item); }
+  void Keep(const rollout::DropSample& item) { drops.push_back(item); }
+  void Keep(const rollout::Bill& item) { bills.push_back(item); }
+  void Keep(const rollout::CloseBatch& item) { closes.push_back(item); }
+};
+
+}  // namespace mulberryroad::fakes
+
+#endif  // MULBERRYROAD_TEST_FAKES_PLAN_DRIVER_H_
