--- a/src/dispatch/fair_queue.cc
+++ b/src/dispatch/fair_queue.cc
@@ -16,6 +16,8 @@
 
 const std::string kSharedQueue;
 
+bool IsCall(v1::WorkKind kind) { return kind != v1::WORK_SAMPLE; }
+
 }  // namespace
 
 FairQueue::FairQueue(QueuePolicy policy)
@@ -117,6 +119,7 @@
     Activate(&organisation);
   }
   ++organisation.queued;
+  organisation.calls += IsCall(item.request.kind()) ? 1 : 0;
   organisation.tickets.insert(item.ticket);
   organisation.waiting[{item.request.min_version(), item.request.repeatable()}]
       .insert(UrgencyOf(item));
@@ -138,6 +141,7 @@
   Detach(index);
   Organisation& organisation = organisations_[index];
   --organisation.queued;
+  organisation.calls -= IsCall(item.request.kind()) ? 1 : 0;
   organisation.tickets.erase(ticket);
   const auto waiting = organisation.waiting.find(
       {item.request.min_version(), item.request.repeatable()});
@@ -208,6 +212,15 @@
   return found == nullptr ? 0 : found->queued;
 }
 
+std::size_t FairQueue::ahead(const OrganisationId& organisation,
+                             v1::WorkKind kind) const {
+  if (fifo_ || !IsCall(kind)) {
+    return size(organisation);
+  }
+  const Organisation* found = FindOrganisation(organisation.value());
+  return found == nullptr ? 0 : found->calls;
+}
+
 std::optional<Instant> FairQueue::next_expiry() const {
   if (by_expiry_.empty()) {
     return std::nullopt;
--- a/src/dispatch/fair_queue.h
+++ b/src/dispatch/fair_queue.h
@@ -62,6 +62,10 @@
 
   std::size_t size() const { return items_.size(); }
   std::size_t size(const OrganisationId& organisation) const;
+  /// Returns how many requests of its organisation a request of a kind would
+  /// wait for: callers go before samples.
+  std::size_t ahead(const OrganisationId& organisation,
+                    v1::WorkKind kind) const;
   /// Returns the earliest instant at which an item expires.
   std::optional<Instant> next_expiry() const;
   /// Share of the service that the organisation gets among those that queue,
@@ -82,6 +86,8 @@
     /// Tokens per weight.
     double counter = 0;
     std::size_t queued = 0;
+    /// Part of queued that is no sample.
+    std::size_t calls = 0;
     std::map<Requirement, std::set<Urgency>> waiting;
     std::set<Ticket> tickets;
 
--- a/src/dispatch/pool_scheduler.cc
+++ b/src/dispatch/pool_scheduler.cc
@@ -41,8 +41,9 @@
   const OrganisationId organisation(request.organisation());
   const std::chrono::milliseconds deadline{request.deadline_ms()};
   const bool measured = drain_rate_.interval(now).has_value();
-  if (deadline.count() > 0 && measured && queue_.size(organisation) > 0) {
-    const std::chrono::milliseconds wait = RetryAfter(organisation, now);
+  const std::size_t ahead = queue_.ahead(organisation, request.kind());
+  if (deadline.count() > 0 && measured && ahead > 0) {
+    const std::chrono::milliseconds wait = ExpectedWait(request, now);
     if (wait > deadline && request.kind() != v1::WORK_SAMPLE) {
       return Refused{"the queue is longer than the deadline allows", wait};
     }
@@ -156,10 +157,9 @@
                                   std::vector<ScheduledDecision>* decisions) {
   while (std::optional<QueueItem> item = queue_.TakeExpired(now)) {
     ticket_of_request_.erase(item->request.request_id());
-    const OrganisationId organisation(item->request.organisation());
-    decisions->push_back(
-        {item->ticket, std::move(item->request),
-         Refused{"no slot came free in time", RetryAfter(organisation, now)}});
+    const std::chrono::milliseconds wait = ExpectedWait(item->request, now);
+    decisions->push_back({item->ticket, std::move(item->request),
+                          Refused{"no slot came free in time", wait}});
   }
 }
 
@@ -344,6 +344,14 @@
   return reply;
 }
 
+std::chrono::milliseconds PoolScheduler::ExpectedWait(
+    const v1::GrantRequest& request, Instant now) const {
+  const OrganisationId organisation(request.organisation());
+  const auto ahead =
+      static_cast<double>(queue_.ahead(organisation, request.kind())) + 1;
+  return drain_rate_.TimeFor(ahead / queue_.ShareOf(organisation), now);
+}
+
 std::chrono::milliseconds PoolScheduler::RetryAfter(
     const OrganisationId& organisation, Instant now) const {
   const double ahead = static_cast<double>(queue_.size(organisation)) + 1;
--- a/src/dispatch/pool_scheduler.h
+++ b/src/dispatch/pool_scheduler.h
@@ -89,6 +89,8 @@
   void ExpireGrants(Instant now);
   void RefuseExpired(Instant now, std::vector<ScheduledDecision>* decisions);
   void GrantQueued(Instant now, std::vector<ScheduledDecision>* decisions);
+  std::chrono::milliseconds ExpectedWait(const v1::GrantRequest& request,
+                                         Instant now) const;
   double ExpectedTokens(const v1::GrantRequest& request) const;
 
   SchedulerOptions options_;
--- a/src/rollout/owned_batch.cc
+++ b/src/rollout/owned_batch.cc
@@ -285,10 +285,11 @@
   }
   recovered_.samples.clear();
   plan_epoch_ = epoch_;
-  Serve();
+  // Before anything starts, so that nothing runs that the trainer has.
   if (spec_.cursor() > 0) {
     Run(plan_->Acknowledge(spec_.cursor(), now));
   }
+  Serve();
 }
 
 void OwnedBatch::Serve() {
--- a/src/rollout/owned_batch.h
+++ b/src/rollout/owned_batch.h
@@ -141,6 +141,7 @@
   std::optional<Deliver> page_;
   std::deque<WaitingPull> pulls_;
   std::deque<WaitingSubmit> submits_;
+  bool bind_again_ = false;
   bool closing_ = false;
   bool appending_closed_ = false;
 };
--- a/src/rollout/owned_batch_run.cc
+++ b/src/rollout/owned_batch_run.cc
@@ -167,6 +167,9 @@
   if (services_.members.self().state() == v1::MEMBER_LEAVING) {
     plan_->StopStarting();
   }
+  if (std::exchange(bind_again_, false)) {
+    Run(plan_->OnBindFailed());
+  }
   Run(plan_->Tick(services_.clock.now()));
   TryPulls();
   if (closing_ && sender_->settled()) {
@@ -287,9 +290,9 @@
       [self = weak_from_this(), epoch = epoch_](
           std::optional<platform::Offset> offset, const std::string&) {
         const auto batch = self.lock();
-        if (batch && !offset.has_value() && batch->epoch_ == epoch &&
-            batch->serving()) {
-          batch->Run(batch->plan_->OnBindFailed());
+        if (batch && !offset.has_value() && batch->epoch_ == epoch) {
+          // Not at once: the log may refuse at once as well.
+          batch->bind_again_ = true;
         }
       });
 }
--- a/test/fakes/plan_driver.h
+++ b/test/fakes/plan_driver.h
@@ -4,6 +4,7 @@
 #define MULBERRYROAD_TEST_FAKES_PLAN_DRIVER_H_
 
 #include <chrono>
+#include <map>
 #include <string>
 #include <utility>
 #include <variant>
@@ -70,6 +71,7 @@
                                     ? start.resume.tokens
                                     : position[start.attempt];
     position[start.attempt] = begin + tokens;
+    ranges[start.attempt].push_back(MakeRange(begin, begin + tokens, version));
     plan.OnTokens(start.attempt,
                   {std::string(tokens, 'x'),
                    tokens,
@@ -89,6 +91,15 @@
                                      start.resume.tokens + tokens, version)}},
                          now));
   }
+  /// Ends an attempt whose tokens were all given by Tokens.
+  void FinishReported(const rollout::StartSample& start) {
+    rollout::AttemptResult result;
+    result.upstream = UpstreamId("e1");
+    result.versions = ranges[start.attempt];
+    result.tokens = position[start.attempt] - start.resume.tokens;
+    result.text = std::string(result.tokens, 'x');
+    Take(plan.OnFinished(start.attempt, result, now));
+  }
   void Fail(const rollout::StartSample& start, Verdict verdict,
             std::chrono::milliseconds retry_after = {}) {
     Take(plan.OnFailed(start.attempt,
@@ -133,6 +144,7 @@
   std::vector<rollout::Bill> bills;
   std::vector<rollout::CloseBatch> closes;
   std::map<rollout::AttemptId, std::uint32_t> position;
+  std::map<rollout::AttemptId, rollout::VersionRanges> ranges;
   rollout::BatchPlan plan;
 
  private:
