--- a/src/replay/trace.h
+++ b/src/replay/trace.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "mulberryroad/trace.pb.h"
+#include "mulberryroad/replay.pb.h"
 
 namespace mulberryroad::replay {
 
--- a/test/rollout_trace_test.cc
+++ b/test/rollout_trace_test.cc
@@ -12,7 +12,7 @@
 
 #include "base/json.h"
 #include "fakes/plan_driver.h"
-#include "mulberryroad/trace.pb.h"
+#include "mulberryroad/replay.pb.h"
 
 namespace mulberryroad {
 namespace {
