--- a/src/replay/replay.cc
+++ b/src/replay/replay.cc
@@ -396,7 +396,14 @@
   }
 
   void Lose(const std::string& id) {
+    if (!engines_.contains(id)) {
+      // It had drained by then.
+      return;
+    }
     for (const std::string& running : std::set(engines_.at(id).running)) {
+      if (!works_.contains(running)) {
+        continue;
+      }
       Progress(&works_.at(running));
       Work work = Release(running, true);
       if (work.attempt == 0) {
@@ -404,6 +411,8 @@
         work.engine.clear();
         work.versions.clear();
         work.done = 0;
+        // Voids the end that was expected at the lost engine.
+        ++work.turn;
         Submit(std::move(work));
         continue;
       }
