--- a/src/replay/main.cc
+++ b/src/replay/main.cc
@@ -93,7 +93,8 @@
       return false;
     }
     for (int i = 0; i < arguments.seeds; ++i) {
-      const auto seed = static_cast<std::uint64_t>(arguments.seed + i);
+      const int seed_number = arguments.seed + i;
+      const auto seed = static_cast<std::uint64_t>(seed_number);
       const auto trace = mulberryroad::replay::GenerateTrace(name, seed);
       if (!trace.has_value()) {
         std::cerr << name << ": " << reason << "\n";
--- a/src/replay/trace.cc
+++ b/src/replay/trace.cc
@@ -111,14 +111,15 @@
     std::uniform_int_distribution<std::uint64_t> prefix(0, 19);
     std::lognormal_distribution<double> tokens(5.0, 0.6);
     std::bernoulli_distribution repeatable(0.6);
-    for (double at = from_ms + gap(random_); at < until_ms;
-         at += gap(random_)) {
+    double at = from_ms + gap(random_);
+    while (at < until_ms) {
       v1::CallerArrival& call = *Add(at).mutable_caller();
       call.set_organisation(Name(organisation));
       call.set_prefix(organisation * 100 + prefix(random_));
       call.set_prompt_tokens(800);
       call.set_tokens(static_cast<std::uint32_t>(tokens(random_)) + 1);
       call.set_repeatable(repeatable(random_));
+      at += gap(random_);
     }
   }
 
@@ -126,7 +127,8 @@
     const double sigma = Has("stragglers") ? 0.9 : 0.4;
     std::lognormal_distribution<double> tokens(5.3, sigma);
     int step = 0;
-    for (double at = 30'000; at < kLengthMs - kStepMs; at += kStepMs) {
+    double at = 30'000;
+    while (at < kLengthMs - kStepMs) {
       v1::BatchArrival& batch = *Add(at).mutable_batch();
       batch.set_id("step-" + std::to_string(++step));
       batch.set_organisation(Name(0));
@@ -136,6 +138,7 @@
         const double length = std::min(tokens(random_), 2'000.0);
         batch.add_sample_tokens(static_cast<std::uint32_t>(length) + 1);
       }
+      at += kStepMs;
     }
   }
 
@@ -143,8 +146,10 @@
     const auto& domains = deployment_.failure_domains;
     const double interval = Has("weights") ? 60'000 : 300'000;
     std::uint32_t version = 1;
-    for (double at = interval; at < kLengthMs; at += interval) {
+    double at = interval;
+    while (at < kLengthMs) {
       Add(at).mutable_version()->set_version(++version);
+      at += interval;
     }
     if (Has("stragglers")) {
       v1::EngineSlowdown& slow = *Add(60'000).mutable_slowdown();
