--- a/src/entry/service_session.cc
+++ b/src/entry/service_session.cc
@@ -17,6 +17,11 @@
 template <typename... Cases>
 Overloaded(Cases...) -> Overloaded<Cases...>;
 
+bool IsOutage(int status) {
+  return status == kBadGateway || status == kUnavailable ||
+         status == kGatewayTimeout;
+}
+
 std::string HeaderOr(const std::map<std::string, std::string>& headers,
                      const std::string& name, const std::string& otherwise) {
   const auto found = headers.find(name);
@@ -140,6 +145,9 @@
   if (const auto type = received.header("content-type")) {
     sent.headers.push_back({"Content-Type", *type});
   }
+  if (const auto key = received.header("idempotency-key")) {
+    sent.headers.push_back({"Idempotency-Key", *key});
+  }
   sent.body = received.body;
   sent.timeout = context_->options.request_timeout;
   call_ = context_->client.Send(
@@ -160,6 +168,13 @@
                  "the answer is that of request \"" + echo + "\"");
     return;
   }
+  if (route_.idempotent && IsOutage(response.status)) {
+    ReleaseSlot(/*failed=*/true);
+    AfterFailure(
+        Verdict::kMayHaveRun,
+        "status " + std::to_string(response.status) + " from the upstream");
+    return;
+  }
   ReleaseSlot(/*failed=*/false);
   const std::string type =
       HeaderOr(response.headers, "content-type", "application/octet-stream");
--- /dev/null
+++ b/test/pool_scheduler_test.cc
@@ -0,0 +1,451 @@
+// Admission, fairness and upstream choice of one pool.
+
+#include "dispatch/pool_scheduler.h"
+
+#include <criterion/criterion.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace mulberryroad::dispatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Instant kStart{seconds{1000}};
+
+/// A scheduler with upstreams "u0", "u1", ... of equal slots.
+struct Pool {
+  explicit Pool(std::size_t upstreams, std::uint32_t slots,
+                SchedulerOptions options = {})
+      : scheduler(options, /*seed=*/7) {
+    for (std::size_t number = 0; number < upstreams; ++number) {
+      UpstreamSpec spec;
+      spec.id = UpstreamId("u" + std::to_string(number));
+      spec.endpoint = "127.0.0.1:1";
+      spec.slots = slots;
+      specs.push_back(spec);
+    }
+    scheduler.SetUpstreams(specs);
+  }
+
+  AdmissionDecision Admit(
+      const std::string& organisation,
+      const std::function<void(v1::GrantRequest*)>& edit = nullptr) {
+    v1::GrantRequest request;
+    request.set_request_id("r" + std::to_string(next_request++));
+    request.set_organisation(organisation);
+    request.set_kind(v1::WORK_CALLER);
+    request.set_max_tokens(100);
+    if (edit) {
+      edit(&request);
+    }
+    return scheduler.Admit(request, now);
+  }
+
+  /// Releases a grant with the tokens that it used.
+  bool Release(const v1::Grant& grant, std::uint32_t tokens = 50,
+               bool failed = false) {
+    v1::GrantRelease release;
+    release.set_grant_id(grant.grant_id());
+    release.set_upstream(grant.upstream());
+    release.set_tokens(tokens);
+    release.set_failed(failed);
+    return scheduler.Release(release, now);
+  }
+
+  PoolScheduler scheduler;
+  std::vector<UpstreamSpec> specs;
+  Instant now = kStart;
+  int next_request = 0;
+};
+
+v1::Grant GrantOf(const AdmissionDecision& decision) {
+  cr_assert(std::holds_alternative<Granted>(decision), "expected a grant");
+  return std::get<Granted>(decision).grant;
+}
+
+Test(pool_scheduler, grants_up_to_the_slots_and_queues_the_rest) {
+  Pool pool(2, 2);
+  std::vector<v1::Grant> grants;
+  for (int number = 0; number < 4; ++number) {
+    grants.push_back(GrantOf(pool.Admit("a")));
+  }
+  const AdmissionDecision fifth = pool.Admit("a");
+  cr_assert(std::holds_alternative<Queued>(fifth));
+  cr_expect_eq(pool.scheduler.in_flight(UpstreamId("u0")), 2U);
+  cr_expect_eq(pool.scheduler.in_flight(UpstreamId("u1")), 2U);
+  cr_expect(pool.scheduler.Schedule(pool.now).empty());
+  cr_expect(pool.Release(grants[1]));
+  const std::vector<ScheduledDecision> decisions =
+      pool.scheduler.Schedule(pool.now);
+  cr_assert_eq(decisions.size(), 1U);
+  cr_expect_eq(decisions[0].ticket, std::get<Queued>(fifth).ticket);
+  cr_expect(std::holds_alternative<Granted>(decisions[0].outcome));
+  cr_expect(!pool.Release(grants[1]), "a slot is released once");
+}
+
+struct Unfit {
+  const char* name;
+  std::function<void(Pool*)> make_unfit;
+  std::function<void(v1::GrantRequest*)> edit;
+};
+
+Test(pool_scheduler, unfit_upstreams_get_nothing_new) {
+  const std::vector<Unfit> cases = {
+      {"leaving by the list",
+       [](Pool* pool) {
+         pool->specs[0].leaving = true;
+         pool->scheduler.SetUpstreams(pool->specs);
+       },
+       nullptr},
+      {"gone from the list",
+       [](Pool* pool) { pool->scheduler.SetUpstreams({pool->specs[1]}); },
+       nullptr},
+      {"leaving by a notice",
+       [](Pool* pool) {
+         v1::UpstreamNotice notice;
+         notice.set_upstream("u0");
+         notice.set_leaving(true);
+         pool->scheduler.Notice(notice, pool->now);
+       },
+       nullptr},
+      {"swapping by a notice",
+       [](Pool* pool) {
+         v1::UpstreamNotice notice;
+         notice.set_upstream("u0");
+         notice.set_swapping(true);
+         pool->scheduler.Notice(notice, pool->now);
+       },
+       nullptr},
+      {"swapping by a report",
+       [](Pool* pool) {
+         v1::EngineLoad load;
+         load.set_swapping(true);
+         pool->scheduler.Observe(UpstreamId("u0"), load, pool->now);
+       },
+       nullptr},
+      {"too old a version",
+       [](Pool* pool) {
+         v1::EngineLoad load;
+         load.set_version(3);
+         pool->scheduler.Observe(UpstreamId("u0"), load, pool->now);
+         load.set_version(4);
+         pool->scheduler.Observe(UpstreamId("u1"), load, pool->now);
+       },
+       [](v1::GrantRequest* request) { request->set_min_version(4); }},
+      {"reclaimable for work that may not run again",
+       [](Pool* pool) {
+         pool->specs[0].reclaimable = true;
+         pool->scheduler.SetUpstreams(pool->specs);
+       },
+       nullptr},
+      {"tried before", [](Pool*) {},
+       [](v1::GrantRequest* request) {
+         request->add_excluded_upstreams("u0");
+       }},
+      {"full with requests of another dispatcher",
+       [](Pool* pool) {
+         v1::EngineLoad load;
+         load.set_running(3);
+         pool->scheduler.Observe(UpstreamId("u0"), load, pool->now);
+       },
+       nullptr},
+      {"failed a moment ago",
+       [](Pool* pool) {
+         v1::Grant grant = GrantOf(pool->Admit("a", [](auto* request) {
+           request->add_excluded_upstreams("u1");
+         }));
+         pool->Release(grant, 0, /*failed=*/true);
+       },
+       nullptr},
+  };
+  for (const Unfit& unfit : cases) {
+    Pool pool(2, 3);
+    unfit.make_unfit(&pool);
+    for (int number = 0; number < 3; ++number) {
+      const v1::Grant grant = GrantOf(pool.Admit("a", unfit.edit));
+      cr_expect_eq(grant.upstream(), "u1", "%s: granted %s", unfit.name,
+                   grant.upstream().c_str());
+    }
+    cr_expect(std::holds_alternative<Queued>(pool.Admit("a", unfit.edit)),
+              "%s: the fourth request waits", unfit.name);
+    cr_expect_eq(pool.scheduler.in_flight(UpstreamId("u0")), 0U, "%s",
+                 unfit.name);
+  }
+}
+
+/// Serves two organisations that always queue and returns what each got.
+std::map<std::string, double> ServeBoth(Pool* pool, int rounds) {
+  std::map<std::string, double> tokens;
+  std::map<std::uint64_t, std::string> owners;
+  std::vector<v1::Grant> running;
+  const auto keep = [&](const v1::Grant& grant, const std::string& owner) {
+    owners[grant.grant_id()] = owner;
+    running.push_back(grant);
+  };
+  for (int round = 0; round < rounds; ++round) {
+    for (const char* organisation : {"a", "b"}) {
+      const AdmissionDecision decision = pool->Admit(organisation);
+      if (const auto* granted = std::get_if<Granted>(&decision)) {
+        keep(granted->grant, organisation);
+      }
+    }
+    const v1::Grant first = running.front();
+    running.erase(running.begin());
+    tokens[owners[first.grant_id()]] += 50;
+    pool->Release(first, 50);
+    for (const ScheduledDecision& decision :
+         pool->scheduler.Schedule(pool->now)) {
+      if (const auto* granted = std::get_if<Granted>(&decision.outcome)) {
+        keep(granted->grant, decision.request.organisation());
+      }
+    }
+    pool->now += milliseconds{5};
+  }
+  return tokens;
+}
+
+Test(pool_scheduler, shares_tokens_by_weight) {
+  Pool pool(1, 2);
+  pool.scheduler.SetWeights(
+      {{OrganisationId("a"), 3}, {OrganisationId("b"), 1}});
+  const auto tokens = ServeBoth(&pool, 400);
+  const double ratio = tokens.at("a") / tokens.at("b");
+  cr_expect(ratio > 2.7 && ratio < 3.3, "expected 3 to 1, got %.2f", ratio);
+}
+
+/// Position at which a single request of "b" is served behind a flood of "a".
+int ServedAfterFlood(const QueuePolicy& policy, double idle_first) {
+  SchedulerOptions options;
+  options.queue = policy;
+  Pool pool(1, 1, options);
+  v1::Grant running = GrantOf(pool.Admit("a"));
+  for (int number = 0; number < 50; ++number) {
+    pool.Admit("a");
+  }
+  pool.now += milliseconds(static_cast<int>(idle_first));
+  pool.Admit("b");
+  for (int served = 1; served <= 60; ++served) {
+    pool.Release(running);
+    const auto decisions = pool.scheduler.Schedule(pool.now);
+    cr_assert_eq(decisions.size(), 1U);
+    if (decisions[0].request.organisation() == "b") {
+      return served;
+    }
+    running = std::get<Granted>(decisions[0].outcome).grant;
+  }
+  return 0;
+}
+
+Test(pool_scheduler, a_flood_does_not_delay_another_organisation) {
+  const int fair = ServedAfterFlood(FairQueuePolicy{}, 100);
+  cr_expect_eq(fair, 1, "expected the next slot, got slot %d", fair);
+  const int fifo = ServedAfterFlood(FifoQueuePolicy{}, 100);
+  cr_expect_eq(fifo, 51, "without the fair queue: slot %d", fifo);
+}
+
+/// Slots in a row that an organisation gets when it comes back from idleness.
+int SlotsInARow(double max_saved_tokens) {
+  SchedulerOptions options;
+  options.queue = FairQueuePolicy{max_saved_tokens};
+  Pool pool(1, 1, options);
+  v1::Grant running = GrantOf(pool.Admit("b"));
+  for (int number = 0; number < 400; ++number) {
+    pool.Admit("a");
+  }
+  for (int served = 0; served < 200; ++served) {
+    pool.Release(running);
+    running =
+        std::get<Granted>(pool.scheduler.Schedule(pool.now)[0].outcome).grant;
+  }
+  for (int number = 0; number < 150; ++number) {
+    pool.Admit("b");
+  }
+  int row = 0;
+  while (true) {
+    pool.Release(running);
+    const auto decisions = pool.scheduler.Schedule(pool.now);
+    if (decisions[0].request.organisation() != "b") {
+      return row;
+    }
+    running = std::get<Granted>(decisions[0].outcome).grant;
+    ++row;
+  }
+}
+
+Test(pool_scheduler, idleness_saves_up_no_more_than_the_cap) {
+  const int capped = SlotsInARow(400);
+  cr_expect(capped <= 10, "expected at most 10 slots in a row, got %d", capped);
+  const int uncapped = SlotsInARow(1e9);
+  cr_expect(uncapped > 100, "without the cap: %d slots in a row", uncapped);
+}
+
+Test(pool_scheduler, batches_near_their_deadline_come_first) {
+  Pool pool(1, 1);
+  const v1::Grant running = GrantOf(pool.Admit("a"));
+  for (const std::uint64_t deadline : {60'000U, 5'000U, 30'000U}) {
+    pool.Admit("a", [&](v1::GrantRequest* request) {
+      request->set_kind(v1::WORK_SAMPLE);
+      request->set_deadline_ms(deadline);
+    });
+  }
+  pool.Release(running);
+  const auto decisions = pool.scheduler.Schedule(pool.now);
+  cr_assert_eq(decisions.size(), 1U);
+  cr_expect_eq(decisions[0].request.deadline_ms(), 5'000U);
+}
+
+Test(pool_scheduler, overload_is_refused_at_once_with_the_real_drain_rate) {
+  SchedulerOptions options;
+  options.max_queued = 10;
+  Pool pool(1, 1, options);
+  v1::Grant running = GrantOf(pool.Admit("a"));
+  for (int number = 0; number < 10; ++number) {
+    pool.Admit("a");
+  }
+  // One request finishes each 200 ms.
+  for (int number = 0; number < 6; ++number) {
+    pool.now += milliseconds{200};
+    pool.Release(running);
+    running =
+        std::get<Granted>(pool.scheduler.Schedule(pool.now)[0].outcome).grant;
+    pool.Admit("a");
+  }
+  const AdmissionDecision decision = pool.Admit("a");
+  cr_assert(std::holds_alternative<Refused>(decision));
+  const auto retry_after = std::get<Refused>(decision).retry_after;
+  // Eleven requests at 200 ms each; the first interval is not measured.
+  cr_expect(
+      retry_after > milliseconds{1'500} && retry_after < milliseconds{2'500},
+      "retry after %lld ms", static_cast<long long>(retry_after.count()));
+  cr_expect_eq(pool.scheduler.queued(), 10U);
+}
+
+Test(pool_scheduler, a_full_queue_keeps_place_for_other_organisations) {
+  SchedulerOptions options;
+  options.max_queued = 10;
+  Pool pool(1, 1, options);
+  GrantOf(pool.Admit("a"));
+  for (int number = 0; number < 10; ++number) {
+    pool.Admit("a");
+  }
+  cr_assert(std::holds_alternative<Queued>(pool.Admit("b")));
+  const auto decisions = pool.scheduler.Schedule(pool.now);
+  cr_assert_eq(decisions.size(), 1U);
+  cr_expect_eq(decisions[0].request.organisation(), "a");
+  cr_expect(std::holds_alternative<Refused>(decisions[0].outcome));
+}
+
+Test(pool_scheduler, lost_releases_expire) {
+  SchedulerOptions options;
+  options.grant_lease = seconds{5};
+  options.max_queue_time = seconds{60};
+  Pool pool(1, 1, options);
+  const v1::Grant lost = GrantOf(pool.Admit("a"));
+  pool.Admit("a");
+  pool.now += seconds{4};
+  cr_expect(pool.scheduler.Schedule(pool.now).empty());
+  cr_assert(pool.scheduler.next_wakeup() == kStart + seconds{5});
+  pool.now += seconds{1};
+  cr_expect_eq(pool.scheduler.Schedule(pool.now).size(), 1U);
+  cr_expect(!pool.Release(lost), "the late release frees no second slot");
+  cr_expect_eq(pool.scheduler.in_flight(), 1U);
+}
+
+Test(pool_scheduler, a_request_that_is_given_up_frees_its_place_once) {
+  Pool pool(1, 1);
+  GrantOf(pool.Admit("a"));  // r0
+  pool.Admit("a");           // r1
+  v1::GrantRelease give_up;
+  give_up.set_request_id("r1");
+  cr_expect(pool.scheduler.Release(give_up, pool.now));
+  cr_expect_eq(pool.scheduler.queued(), 0U);
+  give_up.set_request_id("r0");
+  cr_expect(pool.scheduler.Release(give_up, pool.now));
+  cr_expect(!pool.scheduler.Release(give_up, pool.now));
+  cr_expect_eq(pool.scheduler.in_flight(), 0U);
+}
+
+Test(pool_scheduler, slots_of_a_dead_entry_come_back) {
+  Pool pool(1, 2);
+  const auto of_entry = [](const char* entry) {
+    return [entry](v1::GrantRequest* request) { request->set_entry(entry); };
+  };
+  GrantOf(pool.Admit("a", of_entry("n1")));
+  GrantOf(pool.Admit("a", of_entry("n2")));
+  pool.scheduler.ReleaseEntry(NodeId("n1"), pool.now);
+  cr_expect_eq(pool.scheduler.in_flight(), 1U);
+}
+
+Test(pool_scheduler, a_stale_report_does_not_take_back_an_observed_version) {
+  Pool pool(1, 2);
+  v1::EngineLoad load;
+  load.set_version(4);
+  pool.scheduler.Observe(UpstreamId("u0"), load, pool.now);
+  const v1::Grant grant = GrantOf(pool.Admit("a"));
+  v1::GrantRelease release;
+  release.set_grant_id(grant.grant_id());
+  release.set_observed_version(5);
+  pool.scheduler.Release(release, pool.now);
+  pool.now += seconds{1};
+  pool.scheduler.Observe(UpstreamId("u0"), load, pool.now);
+  cr_expect_eq(pool.scheduler.status().upstreams(0).version(), 5U);
+  pool.now += seconds{10};
+  pool.scheduler.Observe(UpstreamId("u0"), load, pool.now);
+  cr_expect_eq(pool.scheduler.status().upstreams(0).version(), 4U,
+               "a report later than the lag counts");
+}
+
+struct PolicyCase {
+  const char* name;
+  ChoicePolicy policy;
+};
+
+Test(pool_scheduler, every_policy_fills_all_slots_and_no_more) {
+  const std::vector<PolicyCase> cases = {
+      {"affinity", AffinityChoice{}},
+      {"round robin", RoundRobinChoice{}},
+      {"least in flight", LeastInFlightChoice{}},
+      {"two random", TwoRandomChoice{}},
+  };
+  for (const PolicyCase& policy : cases) {
+    SchedulerOptions options;
+    options.choice = policy.policy;
+    Pool pool(5, 3, options);
+    int granted = 0;
+    for (int number = 0; number < 20; ++number) {
+      granted += std::holds_alternative<Granted>(pool.Admit("a")) ? 1 : 0;
+    }
+    cr_expect_eq(granted, 15, "%s: granted %d of 15 slots", policy.name,
+                 granted);
+  }
+}
+
+Test(pool_scheduler, prefers_the_upstream_that_holds_the_prefix) {
+  Pool pool(4, 8);
+  const auto with_prefix = [](v1::GrantRequest* request) {
+    request->add_prefix_hashes(11);
+    request->add_prefix_hashes(12);
+  };
+  const v1::Grant first = GrantOf(pool.Admit("a", with_prefix));
+  for (int number = 0; number < 3; ++number) {
+    GrantOf(pool.Admit("a"));
+  }
+  const v1::Grant again = GrantOf(pool.Admit("a", with_prefix));
+  cr_expect_eq(again.upstream(), first.upstream());
+  v1::CacheEvents evicted;
+  for (const std::uint64_t hash : {11U, 12U}) {
+    v1::CacheEvent& event = *evicted.add_events();
+    event.set_prefix_hash(hash);
+    event.set_evicted(true);
+  }
+  pool.scheduler.ObserveCache(UpstreamId(first.upstream()), evicted, pool.now);
+  const v1::Grant elsewhere = GrantOf(pool.Admit("a", with_prefix));
+  cr_expect_neq(elsewhere.upstream(), first.upstream());
+}
+
+}  // namespace
+}  // namespace mulberryroad::dispatch
