--- /dev/null
+++ b/src/dispatch/fallback_share.cc
@@ -0,0 +1,76 @@
+#include "dispatch/fallback_share.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace mulberryroad::dispatch {
+
+namespace {
+
+// Set in the ids of grants that no dispatcher gave.
+constexpr std::uint64_t kLocalGrant = std::uint64_t{1} << 63U;
+constexpr int kDraws = 2;
+
+}  // namespace
+
+void FallbackShare::Learn(const PoolId& pool, const v1::Grant& grant,
+                          Instant now) {
+  Known& known = pools_[pool][grant.upstream()];
+  known.grant = grant;
+  known.seen = now;
+  known.failed = false;
+}
+
+bool FallbackShare::Usable(const Known& known, const v1::GrantRequest& request,
+                           std::size_t entries, Instant now) {
+  const auto& excluded = request.excluded_upstreams();
+  const bool tried = std::find(excluded.begin(), excluded.end(),
+                               known.grant.upstream()) != excluded.end();
+  const std::size_t share = std::max<std::size_t>(
+      1, known.grant.slots() / std::max<std::size_t>(entries, 1));
+  const bool safe = request.repeatable() || !known.grant.reclaimable();
+  return !tried && safe && !known.failed && now - known.seen <= kMemory &&
+         known.grant.version() >= request.min_version() && known.in_use < share;
+}
+
+std::optional<v1::Grant> FallbackShare::Choose(const PoolId& pool,
+                                               const v1::GrantRequest& request,
+                                               std::size_t entries, Instant now,
+                                               std::mt19937_64& random) {
+  std::vector<Known*> usable;
+  for (auto& [name, known] : pools_[pool]) {
+    if (Usable(known, request, entries, now)) {
+      usable.push_back(&known);
+    }
+  }
+  if (usable.empty()) {
+    return std::nullopt;
+  }
+  std::uniform_int_distribution<std::size_t> draw(0, usable.size() - 1);
+  Known* chosen = usable[draw(random)];
+  for (int drawn = 1; drawn < kDraws; ++drawn) {
+    Known* other = usable[draw(random)];
+    chosen = other->in_use < chosen->in_use ? other : chosen;
+  }
+  ++chosen->in_use;
+  v1::Grant grant = chosen->grant;
+  grant.set_grant_id(kLocalGrant | next_grant_++);
+  grant.set_reason("own share, the dispatcher cannot be reached");
+  taken_[grant.grant_id()] = Taken{pool, grant.upstream()};
+  return grant;
+}
+
+bool FallbackShare::Release(const v1::GrantRelease& release) {
+  const auto found = taken_.find(release.grant_id());
+  if (found == taken_.end()) {
+    return false;
+  }
+  Known& known = pools_[found->second.pool][found->second.upstream];
+  known.in_use -= known.in_use > 0 ? 1 : 0;
+  known.failed = known.failed || release.failed();
+  taken_.erase(found);
+  return true;
+}
+
+}  // namespace mulberryroad::dispatch
--- a/src/dispatch/peer_broker.cc
+++ b/src/dispatch/peer_broker.cc
@@ -76,13 +76,14 @@
     const std::chrono::milliseconds remaining = Remaining();
     if (next_pool_ >= pools_.size() ||
         remaining <= std::chrono::milliseconds{0}) {
-      FinishRefused();
+      FinishWithoutDispatcher();
       return;
     }
     pool_ = pools_[next_pool_++];
     const std::optional<v1::Member> owner =
         broker_.members_.Owner(ToString(pool_));
     if (!owner.has_value()) {
+      unreachable_.push_back(pool_);
       Note("no node hosts the dispatcher");
       TryNext();
       return;
@@ -137,6 +138,7 @@
       }
       broker_.origins_[{reply.grant().upstream(), reply.grant().grant_id()}] =
           origin;
+      broker_.fallback_.Learn(pool_, reply.grant(), broker_.clock_.now());
       Finish(std::move(*reply.mutable_grant()));
       return;
     }
@@ -151,6 +153,7 @@
       return;
     }
     ReturnUnknownGrant();
+    unreachable_.push_back(pool_);
     Note("the dispatcher did not answer: " + reason);
     TryNext();
   }
@@ -196,6 +199,35 @@
     }
   }
 
+  // Uses the node's own share of the pools whose dispatcher cannot be reached.
+  void FinishWithoutDispatcher() {
+    const std::size_t entries = broker_.members_.eligible().size();
+    for (const PoolId& pool : unreachable_) {
+      std::optional<v1::Grant> grant = broker_.fallback_.Choose(
+          pool, request_, entries, broker_.clock_.now(), broker_.random_);
+      if (grant.has_value()) {
+        WriteFallback(pool, *grant);
+        Finish(*std::move(grant));
+        return;
+      }
+    }
+    FinishRefused();
+  }
+
+  void WriteFallback(const PoolId& pool, const v1::Grant& grant) {
+    v1::Decision line;
+    line.set_kind("grant");
+    line.set_request_id(request_.request_id());
+    line.set_organisation(request_.organisation());
+    line.set_target(pool.target.value());
+    line.set_failure_domain(pool.failure_domain.value());
+    line.set_chosen(grant.upstream());
+    line.set_reason(grant.reason());
+    line.mutable_candidates()->Assign(refused_pools_.begin(),
+                                      refused_pools_.end());
+    broker_.decisions_.Write(std::move(line));
+  }
+
   void FinishRefused() {
     v1::Decision line;
     line.set_kind("refuse");
@@ -240,6 +272,7 @@
   std::string reason_;
   std::uint64_t retry_after_ms_ = 0;
   std::vector<v1::Candidate> refused_pools_;
+  std::vector<PoolId> unreachable_;
   base::Timer owner_check_;
   bool done_ = false;
   // Held until the request is answered.
@@ -306,6 +339,9 @@
     }
     return;
   }
+  if (fallback_.Release(release)) {
+    return;
+  }
   const auto found = origins_.find({release.upstream(), release.grant_id()});
   if (found == origins_.end()) {
     return;
--- a/src/dispatch/peer_broker.h
+++ b/src/dispatch/peer_broker.h
@@ -1,5 +1,6 @@
 // Finds a slot for a request: asks the dispatcher of the own failure domain's
-// pool first, then those of the others.
+// pool first, then those of the others; without any dispatcher it uses the
+// node's own share of the upstreams.
 
 #ifndef MULBERRYROAD_SRC_DISPATCH_PEER_BROKER_H_
 #define MULBERRYROAD_SRC_DISPATCH_PEER_BROKER_H_
@@ -20,6 +21,7 @@
 #include "config/configuration.h"
 #include "dispatch/broker.h"
 #include "dispatch/dispatcher_host.h"
+#include "dispatch/fallback_share.h"
 #include "membership/members.h"
 #include "mulberryroad/clock.h"
 #include "peer/transport.h"
@@ -68,6 +70,7 @@
   base::DecisionLog& decisions_;
   FailureDomainId own_;
   std::mt19937_64 random_;
+  FallbackShare fallback_;
   std::map<GrantKey, Origin> origins_;
   std::unordered_map<std::string, std::weak_ptr<Search>> searches_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/dispatch/pool_scheduler.cc
+++ b/src/dispatch/pool_scheduler.cc
@@ -139,6 +139,8 @@
   granted.grant.set_upstream(state.spec.id.value());
   granted.grant.set_endpoint(state.spec.endpoint);
   granted.grant.set_version(state.version);
+  granted.grant.set_slots(state.slots);
+  granted.grant.set_reclaimable(state.spec.reclaimable);
   granted.grant.set_reason(choice.reason);
   return granted;
 }
--- a/test/gateway_test.cc
+++ b/test/gateway_test.cc
@@ -3,106 +3,24 @@
 
 #include <criterion/criterion.h>
 
-#include "base/json.h"
-#include "fakes/entry_node.h"
-#include "fakes/fake_engine.h"
-#include "fakes/fake_service.h"
+#include "fakes/site.h"
 #include "http/server_sent_events.h"
 #include "mulberryroad/api.pb.h"
 
 namespace mulberryroad {
 namespace {
 
+using fakes::AnswerOf;
+using fakes::ErrorOf;
+using fakes::kCompletion;
+using fakes::kStreamed;
+using fakes::Site;
 using http::Method;
 
-v1::Declaration MakeDeclaration() {
-  v1::Declaration declaration;
-  declaration.add_organisations()->set_name("a");
-  v1::Model& model = *declaration.add_models();
-  model.set_name("drafting");
-  model.set_version(1);
-  declaration.add_services()->set_name("intake");
-  v1::UpstreamClass& standard = *declaration.add_upstream_classes();
-  standard.set_name("standard");
-  standard.set_slots(4);
-  v1::Pool& engines = *declaration.add_pools();
-  engines.set_model("drafting");
-  engines.set_failure_domain("north");
-  v1::Pool& services = *declaration.add_pools();
-  services.set_service("intake");
-  services.set_failure_domain("north");
-  v1::Route& reports = *declaration.add_routes();
-  reports.set_path("/intake/reports");
-  reports.set_service("intake");
-  v1::Route& status = *declaration.add_routes();
-  status.set_path("/intake/status");
-  status.set_service("intake");
-  status.set_open(true);
-  status.set_idempotent(true);
-  return declaration;
-}
-
-/// One node, two engines and one plain service.
-struct Site {
-  Site()
-      : engine_a(world.loop, "drafting", 1, v1::FakeEngineControl()),
-        engine_b(world.loop, "drafting", 1, v1::FakeEngineControl()),
-        service(world.loop) {
-    world.configuration.edit() = MakeDeclaration();
-    world.configuration.Grant("secret-a", "a");
-    const Endpoint a = fakes::Loopback();
-    const Endpoint b = fakes::Loopback();
-    const Endpoint s = fakes::Loopback();
-    engine_a.Listen(a);
-    engine_b.Listen(b);
-    service.Listen(s);
-    world.directory.Add("engine-a", "drafting", "north", a);
-    world.directory.Add("engine-b", "drafting", "north", b);
-    world.directory.Add("service", "intake", "north", s);
-    node = std::make_unique<fakes::EntryNode>(world, "n1");
-    node->members.Put("n1", node->peer);
-    node->members.SetOwner("n1");
-    node->leases.Grant(fakes::kLedgerRole, 1);
-    cr_assert(fakes::RunUntil(world.loop, [&] { return node->ready(); }),
-              "the node sees its upstreams and serves its ledger");
-  }
-
-  http::Result Post(const std::string& path, const std::string& body,
-                    const std::string& key = "secret-a") {
-    return world.Ask(node->Request(Method::kPost, path, body, key));
-  }
-
-  fakes::World world;
-  fakes::FakeEngine engine_a;
-  fakes::FakeEngine engine_b;
-  fakes::FakeService service;
-  std::unique_ptr<fakes::EntryNode> node;
-};
-
-constexpr const char* kCompletion =
-    R"({"model":"drafting","prompt":"north field","max_tokens":20})";
-constexpr const char* kStreamed =
-    R"({"model":"drafting","prompt":"north field","max_tokens":20,"stream":true})";
-
-const http::Response* Answer(const http::Result& result) {
-  const auto* response = std::get_if<http::Response>(&result);
-  cr_assert_not_null(response, "expected an answer, got: %s",
-                     std::get<http::Failure>(result).reason.c_str());
-  return response;
-}
-
-v1::ApiError ErrorOf(const http::Response& response) {
-  v1::ApiError error;
-  std::string reason;
-  cr_assert(base::FromJson(response.body, &error, &reason),
-            "the body is no typed error: %s", response.body.c_str());
-  return error;
-}
-
 Test(gateway, answers_a_plain_completion_whole) {
   Site site;
   const http::Result result = site.Post("/v1/completions", kCompletion);
-  const http::Response& response = *Answer(result);
+  const http::Response& response = *AnswerOf(result);
   cr_assert_eq(response.status, 200, "status %d: %s", response.status,
                response.body.c_str());
   v1::CompletionChunk chunk;
@@ -122,7 +40,7 @@
 Test(gateway, streams_a_completion_as_events) {
   Site site;
   const http::Result result = site.Post("/v1/completions", kStreamed);
-  const http::Response& response = *Answer(result);
+  const http::Response& response = *AnswerOf(result);
   cr_assert_eq(response.status, 200);
   cr_expect_eq(response.headers.at("content-type"), "text/event-stream");
   http::EventParser parser;
@@ -181,7 +99,7 @@
   for (const BadInput& bad : cases) {
     const http::Result result = site.world.Ask(
         site.node->Request(bad.method, bad.path, bad.body, bad.key));
-    const http::Response& response = *Answer(result);
+    const http::Response& response = *AnswerOf(result);
     cr_expect_eq(response.status, bad.status, "%s: expected %d, got %d: %s",
                  bad.name, bad.status, response.status, response.body.c_str());
     cr_expect_eq(ErrorOf(response).verdict(), "not run", "%s: verdict \"%s\"",
@@ -194,15 +112,15 @@
 Test(gateway, serves_an_open_route_without_a_key) {
   Site site;
   const http::Result result = site.Post("/intake/status", "open?", "");
-  cr_expect_eq(Answer(result)->status, 200);
-  cr_expect_eq(Answer(result)->body, "open?");
+  cr_expect_eq(AnswerOf(result)->status, 200);
+  cr_expect_eq(AnswerOf(result)->body, "open?");
 }
 
 Test(gateway, refuses_keys_while_isolated) {
   Site site;
   site.world.configuration.SetIsolated(true);
   const http::Result result = site.Post("/v1/completions", kCompletion);
-  const http::Response& response = *Answer(result);
+  const http::Response& response = *AnswerOf(result);
   cr_expect_eq(response.status, 503);
   cr_expect_eq(response.headers.count("retry-after"), 1U);
   cr_expect_eq(ErrorOf(response).verdict(), "not run");
@@ -220,7 +138,7 @@
     return true;
   }));
   const http::Result result = site.Post("/v1/completions", kCompletion);
-  const http::Response& response = *Answer(result);
+  const http::Response& response = *AnswerOf(result);
   cr_expect_eq(response.status, 503);
   cr_expect_eq(response.headers.count("retry-after"), 1U);
   cr_expect_eq(ErrorOf(response).verdict(), "not run");
