Count running requests as known, skip suspected dispatchers, settle tries of callers that left

A caller that left while its intent was on its way could have let a request run after it was recorded as not run. Idle time counted as slow service in Retry-After.

--- a/src/dispatch/peer_broker.cc
+++ b/src/dispatch/peer_broker.cc
@@ -88,6 +88,12 @@
       TryNext();
       return;
     }
+    if (owner->state() == v1::MEMBER_SUSPECT) {
+      unreachable_.push_back(pool_);
+      Note("the dispatcher is suspected to be down");
+      TryNext();
+      return;
+    }
     asked_ = NodeId(owner->node_id());
     Ask(*owner, remaining);
   }
@@ -166,11 +172,12 @@
     }
     const std::optional<v1::Member> owner =
         broker_.members_.Owner(ToString(pool_));
-    if (owner.has_value() && owner->node_id() == asked_.value()) {
+    const bool same = owner.has_value() && owner->node_id() == asked_.value();
+    if (same && owner->state() != v1::MEMBER_SUSPECT) {
       return;
     }
     ReturnUnknownGrant();
-    Note("the dispatcher moved");
+    Note("the dispatcher moved or is suspected to be down");
     --next_pool_;
     TryNext();
   }
--- a/src/dispatch/pool_scheduler.cc
+++ b/src/dispatch/pool_scheduler.cc
@@ -234,7 +234,7 @@
     used_share_ += kUsedShareGain * (std::min(share, 1.0) - used_share_);
   }
   queue_.Charge(grant.organisation, actual - grant.charged);
-  drain_rate_.Add(now);
+  drain_rate_.Add(queue_.size() > 0, now);
   upstreams_.Return(grant.upstream, release.failed(),
                     release.observed_version(), now);
 }
--- a/src/dispatch/upstream_table.cc
+++ b/src/dispatch/upstream_table.cc
@@ -89,6 +89,7 @@
   if (load.slots() > 0) {
     state.slots = load.slots();
   }
+  recent_in_flight_[*index].Add(state.in_flight, now);
   const std::uint32_t known = recent_in_flight_[*index].value(now);
   const std::uint32_t reported = load.running() + load.waiting();
   state.foreign = reported > known ? reported - known : 0;
--- a/src/entry/service_session.cc
+++ b/src/entry/service_session.cc
@@ -56,27 +56,35 @@
     AcquireSlot();
     return;
   }
-  keyed_ = std::make_shared<KeyedTry>(context_, exchange_->request(), *key,
-                                      caller_, request_id_);
-  keyed_->Begin([self = shared_from_this()](const BeginOutcome& outcome) {
-    std::visit(Overloaded{[&](const Proceed&) { self->AcquireSlot(); },
-                          [&](const Replay& replay) {
-                            self->keyed_.reset();
-                            self->exchange_->Reply(
-                                replay.status, replay.body,
-                                {{"Content-Type", replay.content_type},
-                                 {"Idempotent-Replayed", "true"},
-                                 {"X-Request-Id", self->request_id_.value()}});
-                            self->End();
-                          },
-                          [&](const RequestError& error) {
-                            self->keyed_.reset();
-                            self->Fail(error);
-                          }},
-               outcome);
+  const auto keyed = std::make_shared<KeyedTry>(context_, exchange_->request(),
+                                                *key, caller_, request_id_);
+  keyed->Begin([self = shared_from_this(), keyed](const BeginOutcome& outcome) {
+    std::visit(
+        Overloaded{[&](const Proceed&) { self->Proceeded(keyed); },
+                   [&](const Replay& replay) { self->Answer(replay); },
+                   [&](const RequestError& error) { self->Fail(error); }},
+        outcome);
   });
 }
 
+void ServiceSession::Proceeded(const std::shared_ptr<KeyedTry>& keyed) {
+  if (ended_) {
+    // The caller has gone before anything was sent.
+    keyed->FinishNotRun();
+    return;
+  }
+  keyed_ = keyed;
+  AcquireSlot();
+}
+
+void ServiceSession::Answer(const Replay& replay) {
+  exchange_->Reply(replay.status, replay.body,
+                   {{"Content-Type", replay.content_type},
+                    {"Idempotent-Replayed", "true"},
+                    {"X-Request-Id", request_id_.value()}});
+  End();
+}
+
 void ServiceSession::AcquireSlot() {
   ++attempts_;
   grant_.reset();
--- a/src/entry/service_session.h
+++ b/src/entry/service_session.h
@@ -33,6 +33,8 @@
   void Start();
 
  private:
+  void Proceeded(const std::shared_ptr<KeyedTry>& keyed);
+  void Answer(const Replay& replay);
   void AcquireSlot();
   void Take(const v1::GrantRefusal& refusal);
   void Take(const v1::Grant& grant);
--- a/src/http/server_sent_events.cc
+++ b/src/http/server_sent_events.cc
@@ -45,7 +45,8 @@
   if (!line.starts_with(kDataField)) {
     return;
   }
-  std::string_view value = std::string_view(line).substr(kDataField.size());
+  std::string_view value = line;
+  value.remove_prefix(kDataField.size());
   if (value.starts_with(' ')) {
     value.remove_prefix(1);
   }
--- a/test/pool_scheduler_test.cc
+++ b/test/pool_scheduler_test.cc
@@ -324,6 +324,22 @@
   cr_expect_eq(pool.scheduler.queued(), 10U);
 }
 
+Test(pool_scheduler, idle_time_does_not_count_as_slow_service) {
+  Pool pool(1, 1);
+  for (int number = 0; number < 10; ++number) {
+    pool.Release(GrantOf(pool.Admit("a")));
+    pool.now += seconds{600};
+  }
+  GrantOf(pool.Admit("a"));
+  for (int number = 0; number < 3; ++number) {
+    const AdmissionDecision decision = pool.Admit(
+        "a",
+        [](v1::GrantRequest* request) { request->set_deadline_ms(5'000); });
+    cr_expect(std::holds_alternative<Queued>(decision),
+              "request %d of a burst after idleness waits", number);
+  }
+}
+
 Test(pool_scheduler, a_full_queue_keeps_place_for_other_organisations) {
   SchedulerOptions options;
   options.max_queued = 10;
