HTTP server: leave a connection alone that evhttp frees itself

The close callback comes after evhttp freed the request; touching it crashed the process when a client cut a streamed answer (found by the test of cancelled generations, valgrind: invalid write in Exchange::Abort). An abort no longer frees a connection that evhttp freed in between.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -142,10 +142,16 @@
       },
       this);
   event_add(caller_watch_, nullptr);
+  // evhttp frees the connection by itself; its request is gone already.
   evhttp_connection_set_closecb(
       evhttp_request_get_connection(native_),
       [](evhttp_connection*, void* argument) {
-        static_cast<Exchange*>(argument)->shared_from_this()->MarkClosed();
+        const auto keep = static_cast<Exchange*>(argument)->shared_from_this();
+        keep->answered_ = true;
+        keep->Detach();
+        if (!std::exchange(keep->closed_, true)) {
+          keep->on_closed_.emit();
+        }
       },
       this);
 }
@@ -236,11 +242,22 @@
   const std::shared_ptr<Exchange> keep = shared_from_this();
   answered_ = true;
   evhttp_connection* connection = evhttp_request_get_connection(native_);
-  evhttp_connection_set_closecb(connection, nullptr, nullptr);
+  const auto freed = std::make_shared<bool>(false);
+  evhttp_connection_set_closecb(
+      connection,
+      [](evhttp_connection*, void* argument) {
+        *static_cast<bool*>(argument) = true;
+      },
+      freed.get());
   Detach();
   // Freed from the loop: this may run inside one of the connection's own
-  // callbacks.
-  loop_.Post([connection] { evhttp_connection_free(connection); });
+  // callbacks, and evhttp may free the connection first.
+  loop_.Post([connection, freed] {
+    if (!*freed) {
+      evhttp_connection_set_closecb(connection, nullptr, nullptr);
+      evhttp_connection_free(connection);
+    }
+  });
 }
 
 Server::Server(base::EventLoop& loop, ServerLimits limits)
--- a/test/fakes/entry_node.h
+++ b/test/fakes/entry_node.h
@@ -5,6 +5,7 @@
 #define MULBERRYROAD_TEST_FAKES_ENTRY_NODE_H_
 
 #include <chrono>
+#include <csignal>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -48,6 +49,9 @@
 
 /// What the nodes of a test share.
 struct World {
+  // As the daemon does: a write to a closed connection is an error, no signal.
+  World() { std::signal(SIGPIPE, SIG_IGN); }
+
   base::EventLoop loop;
   SystemClock clock;
   MemoryNetwork network{loop};
