--- a/src/entry/completion_session.cc
+++ b/src/entry/completion_session.cc
@@ -125,7 +125,16 @@
                              const std::vector<v1::VersionRange>& versions) {
   text_ += text;
   tokens_ += tokens;
-  versions_.insert(versions_.end(), versions.begin(), versions.end());
+  for (const v1::VersionRange& range : versions) {
+    const bool joins = !versions_.empty() &&
+                       versions_.back().version() == range.version() &&
+                       versions_.back().end_token() == range.begin_token();
+    if (joins) {
+      versions_.back().set_end_token(range.end_token());
+    } else {
+      versions_.push_back(range);
+    }
+  }
 }
 
 void CompletionSession::Take(const dispatch::Generated& generated) {
