--- a/src/dispatch/pool_scheduler.cc
+++ b/src/dispatch/pool_scheduler.cc
@@ -140,6 +140,8 @@
   granted.grant.set_upstream(state.spec.id.value());
   granted.grant.set_endpoint(state.spec.endpoint);
   granted.grant.set_version(state.version);
+  granted.grant.set_slots(state.slots);
+  granted.grant.set_reclaimable(state.spec.reclaimable);
   granted.grant.set_reason(choice.reason);
   return granted;
 }
@@ -232,7 +234,7 @@
     used_share_ += kUsedShareGain * (std::min(share, 1.0) - used_share_);
   }
   queue_.Charge(grant.organisation, actual - grant.charged);
-  drain_rate_.Add(now);
+  drain_rate_.Add(queue_.size() > 0, now);
   upstreams_.Return(grant.upstream, release.failed(),
                     release.observed_version(), now);
 }
--- a/src/entry/service_session.cc
+++ b/src/entry/service_session.cc
@@ -17,6 +17,11 @@
 template <typename... Cases>
 Overloaded(Cases...) -> Overloaded<Cases...>;
 
+bool IsOutage(int status) {
+  return status == kBadGateway || status == kUnavailable ||
+         status == kGatewayTimeout;
+}
+
 std::string HeaderOr(const std::map<std::string, std::string>& headers,
                      const std::string& name, const std::string& otherwise) {
   const auto found = headers.find(name);
@@ -51,27 +56,35 @@
     AcquireSlot();
     return;
   }
-  keyed_ = std::make_shared<KeyedTry>(context_, exchange_->request(), *key,
-                                      caller_, request_id_);
-  keyed_->Begin([self = shared_from_this()](const BeginOutcome& outcome) {
-    std::visit(Overloaded{[&](const Proceed&) { self->AcquireSlot(); },
-                          [&](const Replay& replay) {
-                            self->keyed_.reset();
-                            self->exchange_->Reply(
-                                replay.status, replay.body,
-                                {{"Content-Type", replay.content_type},
-                                 {"Idempotent-Replayed", "true"},
-                                 {"X-Request-Id", self->request_id_.value()}});
-                            self->End();
-                          },
-                          [&](const RequestError& error) {
-                            self->keyed_.reset();
-                            self->Fail(error);
-                          }},
-               outcome);
+  const auto keyed = std::make_shared<KeyedTry>(context_, exchange_->request(),
+                                                *key, caller_, request_id_);
+  keyed->Begin([self = shared_from_this(), keyed](const BeginOutcome& outcome) {
+    std::visit(
+        Overloaded{[&](const Proceed&) { self->Proceeded(keyed); },
+                   [&](const Replay& replay) { self->Answer(replay); },
+                   [&](const RequestError& error) { self->Fail(error); }},
+        outcome);
   });
 }
 
+void ServiceSession::Proceeded(const std::shared_ptr<KeyedTry>& keyed) {
+  if (ended_) {
+    // The caller has gone before anything was sent.
+    keyed->FinishNotRun();
+    return;
+  }
+  keyed_ = keyed;
+  AcquireSlot();
+}
+
+void ServiceSession::Answer(const Replay& replay) {
+  exchange_->Reply(replay.status, replay.body,
+                   {{"Content-Type", replay.content_type},
+                    {"Idempotent-Replayed", "true"},
+                    {"X-Request-Id", request_id_.value()}});
+  End();
+}
+
 void ServiceSession::AcquireSlot() {
   ++attempts_;
   grant_.reset();
@@ -140,6 +153,9 @@
   if (const auto type = received.header("content-type")) {
     sent.headers.push_back({"Content-Type", *type});
   }
+  if (const auto key = received.header("idempotency-key")) {
+    sent.headers.push_back({"Idempotency-Key", *key});
+  }
   sent.body = received.body;
   sent.timeout = context_->options.request_timeout;
   call_ = context_->client.Send(
@@ -160,6 +176,13 @@
                  "the answer is that of request \"" + echo + "\"");
     return;
   }
+  if (route_.idempotent && IsOutage(response.status)) {
+    ReleaseSlot(/*failed=*/true);
+    AfterFailure(
+        Verdict::kMayHaveRun,
+        "status " + std::to_string(response.status) + " from the upstream");
+    return;
+  }
   ReleaseSlot(/*failed=*/false);
   const std::string type =
       HeaderOr(response.headers, "content-type", "application/octet-stream");
