Refuse at once what no upstream may take

Cause: a request queued for up to 10 s when every upstream was tried already or suspended after repeated failures, so that it was given up late; request_failures::a_failing_pool_sees_few_retries did not end within 25 s. Ruled out: refusing whenever all are suspended (a first failure suspends for 500 ms; five cases of a_keyed_report_takes_effect_at_most_once were refused needlessly): a suspension of up to 1 s is waited for.

--- a/src/dispatch/pool_scheduler.cc
+++ b/src/dispatch/pool_scheduler.cc
@@ -12,6 +12,10 @@
 constexpr double kPromptTokenCost = 0.25;
 // Cost of a request beside its tokens.
 constexpr double kRequestCost = 1;
+// Retry hint of a request that was tried at every upstream.
+constexpr std::chrono::milliseconds kShortestRetryAfter{500};
+// A request queues for an upstream whose suspension ends within this time.
+constexpr std::chrono::milliseconds kWorthWaiting{1'000};
 constexpr double kUsedShareGain = 0.05;
 // Items that cannot be placed for their exclusions and are passed over.
 constexpr std::size_t kMaxPassedOver = 16;
@@ -39,6 +43,13 @@
                    RetryAfter(OrganisationId(request.organisation()), now)};
   }
   const OrganisationId organisation(request.organisation());
+  if (upstreams_.AllExcluded(request)) {
+    return Refused{"every upstream of the pool was tried", kShortestRetryAfter};
+  }
+  const std::chrono::milliseconds suspended = SuspendedFor(now);
+  if (upstreams_.AllUnfit(request) && suspended > kWorthWaiting) {
+    return Refused{"every upstream of the pool failed lately", suspended};
+  }
   const std::chrono::milliseconds deadline{request.deadline_ms()};
   const bool measured = drain_rate_.interval(now).has_value();
   const std::size_t ahead = queue_.ahead(organisation, request.kind());
@@ -354,6 +365,11 @@
   return drain_rate_.TimeFor(ahead / queue_.ShareOf(organisation), now);
 }
 
+std::chrono::milliseconds PoolScheduler::SuspendedFor(Instant now) const {
+  const Instant next = upstreams_.next_refresh().value_or(now);
+  return std::chrono::ceil<std::chrono::milliseconds>(next - now);
+}
+
 std::chrono::milliseconds PoolScheduler::RetryAfter(
     const OrganisationId& organisation, Instant now) const {
   const double ahead = static_cast<double>(queue_.size(organisation)) + 1;
--- a/src/dispatch/pool_scheduler.h
+++ b/src/dispatch/pool_scheduler.h
@@ -61,6 +61,7 @@
   v1::PoolStatus status() const;
   v1::DemandReply demand() const;
   /// Time until a refused request of an organisation may find a place.
+  std::chrono::milliseconds SuspendedFor(Instant now) const;
   std::chrono::milliseconds RetryAfter(const OrganisationId& organisation,
                                        Instant now) const;
 
--- a/src/dispatch/upstream_table.cc
+++ b/src/dispatch/upstream_table.cc
@@ -285,7 +285,38 @@
   return std::nullopt;
 }
 
+bool UpstreamTable::AllExcluded(const v1::GrantRequest& request) const {
+  std::size_t excluded = 0;
+  for (const std::string& name : request.excluded_upstreams()) {
+    const std::optional<UpstreamIndex> index = Find(UpstreamId(name));
+    excluded += index.has_value() && entries_[*index].staying ? 1 : 0;
+  }
+  return staying_ > 0 && excluded >= staying_;
+}
+
+bool UpstreamTable::AllUnfit(const v1::GrantRequest& request) const {
+  std::size_t unfit = suspended_;
+  for (const std::string& name : request.excluded_upstreams()) {
+    const std::optional<UpstreamIndex> index = Find(UpstreamId(name));
+    const bool counted = index.has_value() && entries_[*index].staying &&
+                         !entries_[*index].suspended;
+    unfit += counted ? 1 : 0;
+  }
+  return staying_ > 0 && unfit >= staying_;
+}
+
+void UpstreamTable::CountStanding(UpstreamIndex index) {
+  Entry& entry = entries_[index];
+  staying_ -= entry.staying ? 1 : 0;
+  suspended_ -= entry.suspended ? 1 : 0;
+  entry.staying = !states_[index].leaving();
+  entry.suspended = entry.staying && states_[index].suspended;
+  staying_ += entry.staying ? 1 : 0;
+  suspended_ += entry.suspended ? 1 : 0;
+}
+
 void UpstreamTable::Reindex(UpstreamIndex index) {
+  CountStanding(index);
   RemoveFromBucket(index);
   const UpstreamState& state = states_[index];
   const bool available = !state.leaving() && !state.swapping &&
--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -97,6 +97,10 @@
   std::optional<UpstreamIndex> Find(const UpstreamId& id) const;
   const UpstreamState& at(UpstreamIndex index) const { return states_[index]; }
   std::size_t listed() const { return listed_; }
+  /// True if upstreams stay, but the request excludes each of them.
+  bool AllExcluded(const v1::GrantRequest& request) const;
+  /// True if upstreams stay, but each of them is suspended or excluded.
+  bool AllUnfit(const v1::GrantRequest& request) const;
   double highest_price() const { return highest_price_; }
   std::uint32_t total_slots() const;
   std::vector<UpstreamIndex> all() const;
@@ -136,10 +140,14 @@
     std::optional<Kind> kind;
     double load = 0;
     std::size_t member = 0;
+    /// How the upstream is counted in staying_ and suspended_.
+    bool staying = false;
+    bool suspended = false;
   };
 
   UpstreamIndex Add(const UpstreamSpec& spec);
   void Reindex(UpstreamIndex index);
+  void CountStanding(UpstreamIndex index);
   void RemoveFromBucket(UpstreamIndex index);
   void AddToBucket(UpstreamIndex index);
   void SetVersion(UpstreamState* state, std::uint32_t version, Instant now);
@@ -152,6 +160,9 @@
   std::unordered_map<std::string, UpstreamIndex> by_name_;
   std::map<Kind, Bucket> buckets_;
   std::set<std::pair<Instant, UpstreamIndex>> suspensions_;
+  /// Upstreams that do not leave, and those of them that are suspended.
+  std::size_t staying_ = 0;
+  std::size_t suspended_ = 0;
   std::size_t listed_ = 0;
   double highest_price_ = 0;
 };
--- /dev/null
+++ b/test/retry_budget_test.cc
@@ -0,0 +1,36 @@
+// Retry budget: retries are a share of requests, with a bounded reserve.
+
+#include "entry/retry_budget.h"
+
+#include <criterion/criterion.h>
+
+namespace mulberryroad::entry {
+namespace {
+
+Test(retry_budget, permits_its_share_of_requests_and_no_more) {
+  constexpr int kRequests = 100;
+  constexpr double kReserve = 10;
+  RetryBudget budget(0.1, kReserve);
+  int retries = 0;
+  for (int number = 0; number < kRequests; ++number) {
+    budget.Earn();
+    retries += budget.Spend() ? 1 : 0;
+  }
+  cr_expect_leq(retries, 20, "expected at most 20 retries, found %d", retries);
+  cr_expect_geq(retries, 19, "expected the budget used, found %d", retries);
+}
+
+Test(retry_budget, quiet_times_save_up_no_more_than_the_reserve) {
+  RetryBudget budget(0.5, 3);
+  for (int number = 0; number < 1'000; ++number) {
+    budget.Earn();
+  }
+  int retries = 0;
+  while (budget.Spend()) {
+    ++retries;
+  }
+  cr_expect_eq(retries, 3, "expected 3 retries, found %d", retries);
+}
+
+}  // namespace
+}  // namespace mulberryroad::entry
