--- a/include/mulberryroad/clock.h
+++ b/include/mulberryroad/clock.h
@@ -15,6 +15,8 @@
   using period = std::chrono::nanoseconds::period;
   using duration = std::chrono::nanoseconds;
   using time_point = std::chrono::time_point<BootTime>;
+  // Named by the standard's requirements on clocks.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   static constexpr bool is_steady = true;
 };
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -175,8 +175,8 @@
     event_free(caller_watch_);
   }
   caller_watch_ = event_new(
-      loop_.base(), handle, static_cast<short>(events),        // NOLINT
-      [](evutil_socket_t ready, short what, void* argument) {  // NOLINT
+      loop_.base(), handle, static_cast<base::EventFlags>(events),
+      [](evutil_socket_t ready, base::EventFlags what, void* argument) {
         static_cast<Exchange*>(argument)->shared_from_this()->CheckCaller(ready,
                                                                           what);
       },
