--- a/test/process/withdraw_process_test.cc
+++ b/test/process/withdraw_process_test.cc
@@ -114,8 +114,8 @@
   Cluster cluster(options);
   std::string reason;
   cr_assert(StartServing(&cluster, &reason), "%s", reason.c_str());
-  // Node 2 loses the log, and its peers with it: they are replaced by others
-  // that do not know it.
+  // Node 2 loses the log and all its peers, so that it cannot know whether the
+  // key was withdrawn meanwhile.
   cluster.Control(cluster.log(), R"({"second_outage":true})");
   cluster.List(cluster.node(2), false);
   cluster.Control(cluster.vms(), "{}");
