Send small chunks of a stream at once

Cause: a chunk waited for the delayed acknowledgement of the one before (Nagle), 30 ms on each streamed answer.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -5,6 +5,8 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -161,6 +163,10 @@
 void Exchange::WatchCaller() {
   bufferevent* stream =
       evhttp_connection_get_bufferevent(evhttp_request_get_connection(native_));
+  // A small chunk must not wait for the acknowledgement of the one before.
+  const int no_delay = 1;
+  setsockopt(bufferevent_getfd(stream), IPPROTO_TCP, TCP_NODELAY, &no_delay,
+             sizeof(no_delay));
   WatchFor(bufferevent_getfd(stream), EV_READ | EV_CLOSED);
   evhttp_connection_set_closecb(
       evhttp_request_get_connection(native_),
