--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -6,10 +6,10 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
-#include <algorithm>
-#include <cctype>
 #include <utility>
 
+#include "http/text.h"
+
 namespace mulberryroad::http {
 
 namespace {
@@ -33,13 +33,6 @@
   return EVHTTP_REQ_GET;
 }
 
-std::string LowerCase(std::string text) {
-  std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
-    return static_cast<char>(std::tolower(c));
-  });
-  return text;
-}
-
 std::string Drain(evbuffer* buffer) {
   std::string content(evbuffer_get_length(buffer), '\0');
   evbuffer_remove(buffer, content.data(), content.size());
@@ -238,7 +231,7 @@
     }
     const auto connection = response.headers.find("connection");
     const bool close = connection != response.headers.end() &&
-                       LowerCase(connection->second) == "close";
+                       internal::LowerCase(connection->second) == "close";
     self->pool_->loop().Post([keep = self->shared_from_this(), close,
                               response = std::move(response)]() mutable {
       keep->Succeed(std::move(response), !close);
@@ -251,7 +244,7 @@
     const evkeyvalq* headers = evhttp_request_get_input_headers(native);
     for (const evkeyval* header = headers->tqh_first; header != nullptr;
          header = header->next.tqe_next) {
-      response.headers[LowerCase(header->key)] = header->value;
+      response.headers[internal::LowerCase(header->key)] = header->value;
     }
     response.body = Drain(evhttp_request_get_input_buffer(native));
     return response;
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -9,12 +9,12 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-#include <algorithm>
-#include <cctype>
 #include <optional>
 #include <stdexcept>
 #include <utility>
 
+#include "http/text.h"
+
 namespace mulberryroad::http {
 
 namespace {
@@ -40,18 +40,11 @@
   }
 }
 
-std::string LowerCase(std::string text) {
-  std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
-    return static_cast<char>(std::tolower(c));
-  });
-  return text;
-}
-
 void ReadHeaders(evhttp_request* native, Request* request) {
   const evkeyvalq* headers = evhttp_request_get_input_headers(native);
   for (const evkeyval* header = headers->tqh_first; header != nullptr;
        header = header->next.tqe_next) {
-    request->headers[LowerCase(header->key)] = header->value;
+    request->headers[internal::LowerCase(header->key)] = header->value;
   }
 }
 
