--- a/src/base/decision_log.cc
+++ b/src/base/decision_log.cc
@@ -2,10 +2,12 @@
 
 #include <google/protobuf/struct.pb.h>
 #include <google/protobuf/util/time_util.h>
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
+#include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
 
 #include <memory>
@@ -50,6 +52,22 @@
   Logger()->setLevel(log4cxx::Level::toLevel(level));
 }
 
+void SetUpAsyncLogging(const std::string& level) {
+  // Lines of about a second at the highest rate of StructuredLog.
+  constexpr int kBufferedLines = 512;
+  const auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
+  const auto console = std::make_shared<log4cxx::ConsoleAppender>(layout);
+  const auto appender = std::make_shared<log4cxx::AsyncAppender>();
+  appender->setBufferSize(kBufferedLines);
+  appender->setBlocking(false);
+  appender->addAppender(console);
+  log4cxx::BasicConfigurator::resetConfiguration();
+  log4cxx::BasicConfigurator::configure(appender);
+  Logger()->setLevel(log4cxx::Level::toLevel(level));
+}
+
+void ShutDownLogging() { log4cxx::LogManager::shutdown(); }
+
 void LogInfo(const std::string& event, const std::string& detail) {
   LOG4CXX_INFO(Logger(), EventLine("info", event, detail));
 }
--- a/src/base/decision_log.h
+++ b/src/base/decision_log.h
@@ -18,6 +18,13 @@
 /// @param level "debug", "info", "warn" or "error"
 void SetUpLogging(const std::string& level);
 
+/// Sets up log4cxx like SetUpLogging, but hands lines to a thread of their own;
+/// they are dropped while its buffer is full, so that a slow reader of standard
+/// output never blocks the loop.
+void SetUpAsyncLogging(const std::string& level);
+/// Writes what is still buffered.
+void ShutDownLogging();
+
 /// Writes one JSON line {"level":...,"event":...,"detail":...} that is not a
 /// decision.
 void LogInfo(const std::string& event, const std::string& detail);
--- /dev/null
+++ b/src/batches/batch_client.cc
@@ -0,0 +1,217 @@
+#include "batches/batch_client.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberryroad::batches {
+
+using platform::KeyedRecord;
+using platform::NewestOutcome;
+using platform::NewestPage;
+using platform::PlatformFailure;
+using std::chrono::milliseconds;
+
+BatchClient::BatchClient(base::EventLoop& loop, const Clock& clock,
+                         platform::PartitionStore& store, int partitions)
+    : loop_(loop), clock_(clock), store_(store), partitions_(partitions) {}
+
+void BatchClient::After(milliseconds delay, std::function<void()> step) {
+  auto timer = std::make_shared<base::Timer>();
+  *timer = loop_.After(
+      delay, [self = shared_from_this(), timer, step = std::move(step)] {
+        // The timer holds this callback, and with it itself.
+        const base::Timer fired = std::move(*timer);
+        step();
+      });
+}
+
+void BatchClient::Submit(const std::string& batch,
+                         std::vector<KeyedRecord> records,
+                         milliseconds patience,
+                         std::function<void(StoreResult)> on_result) {
+  Append(PartitionOf(batch, partitions_), std::move(records),
+         clock_.now() + patience, /*maybe_stored=*/false, std::move(on_result));
+}
+
+void BatchClient::End(const std::string& batch, milliseconds patience,
+                      std::function<void(StoreResult)> on_result) {
+  v1::BatchEnd end;
+  end.set_ended_ms(UnixTime(clock_.wall_now()).count());
+  Append(PartitionOf(batch, partitions_),
+         {{Encode(EndKey{batch}), end.SerializeAsString()}},
+         clock_.now() + patience, /*maybe_stored=*/false, std::move(on_result));
+}
+
+// Records of a batch have fixed keys and content, so that storing them twice
+// changes nothing.
+void BatchClient::Append(const platform::PartitionId& partition,
+                         std::vector<KeyedRecord> records, Instant give_up,
+                         bool maybe_stored,
+                         std::function<void(StoreResult)> on_result) {
+  const auto left =
+      std::chrono::duration_cast<milliseconds>(give_up - clock_.now());
+  store_.Append(
+      partition, records, {}, std::clamp(left, kRetry, kAppendTimeout),
+      [self = shared_from_this(), partition, records, give_up, maybe_stored,
+       on_result = std::move(on_result)](
+          const platform::AppendOutcome& outcome) mutable {
+        if (std::holds_alternative<platform::Appended>(outcome)) {
+          on_result(Stored{});
+          return;
+        }
+        std::string reason = "the store refused the append";
+        if (const auto* failure = std::get_if<PlatformFailure>(&outcome)) {
+          reason = failure->reason;
+          maybe_stored = maybe_stored || failure->verdict != Verdict::kNotRun;
+        }
+        if (self->clock_.now() + kRetry >= give_up) {
+          if (maybe_stored) {
+            on_result(MaybeStored{std::move(reason)});
+          } else {
+            on_result(NotStored{std::move(reason)});
+          }
+          return;
+        }
+        self->After(kRetry,
+                    [self, partition, records = std::move(records), give_up,
+                     maybe_stored, on_result = std::move(on_result)]() mutable {
+                      self->Append(partition, std::move(records), give_up,
+                                   maybe_stored, std::move(on_result));
+                    });
+      });
+}
+
+void BatchClient::Remember(const std::string& batch, v1::BatchRecord record) {
+  if (known_.size() >= kMaxKnown) {
+    known_.erase(known_.begin());
+  }
+  known_[batch] = std::move(record);
+}
+
+void BatchClient::Find(
+    const std::string& batch,
+    std::function<void(std::variant<v1::BatchRecord, NoSuchBatch, Unsure>)>
+        on_result) {
+  if (const auto found = known_.find(batch); found != known_.end()) {
+    on_result(found->second);
+    return;
+  }
+  store_.ReadNewest(
+      PartitionOf(batch, partitions_), batch + "/", kReadTimeout,
+      [self = shared_from_this(), batch,
+       on_result = std::move(on_result)](const NewestOutcome& outcome) {
+        if (const auto* failure = std::get_if<PlatformFailure>(&outcome)) {
+          on_result(Unsure{failure->reason});
+          return;
+        }
+        const auto& page = std::get<NewestPage>(outcome);
+        v1::BatchRecord record;
+        if (page.records.empty() ||
+            page.records.front().key != Encode(AcceptedKey{batch})) {
+          on_result(NoSuchBatch{});
+        } else if (!record.ParseFromString(
+                       page.records.front().value.value_or(""))) {
+          on_result(Unsure{"the record of the batch is malformed"});
+        } else {
+          self->Remember(batch, record);
+          on_result(std::move(record));
+        }
+      });
+}
+
+void BatchClient::Read(const std::string& batch, std::uint32_t position,
+                       milliseconds wait,
+                       std::function<void(ReadResult)> on_result) {
+  ReadPage(batch, position, clock_.now() + wait, std::move(on_result));
+}
+
+void BatchClient::ReadPage(const std::string& batch, std::uint32_t position,
+                           Instant until,
+                           std::function<void(ReadResult)> on_result) {
+  // The key before the first one that is wanted.
+  const std::string after = position == 0
+                                ? Encode(AcceptedKey{batch})
+                                : Encode(ResultKey{batch, position - 1});
+  store_.ReadNewest(
+      PartitionOf(batch, partitions_), after, kReadTimeout,
+      [self = shared_from_this(), batch, position, until,
+       on_result = std::move(on_result)](const NewestOutcome& outcome) mutable {
+        if (const auto* failure = std::get_if<PlatformFailure>(&outcome)) {
+          on_result(Unsure{failure->reason});
+          return;
+        }
+        ResultPage page;
+        std::size_t bytes = 0;
+        for (const KeyedRecord& record :
+             std::get<NewestPage>(outcome).records) {
+          const BatchKey key = Decode(record.key);
+          const auto* result_key = std::get_if<ResultKey>(&key);
+          v1::ResultRecord result;
+          if (result_key == nullptr || result_key->batch != batch ||
+              result_key->position != position + page.results.size() ||
+              !result.ParseFromString(record.value.value_or("")) ||
+              (bytes > 0 && bytes + record.value->size() > kMaxPageBytes)) {
+            break;
+          }
+          bytes += record.value->size();
+          page.results.push_back(std::move(result));
+        }
+        if (page.results.empty() &&
+            self->clock_.now() + kPollInterval < until) {
+          self->After(
+              kPollInterval, [self, batch, position, until,
+                              on_result = std::move(on_result)]() mutable {
+                self->ReadPage(batch, position, until, std::move(on_result));
+              });
+          return;
+        }
+        on_result(std::move(page));
+      });
+}
+
+void BatchClient::ReadBody(const std::string& batch, const std::string& item,
+                           std::function<void(BodyResult)> on_result) {
+  ReadChunks(batch, item, Encode(EndKey{batch}), std::move(on_result));
+}
+
+void BatchClient::ReadChunks(const std::string& batch, const std::string& item,
+                             const std::string& after,
+                             std::function<void(BodyResult)> on_result) {
+  store_.ReadNewest(
+      PartitionOf(batch, partitions_), after, kReadTimeout,
+      [self = shared_from_this(), batch, item,
+       on_result = std::move(on_result)](const NewestOutcome& outcome) mutable {
+        if (const auto* failure = std::get_if<PlatformFailure>(&outcome)) {
+          on_result(Unsure{failure->reason});
+          return;
+        }
+        const auto& page = std::get<NewestPage>(outcome);
+        for (const KeyedRecord& record : page.records) {
+          const BatchKey key = Decode(record.key);
+          const auto* chunk_key = std::get_if<ChunkKey>(&key);
+          v1::BatchChunk chunk;
+          if (chunk_key == nullptr || chunk_key->batch != batch) {
+            on_result(NoSuchBatch{});
+            return;
+          }
+          if (!chunk.ParseFromString(record.value.value_or(""))) {
+            on_result(Unsure{"a record of the batch is malformed"});
+            return;
+          }
+          for (const v1::BatchItem& stored : chunk.items()) {
+            if (stored.id() == item) {
+              on_result(ItemBody{stored.body()});
+              return;
+            }
+          }
+        }
+        if (!page.has_more || page.records.empty()) {
+          on_result(NoSuchBatch{});
+          return;
+        }
+        self->ReadChunks(batch, item, page.records.back().key,
+                         std::move(on_result));
+      });
+}
+
+}  // namespace mulberryroad::batches
--- /dev/null
+++ b/src/batches/batch_client.h
@@ -0,0 +1,116 @@
+// Submits, reads and ends batches in the store. Any node can, whoever runs
+// them.
+
+#ifndef MULBERRYROAD_SRC_BATCHES_BATCH_CLIENT_H_
+#define MULBERRYROAD_SRC_BATCHES_BATCH_CLIENT_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/event_loop.h"
+#include "batches/batch_table.h"
+#include "mulberryroad/clock.h"
+#include "platform/partition_store.h"
+
+namespace mulberryroad::batches {
+
+/// The store holds it.
+struct Stored {};
+/// The store does not hold it and never will.
+struct NotStored {
+  std::string reason;
+};
+/// The store may hold it.
+struct MaybeStored {
+  std::string reason;
+};
+using StoreResult = std::variant<Stored, NotStored, MaybeStored>;
+
+/// Part of a batch's results.
+struct ResultPage {
+  /// Items of the batch.
+  std::uint32_t total = 0;
+  std::vector<v1::ResultRecord> results;
+};
+struct NoSuchBatch {};
+/// Whether the batch exists cannot be said at the moment.
+struct Unsure {
+  std::string reason;
+};
+using ReadResult = std::variant<ResultPage, NoSuchBatch, Unsure>;
+
+/// Body of an item, or why there is none.
+struct ItemBody {
+  std::string bytes;
+};
+using BodyResult = std::variant<ItemBody, NoSuchBatch, Unsure>;
+
+class BatchClient : public std::enable_shared_from_this<BatchClient> {
+ public:
+  BatchClient(base::EventLoop& loop, const Clock& clock,
+              platform::PartitionStore& store, int partitions);
+
+  /// Stores a batch.
+  /// @param patience how long an append without an answer is repeated
+  void Submit(const std::string& batch,
+              std::vector<platform::KeyedRecord> records,
+              std::chrono::milliseconds patience,
+              std::function<void(StoreResult)> on_result);
+  /// Stores the end of a batch.
+  void End(const std::string& batch, std::chrono::milliseconds patience,
+           std::function<void(StoreResult)> on_result);
+  /// Finds what was accepted as a batch.
+  void Find(
+      const std::string& batch,
+      std::function<void(std::variant<v1::BatchRecord, NoSuchBatch, Unsure>)>
+          on_result);
+  /// Reads results from a position on.
+  /// @param wait how long to wait for the first of them
+  void Read(const std::string& batch, std::uint32_t position,
+            std::chrono::milliseconds wait,
+            std::function<void(ReadResult)> on_result);
+  /// Reads the body of an item.
+  void ReadBody(const std::string& batch, const std::string& item,
+                std::function<void(BodyResult)> on_result);
+
+  /// A page of results stays under the platform's 1 MB.
+  static constexpr std::size_t kMaxPageBytes = 900'000;
+  static constexpr std::chrono::milliseconds kReadTimeout{900};
+  /// A waiting reader looks again this often; a step's results are read about
+  /// twice a second.
+  static constexpr std::chrono::milliseconds kPollInterval{250};
+  /// An append usually takes 4 ms; a store fifty times slower is waited for.
+  static constexpr std::chrono::milliseconds kAppendTimeout{600};
+  static constexpr std::chrono::milliseconds kRetry{50};
+  /// What was accepted of this many batches is remembered.
+  static constexpr std::size_t kMaxKnown = 512;
+
+ private:
+  void Append(const platform::PartitionId& partition,
+              std::vector<platform::KeyedRecord> records, Instant give_up,
+              bool maybe_stored, std::function<void(StoreResult)> on_result);
+  void ReadPage(const std::string& batch, std::uint32_t position, Instant until,
+                std::function<void(ReadResult)> on_result);
+  void ReadChunks(const std::string& batch, const std::string& item,
+                  const std::string& after,
+                  std::function<void(BodyResult)> on_result);
+  void After(std::chrono::milliseconds delay, std::function<void()> step);
+  void Remember(const std::string& batch, v1::BatchRecord record);
+
+  base::EventLoop& loop_;
+  const Clock& clock_;
+  platform::PartitionStore& store_;
+  int partitions_;
+  std::map<std::string, v1::BatchRecord> known_;
+};
+
+}  // namespace mulberryroad::batches
+
+#endif  // MULBERRYROAD_SRC_BATCHES_BATCH_CLIENT_H_
--- /dev/null
+++ b/src/batches/batch_host.h
@@ -0,0 +1,58 @@
+// Shares the partitions of batches out among the nodes and runs those that
+// fall to this one.
+
+#ifndef MULBERRYROAD_SRC_BATCHES_BATCH_HOST_H_
+#define MULBERRYROAD_SRC_BATCHES_BATCH_HOST_H_
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "batches/part_owner.h"
+
+namespace mulberryroad::batches {
+
+class BatchHost {
+ public:
+  /// @param member name of this process; never that of an earlier one
+  BatchHost(BatchContext& context, std::string member);
+  ~BatchHost();
+  BatchHost(const BatchHost&) = delete;
+  BatchHost& operator=(const BatchHost&) = delete;
+
+  void Start();
+  /// Hands all partitions over to the other nodes.
+  void Leave();
+
+  std::size_t parts() const { return owners_.size(); }
+  std::size_t running() const;
+  std::size_t waiting() const;
+
+  /// A node that is silent for longer loses its partitions: the store's least
+  /// time is one second; half a second more bears one lost call.
+  static constexpr std::chrono::milliseconds kLifetime{1'500};
+  static constexpr std::chrono::milliseconds kJoinInterval{300};
+  static constexpr std::chrono::milliseconds kJoinTimeout{800};
+  /// Items that wait for a place are looked at this often.
+  static constexpr std::chrono::milliseconds kPumpInterval{50};
+
+ private:
+  void Join();
+  void OnShare(const platform::GroupShare& share);
+  void Acquire(const platform::PartitionId& partition, std::uint64_t epoch);
+
+  BatchContext& context_;
+  std::string member_;
+  std::uint64_t generation_ = 0;
+  bool joining_ = false;
+  bool left_ = false;
+  std::map<platform::PartitionId, std::shared_ptr<PartOwner>> owners_;
+  base::Timer join_timer_;
+  base::Timer pump_timer_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace mulberryroad::batches
+
+#endif  // MULBERRYROAD_SRC_BATCHES_BATCH_HOST_H_
--- /dev/null
+++ b/src/batches/batch_keys.cc
@@ -0,0 +1,87 @@
+#include "batches/batch_keys.h"
+
+#include <algorithm>
+#include <cctype>
+#include <cstdio>
+#include <cstdlib>
+
+#include "base/digest.h"
+
+namespace mulberryroad::batches {
+
+namespace {
+
+// A key takes at most 255 bytes.
+constexpr std::size_t kMaxIdLength = 200;
+constexpr char kAccepted[] = "a";
+constexpr char kResults[] = "b";
+constexpr char kEnd[] = "e";
+constexpr char kChunks[] = "s";
+
+// Numbers have a fixed width, so that keys sort by them.
+std::string Numbered(const std::string& batch, const char* part,
+                     std::uint32_t number) {
+  char text[16];
+  std::snprintf(text, sizeof(text), "%08u", number);
+  return batch + "/" + part + "/" + text;
+}
+
+}  // namespace
+
+std::string Encode(const AcceptedKey& key) {
+  return key.batch + "/" + kAccepted;
+}
+
+std::string Encode(const ResultKey& key) {
+  return Numbered(key.batch, kResults, key.position);
+}
+
+std::string Encode(const EndKey& key) { return key.batch + "/" + kEnd; }
+
+std::string Encode(const ChunkKey& key) {
+  return Numbered(key.batch, kChunks, key.number);
+}
+
+BatchKey Decode(const std::string& key) {
+  const std::size_t first = key.find('/');
+  if (first == std::string::npos) {
+    return ForeignKey{};
+  }
+  const std::string batch = key.substr(0, first);
+  const std::string rest = key.substr(first + 1);
+  if (rest == kAccepted) {
+    return AcceptedKey{batch};
+  }
+  if (rest == kEnd) {
+    return EndKey{batch};
+  }
+  const std::size_t second = rest.find('/');
+  if (second == std::string::npos) {
+    return ForeignKey{};
+  }
+  const auto number = static_cast<std::uint32_t>(
+      std::strtoul(rest.c_str() + second + 1, nullptr, 10));
+  const std::string part = rest.substr(0, second);
+  if (part == kResults) {
+    return ResultKey{batch, number};
+  }
+  if (part == kChunks) {
+    return ChunkKey{batch, number};
+  }
+  return ForeignKey{};
+}
+
+bool IsBatchId(const std::string& id) {
+  return !id.empty() && id.size() <= kMaxIdLength &&
+         std::all_of(id.begin(), id.end(), [](unsigned char c) {
+           return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+         });
+}
+
+platform::PartitionId PartitionOf(const std::string& batch, int partitions) {
+  return {kBatchTopic,
+          static_cast<int>(base::StableHash(batch) %
+                           static_cast<std::uint64_t>(partitions))};
+}
+
+}  // namespace mulberryroad::batches
--- /dev/null
+++ b/src/batches/batch_keys.h
@@ -0,0 +1,50 @@
+// Keys of a batch's records in the store. In their order stand first what was
+// accepted, then the results by position, the end, and the items.
+
+#ifndef MULBERRYROAD_SRC_BATCHES_BATCH_KEYS_H_
+#define MULBERRYROAD_SRC_BATCHES_BATCH_KEYS_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include "platform/partition_store.h"
+
+namespace mulberryroad::batches {
+
+/// Topic of all batches.
+inline constexpr char kBatchTopic[] = "keyed.batches";
+
+/// What a key names.
+struct AcceptedKey {
+  std::string batch;
+};
+struct ResultKey {
+  std::string batch;
+  std::uint32_t position = 0;
+};
+struct EndKey {
+  std::string batch;
+};
+struct ChunkKey {
+  std::string batch;
+  std::uint32_t number = 0;
+};
+struct ForeignKey {};
+using BatchKey =
+    std::variant<AcceptedKey, ResultKey, EndKey, ChunkKey, ForeignKey>;
+
+std::string Encode(const AcceptedKey& key);
+std::string Encode(const ResultKey& key);
+std::string Encode(const EndKey& key);
+std::string Encode(const ChunkKey& key);
+BatchKey Decode(const std::string& key);
+
+/// Returns whether an id can be part of a key.
+bool IsBatchId(const std::string& id);
+/// Returns the partition that holds a batch.
+platform::PartitionId PartitionOf(const std::string& batch, int partitions);
+
+}  // namespace mulberryroad::batches
+
+#endif  // MULBERRYROAD_SRC_BATCHES_BATCH_KEYS_H_
--- /dev/null
+++ b/src/batches/batch_table.cc
@@ -0,0 +1,98 @@
+#include "batches/batch_table.h"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+namespace mulberryroad::batches {
+
+std::optional<std::string> BatchTable::Apply(
+    const platform::KeyedRecord& record) {
+  const BatchKey key = Decode(record.key);
+  return std::visit(
+      [this, &record](const auto& named) -> std::optional<std::string> {
+        using Key = std::decay_t<decltype(named)>;
+        if constexpr (std::is_same_v<Key, ForeignKey>) {
+          return std::nullopt;
+        } else {
+          if (record.value.has_value()) {
+            Take(named, record);
+          } else if (std::is_same_v<Key, AcceptedKey>) {
+            batches_.erase(named.batch);
+          }
+          return named.batch;
+        }
+      },
+      key);
+}
+
+void BatchTable::Take(const AcceptedKey& key,
+                      const platform::KeyedRecord& record) {
+  Batch& batch = batches_[key.batch];
+  v1::BatchRecord accepted;
+  // A batch that arrives again is the one that was accepted first.
+  if (!batch.accepted.has_value() && accepted.ParseFromString(*record.value)) {
+    batch.accepted = std::move(accepted);
+  }
+}
+
+void BatchTable::Take(const ResultKey& key,
+                      const platform::KeyedRecord& record) {
+  Batch& batch = batches_[key.batch];
+  v1::ResultRecord result;
+  if (result.ParseFromString(*record.value)) {
+    batch.listed.insert(result.item());
+    batch.next_position = std::max(batch.next_position, key.position + 1);
+  }
+}
+
+void BatchTable::Take(const EndKey& key,
+                      const platform::KeyedRecord& /*record*/) {
+  Batch& batch = batches_[key.batch];
+  batch.ended = true;
+  batch.chunks.clear();
+}
+
+void BatchTable::Take(const ChunkKey& key,
+                      const platform::KeyedRecord& record) {
+  Batch& batch = batches_[key.batch];
+  v1::BatchChunk chunk;
+  if (!batch.ended && !batch.chunks.contains(key.number) &&
+      chunk.ParseFromString(*record.value)) {
+    batch.chunks[key.number] = std::move(chunk);
+  }
+}
+
+const Batch* BatchTable::find(const std::string& id) const {
+  const auto found = batches_.find(id);
+  return found == batches_.end() ? nullptr : &found->second;
+}
+
+std::vector<platform::KeyedRecord> MakeRecords(
+    v1::BatchRecord accepted, const std::vector<v1::BatchItem>& items,
+    std::size_t max_record_bytes) {
+  std::vector<platform::KeyedRecord> records(1);
+  v1::BatchChunk chunk;
+  std::uint32_t chunks = 0;
+  const auto close_chunk = [&] {
+    records.push_back({Encode(ChunkKey{accepted.batch(), chunks++}),
+                       chunk.SerializeAsString()});
+    chunk.Clear();
+  };
+  for (const v1::BatchItem& item : items) {
+    if (chunk.items_size() > 0 &&
+        chunk.ByteSizeLong() + item.ByteSizeLong() > max_record_bytes) {
+      close_chunk();
+    }
+    *chunk.add_items() = item;
+  }
+  close_chunk();
+  accepted.set_items(static_cast<std::uint32_t>(items.size()));
+  accepted.set_chunks(chunks);
+  records[0] = {Encode(AcceptedKey{accepted.batch()}),
+                accepted.SerializeAsString()};
+  return records;
+}
+
+}  // namespace mulberryroad::batches
--- /dev/null
+++ b/src/batches/item_run.cc
@@ -0,0 +1,166 @@
+#include "batches/item_run.h"
+
+#include <cstdlib>
+#include <utility>
+#include <variant>
+
+namespace mulberryroad::batches {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr int kOk = 200;
+constexpr int kUnprocessable = 422;
+constexpr int kServerError = 500;
+
+}  // namespace
+
+bool ItemProgress::Take(const serving::StreamEvent& event) {
+  const std::uint64_t id = std::strtoull(event.id.c_str(), nullptr, 10);
+  if (id != last_event + 1) {
+    return false;
+  }
+  last_event = id;
+  if (event.version.has_value()) {
+    version = *event.version;
+  }
+  versions.insert(version);
+  events.push_back(event.data);
+  return true;
+}
+
+std::string ItemProgress::text() const {
+  std::string text;
+  for (const std::string& event : events) {
+    if (&event != &events.front()) {
+      text += '\n';
+    }
+    text += event;
+  }
+  return text;
+}
+
+ItemRun::ItemRun(base::EventLoop& loop, const Clock& clock,
+                 serving::UpstreamCaller& caller, serving::UpstreamLoads& loads,
+                 UpstreamId upstream, ItemProgress progress, Instant deadline,
+                 RunTiming timing, OnEnd on_end)
+    : loop_(loop),
+      clock_(clock),
+      caller_(caller),
+      loads_(loads),
+      upstream_(std::move(upstream)),
+      progress_(std::move(progress)),
+      deadline_(deadline),
+      timing_(timing),
+      on_end_(std::move(on_end)) {}
+
+void ItemRun::Start(const serving::Registration& upstream,
+                    const serving::OutgoingRequest& request,
+                    std::uint64_t expected_version) {
+  loads_.Started(upstream_);
+  serving::CallOptions options;
+  options.deadline = duration_cast<milliseconds>(deadline_ - clock_.now());
+  options.version = expected_version;
+  if (progress_.last_event > 0) {
+    options.resume_after = std::to_string(progress_.last_event);
+  }
+  options.stream = serving::StreamHandler{
+      [self = shared_from_this()](const serving::StreamStart& start) {
+        self->OnStart(start);
+      },
+      [self = shared_from_this()](const serving::StreamEvent& event) {
+        self->OnEvent(event);
+      }};
+  call_ = caller_.Send(
+      upstream, request, std::move(options),
+      [self = shared_from_this()](const serving::UpstreamOutcome& outcome) {
+        self->OnDone(outcome);
+      });
+  Watch(timing_.first_event);
+}
+
+void ItemRun::Cancel() {
+  if (!std::exchange(ended_, true)) {
+    silence_timer_.Cancel();
+    call_->Cancel();
+    loads_.Ended(upstream_);
+  }
+}
+
+void ItemRun::Watch(milliseconds silence) {
+  silence_timer_ =
+      loop_.After(silence, [self = shared_from_this()] { self->Interrupt(); });
+}
+
+void ItemRun::OnStart(const serving::StreamStart& start) {
+  if (start.version != 0) {
+    progress_.version = start.version;
+  }
+}
+
+void ItemRun::OnEvent(const serving::StreamEvent& event) {
+  if (ended_) {
+    return;
+  }
+  if (!progress_.Take(event)) {
+    loop_.Post([self = shared_from_this()] { self->Interrupt(); });
+    return;
+  }
+  const Instant now = clock_.now();
+  if (last_event_at_.has_value()) {
+    loads_.Worked(upstream_,
+                  duration_cast<microseconds>(now - *last_event_at_));
+  }
+  last_event_at_ = now;
+  Watch(timing_.next_event);
+}
+
+void ItemRun::Interrupt() {
+  if (ended_) {
+    return;
+  }
+  loads_.Failed(upstream_, clock_.now());
+  call_->Cancel();
+  End(RunInterrupted{});
+}
+
+void ItemRun::OnDone(const serving::UpstreamOutcome& outcome) {
+  if (ended_) {
+    return;
+  }
+  if (const auto* refused = std::get_if<serving::NotRun>(&outcome)) {
+    if (refused->full) {
+      loads_.Refused(upstream_, clock_.now());
+    } else {
+      loads_.Failed(upstream_, clock_.now());
+    }
+    End(RunRefused{});
+    return;
+  }
+  const auto* whole = std::get_if<serving::Whole>(&outcome);
+  if (whole == nullptr) {
+    loads_.Failed(upstream_, clock_.now());
+    End(RunInterrupted{});
+  } else if (whole->status == kOk) {
+    End(RunCompleted{});
+  } else if (whole->status == kUnprocessable) {
+    End(RunImpossible{});
+  } else if (whole->status == kServerError) {
+    End(RunFailed{});
+  } else {
+    End(RunInterrupted{});
+  }
+}
+
+void ItemRun::End(const RunEnd& end) {
+  ended_ = true;
+  silence_timer_.Cancel();
+  loads_.Ended(upstream_);
+  const auto keep = shared_from_this();
+  std::exchange(on_end_, nullptr)(end, std::move(progress_));
+}
+
+}  // namespace mulberryroad::batches
--- /dev/null
+++ b/src/batches/item_scheduler.cc
@@ -0,0 +1,156 @@
+#include "batches/item_scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberryroad::batches {
+
+std::vector<std::size_t> OrderItems(const BatchInfo& batch) {
+  std::map<std::string, double> longest;
+  for (const ItemInfo& item : batch.items) {
+    double& group = longest[item.group];
+    group = std::max(group, item.expected_tokens);
+  }
+  std::vector<std::pair<double, std::string>> groups;
+  groups.reserve(longest.size());
+  for (const auto& [group, tokens] : longest) {
+    groups.emplace_back(tokens, group);
+  }
+  std::sort(groups.begin(), groups.end());
+  std::set<std::string> spare;
+  const std::size_t desired =
+      batch.desired_groups == 0 ? groups.size() : batch.desired_groups;
+  for (std::size_t i = desired; i < groups.size(); ++i) {
+    spare.insert(groups[i].second);
+  }
+  std::vector<std::size_t> order(batch.items.size());
+  for (std::size_t i = 0; i < order.size(); ++i) {
+    order[i] = i;
+  }
+  std::stable_sort(order.begin(), order.end(),
+                   [&](std::size_t a, std::size_t b) {
+                     const ItemInfo& left = batch.items[a];
+                     const ItemInfo& right = batch.items[b];
+                     const bool left_spare = spare.contains(left.group);
+                     const bool right_spare = spare.contains(right.group);
+                     if (left_spare != right_spare) {
+                       return right_spare;
+                     }
+                     return left.expected_tokens > right.expected_tokens;
+                   });
+  return order;
+}
+
+void ItemScheduler::Open(BatchInfo batch) {
+  Entry entry;
+  entry.items.resize(batch.items.size());
+  for (std::size_t i = 0; i < batch.items.size(); ++i) {
+    if (batch.items[i].listed) {
+      entry.items[i].state = State::kDone;
+    }
+  }
+  entry.order = OrderItems(batch);
+  const std::string id = batch.id;
+  entry.info = std::move(batch);
+  batches_[id] = std::move(entry);
+}
+
+void ItemScheduler::Close(const std::string& batch) { batches_.erase(batch); }
+
+std::vector<ItemScheduler::Entry*> ItemScheduler::ByDeadline() {
+  std::vector<Entry*> entries;
+  for (auto& [id, entry] : batches_) {
+    entries.push_back(&entry);
+  }
+  std::stable_sort(entries.begin(), entries.end(), [](Entry* a, Entry* b) {
+    return a->info.deadline < b->info.deadline;
+  });
+  return entries;
+}
+
+std::vector<StartItem> ItemScheduler::Place(Instant now,
+                                            const ItemPlacer& placer) {
+  std::vector<StartItem> starts;
+  for (Entry* entry : ByDeadline()) {
+    for (const std::size_t index : entry->order) {
+      Item& item = entry->items[index];
+      if (item.state != State::kWaiting || now < item.not_before) {
+        continue;
+      }
+      const ItemRef ref{entry->info.id, index};
+      const std::optional<UpstreamId> upstream =
+          placer(entry->info, ref, item.last);
+      if (!upstream.has_value()) {
+        break;
+      }
+      item.state = State::kRunning;
+      item.last = *upstream;
+      starts.push_back({ref, *upstream});
+    }
+  }
+  return starts;
+}
+
+ItemScheduler::Item* ItemScheduler::FindItem(const ItemRef& ref) {
+  const auto found = batches_.find(ref.batch);
+  if (found == batches_.end() || ref.index >= found->second.items.size()) {
+    return nullptr;
+  }
+  return &found->second.items[ref.index];
+}
+
+ItemStep ItemScheduler::OnRunEnd(const ItemRef& ref, const RunEnd& end,
+                                 Instant now) {
+  Item* item = FindItem(ref);
+  if (item == nullptr || item->state == State::kDone) {
+    return KeepWaiting{};
+  }
+  if (std::holds_alternative<RunCompleted>(end)) {
+    item->state = State::kDone;
+    return ListCompleted{};
+  }
+  if (std::holds_alternative<RunFailed>(end)) {
+    ++item->failures;
+  }
+  const int allowed = batches_.at(ref.batch).info.max_attempts;
+  if (std::holds_alternative<RunImpossible>(end) || item->failures >= allowed) {
+    item->state = State::kDone;
+    return ListTerminated{};
+  }
+  item->state = State::kWaiting;
+  item->not_before = now + kRetryDelay;
+  return KeepWaiting{};
+}
+
+std::vector<ItemRef> ItemScheduler::Overdue(Instant now) {
+  std::vector<ItemRef> overdue;
+  for (auto& [id, entry] : batches_) {
+    if (now < entry.info.retention_end) {
+      continue;
+    }
+    for (std::size_t i = 0; i < entry.items.size(); ++i) {
+      if (entry.items[i].state != State::kDone) {
+        entry.items[i].state = State::kDone;
+        overdue.push_back({id, i});
+      }
+    }
+  }
+  return overdue;
+}
+
+std::size_t ItemScheduler::waiting() const {
+  std::size_t count = 0;
+  for (const auto& [id, entry] : batches_) {
+    count += static_cast<std::size_t>(std::count_if(
+        entry.items.begin(), entry.items.end(),
+        [](const Item& i) { return i.state == State::kWaiting; }));
+  }
+  return count;
+}
+
+const BatchInfo* ItemScheduler::find(const std::string& batch) const {
+  const auto found = batches_.find(batch);
+  return found == batches_.end() ? nullptr : &found->second.info;
+}
+
+}  // namespace mulberryroad::batches
--- /dev/null
+++ b/src/batches/part_owner.cc
@@ -0,0 +1,372 @@
+#include "batches/part_owner.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace mulberryroad::batches {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+// Batches whose route names no retention are kept as long as a long step takes.
+constexpr milliseconds kDefaultRetention{120'000};
+
+}  // namespace
+
+PartOwner::PartOwner(BatchContext& context, platform::PartitionId partition,
+                     std::uint64_t epoch, std::function<void()> on_lost)
+    : context_(context),
+      partition_(std::move(partition)),
+      epoch_(epoch),
+      on_lost_(std::move(on_lost)) {}
+
+void PartOwner::Start() {
+  context_.log.Write("part.acquire",
+                     {{"part", static_cast<std::int64_t>(partition_.number)},
+                      {"epoch", static_cast<std::int64_t>(epoch_)}});
+  writer_ = std::make_shared<store::FencedWriter>(
+      context_.loop, context_.log, context_.store, partition_, epoch_,
+      [weak = weak_from_this()] {
+        if (const auto owner = weak.lock()) {
+          owner->OnReady();
+        }
+      },
+      [weak = weak_from_this()] {
+        const auto owner = weak.lock();
+        if (owner != nullptr && !owner->stopped_) {
+          owner->Stop();
+          owner->on_lost_();
+        }
+      });
+  writer_->Start();
+}
+
+void PartOwner::OnReady() {
+  if (stopped_) {
+    return;
+  }
+  // Nobody else lists results from here on, so that what is read is complete.
+  store::TailHandler handler;
+  handler.on_snapshot = [weak = weak_from_this()](
+                            const std::vector<platform::KeyedRecord>& records) {
+    if (const auto owner = weak.lock()) {
+      for (const platform::KeyedRecord& record : records) {
+        owner->table_.Apply(record);
+      }
+      for (const auto& [id, batch] : owner->table_.all()) {
+        owner->Refresh(id);
+      }
+      owner->Pump();
+    }
+  };
+  handler.on_record = [weak =
+                           weak_from_this()](const platform::KeyedRecord& r) {
+    if (const auto owner = weak.lock()) {
+      owner->OnRecord(r);
+    }
+  };
+  handler.on_page_end = [weak = weak_from_this()] {
+    if (const auto owner = weak.lock()) {
+      owner->Pump();
+    }
+  };
+  tail_ = std::make_shared<store::KeyedTail>(
+      context_.loop, context_.clock, context_.log, context_.store, partition_,
+      store::TailTiming{}, std::move(handler));
+  tail_->Start();
+}
+
+void PartOwner::Stop() {
+  if (std::exchange(stopped_, true)) {
+    return;
+  }
+  context_.log.Write("part.release",
+                     {{"part", static_cast<std::int64_t>(partition_.number)},
+                      {"epoch", static_cast<std::int64_t>(epoch_)},
+                      {"runs", static_cast<std::int64_t>(runs_.size())}});
+  writer_->Stop();
+  if (tail_ != nullptr) {
+    tail_->Stop();
+  }
+  for (const auto& [item, run] : runs_) {
+    run->Cancel();
+  }
+  runs_.clear();
+}
+
+void PartOwner::OnRecord(const platform::KeyedRecord& record) {
+  if (const auto id = table_.Apply(record)) {
+    Refresh(*id);
+  }
+}
+
+void PartOwner::Refresh(const std::string& id) {
+  const Batch* batch = table_.find(id);
+  if (batch == nullptr || batch->ended) {
+    CloseBatch(id);
+    return;
+  }
+  if (batch->complete() && !scheduler_.knows(id)) {
+    OpenBatch(id, *batch);
+  }
+}
+
+void PartOwner::OpenBatch(const std::string& id, const Batch& batch) {
+  const v1::BatchRecord& record = *batch.accepted;
+  const WallTime accepted{milliseconds(record.accepted_ms())};
+  const auto age = context_.clock.wall_now() - accepted;
+  const Instant accepted_at =
+      context_.clock.now() - duration_cast<std::chrono::nanoseconds>(age);
+  const serving::Route* route =
+      context_.catalog.Match(record.host(), record.route());
+  BatchInfo info;
+  info.id = id;
+  info.model = TargetId(record.model());
+  info.min_version = record.min_version();
+  info.desired_groups = record.desired_groups();
+  info.retention_end = accepted_at + kDefaultRetention;
+  info.deadline = info.retention_end;
+  if (route != nullptr) {
+    info.max_attempts = route->max_attempts;
+    info.deadline = accepted_at + route->result_deadline;
+    if (route->retention > milliseconds(0)) {
+      info.retention_end = accepted_at + route->retention;
+    }
+  }
+  std::vector<v1::BatchItem>& items = items_[id];
+  for (const auto& [number, chunk] : batch.chunks) {
+    items.insert(items.end(), chunk.items().begin(), chunk.items().end());
+  }
+  for (const v1::BatchItem& item : items) {
+    info.items.push_back({item.id(), item.group(),
+                          context_.read_headers(item).expected_tokens,
+                          batch.listed.contains(item.id())});
+  }
+  next_position_[id] = std::max(next_position_[id], batch.next_position);
+  context_.log.Write(
+      "batch.open",
+      {{"batch", id},
+       {"part", static_cast<std::int64_t>(partition_.number)},
+       {"epoch", static_cast<std::int64_t>(epoch_)},
+       {"organisation", record.organisation()},
+       {"model", record.model()},
+       {"min_version", static_cast<std::int64_t>(record.min_version())},
+       {"items", static_cast<std::int64_t>(items.size())},
+       {"listed", static_cast<std::int64_t>(batch.listed.size())},
+       {"age_ms", duration_cast<milliseconds>(age).count()}});
+  scheduler_.Open(std::move(info));
+}
+
+void PartOwner::CloseBatch(const std::string& id) {
+  if (!scheduler_.knows(id)) {
+    return;
+  }
+  std::int64_t cancelled = 0;
+  for (auto run = runs_.lower_bound({id, 0});
+       run != runs_.end() && run->first.batch == id;) {
+    run->second->Cancel();
+    run = runs_.erase(run);
+    ++cancelled;
+  }
+  for (auto kept = progress_.lower_bound({id, 0});
+       kept != progress_.end() && kept->first.batch == id;) {
+    kept = progress_.erase(kept);
+  }
+  items_.erase(id);
+  scheduler_.Close(id);
+  context_.log.Write("batch.close", {{"batch", id}, {"cancelled", cancelled}});
+}
+
+std::optional<UpstreamId> PartOwner::Placement(const BatchInfo& batch,
+                                               const ItemRef& ref,
+                                               const UpstreamId& last) {
+  const v1::BatchItem* item = FindItem(ref);
+  const serving::Route* route =
+      item == nullptr
+          ? nullptr
+          : context_.catalog.Match(table_.find(batch.id)->accepted->host(),
+                                   item->path());
+  if (route == nullptr || route->services.empty()) {
+    return std::nullopt;
+  }
+  std::uniform_real_distribution<double> draw(0.0, 1.0);
+  const TargetId* service = serving::PickService(*route, draw(context_.random));
+  if (service == nullptr) {
+    return std::nullopt;
+  }
+  std::vector<const serving::Registration*> usable;
+  const Instant now = context_.clock.now();
+  for (const serving::Registration* upstream :
+       context_.directory.Ready(*service)) {
+    const auto version = upstream->versions.find(batch.model);
+    const bool fresh = version != upstream->versions.end() &&
+                       version->second >= batch.min_version;
+    const bool room = context_.loads.running(upstream->id) < upstream->slots &&
+                      !context_.loads.full(upstream->id, now);
+    if (fresh && room) {
+      usable.push_back(upstream);
+    }
+  }
+  std::set<UpstreamId> tried;
+  if (usable.size() > 1 && !last.empty()) {
+    tried.insert(last);
+  }
+  const serving::Registration* chosen =
+      serving::ChooseUpstream(usable, context_.loads, tried,
+                              context_.own_domain, now, draw(context_.random));
+  if (chosen == nullptr) {
+    return std::nullopt;
+  }
+  // Counted at once, so that the next placement sees it.
+  return chosen->id;
+}
+
+const v1::BatchItem* PartOwner::FindItem(const ItemRef& item) const {
+  const auto found = items_.find(item.batch);
+  return found == items_.end() || item.index >= found->second.size()
+             ? nullptr
+             : &found->second[item.index];
+}
+
+void PartOwner::Pump() {
+  if (stopped_) {
+    return;
+  }
+  const Instant now = context_.clock.now();
+  for (const ItemRef& item : scheduler_.Overdue(now)) {
+    if (const auto run = runs_.find(item); run != runs_.end()) {
+      run->second->Cancel();
+      runs_.erase(run);
+    }
+    List(item, v1::ITEM_STATE_TERMINATED, {});
+  }
+  scheduler_.Place(now, [this](const BatchInfo& batch, const ItemRef& item,
+                               const UpstreamId& last) {
+    const auto upstream = Placement(batch, item, last);
+    if (upstream.has_value()) {
+      StartRun({item, *upstream});
+    }
+    return upstream;
+  });
+}
+
+void PartOwner::StartRun(const StartItem& start) {
+  const v1::BatchItem& item = *FindItem(start.item);
+  const v1::BatchRecord& record = *table_.find(start.item.batch)->accepted;
+  const serving::Registration& upstream =
+      *context_.directory.find(start.upstream);
+  serving::OutgoingRequest request;
+  request.id = RequestId(item.id());
+  request.method = http::Method::kPost;
+  request.host = record.host();
+  request.target = item.path();
+  for (const v1::StoredHeader& header : item.headers()) {
+    request.headers.push_back({header.name(), header.value()});
+  }
+  request.body = item.body();
+  request.organisation = OrganisationId(record.organisation());
+  const serving::Route* route =
+      context_.catalog.Match(record.host(), item.path());
+  ItemProgress progress = std::move(progress_[start.item]);
+  std::uint64_t expected_version = 0;
+  if (route != nullptr && route->single_version) {
+    expected_version = upstream.versions.at(TargetId(record.model()));
+    if (progress.last_event > 0 && progress.version != expected_version) {
+      // A sample of one version starts anew under another.
+      progress = {};
+    }
+  }
+  context_.log.Write(
+      "item.start",
+      {{"request", item.id()},
+       {"batch", start.item.batch},
+       {"upstream", start.upstream.value()},
+       {"running",
+        static_cast<std::int64_t>(context_.loads.running(start.upstream))},
+       {"resume_after", static_cast<std::int64_t>(progress.last_event)},
+       {"manifest", static_cast<std::int64_t>(context_.catalog.version())}});
+  auto run = std::make_shared<ItemRun>(
+      context_.loop, context_.clock, context_.caller, context_.loads,
+      start.upstream, std::move(progress),
+      scheduler_.find(start.item.batch)->retention_end, RunTiming{},
+      [weak = weak_from_this(), item = start.item, id = start.upstream](
+          const RunEnd& end, ItemProgress brought) {
+        if (const auto owner = weak.lock()) {
+          owner->OnRunEnd(item, id, end, std::move(brought));
+        }
+      });
+  runs_[start.item] = run;
+  run->Start(upstream, request, expected_version);
+}
+
+void PartOwner::OnRunEnd(const ItemRef& item, const UpstreamId& upstream,
+                         const RunEnd& end, ItemProgress progress) {
+  runs_.erase(item);
+  if (stopped_) {
+    return;
+  }
+  static constexpr const char* kNames[] = {"completed", "failed", "impossible",
+                                           "refused", "interrupted"};
+  const v1::BatchItem* stored = FindItem(item);
+  const BatchInfo* batch = scheduler_.find(item.batch);
+  if (stored == nullptr || batch == nullptr) {
+    return;
+  }
+  const bool completed = std::holds_alternative<RunCompleted>(end);
+  const bool stale = completed && !progress.versions.empty() &&
+                     *progress.versions.begin() < batch->min_version;
+  context_.log.Write(
+      "item.end",
+      {{"request", stored->id()},
+       {"batch", item.batch},
+       {"upstream", upstream.value()},
+       {"outcome", stale ? "stale" : kNames[end.index()]},
+       {"events", static_cast<std::int64_t>(progress.events.size())},
+       {"version", static_cast<std::int64_t>(progress.version)}});
+  context_.metrics.Count("item_runs_total", {{"outcome", kNames[end.index()]}});
+  const ItemStep step = scheduler_.OnRunEnd(
+      item, stale ? RunEnd(RunInterrupted{}) : end, context_.clock.now());
+  if (std::holds_alternative<ListCompleted>(step)) {
+    List(item, v1::ITEM_STATE_COMPLETED, progress);
+  } else if (std::holds_alternative<ListTerminated>(step)) {
+    List(item, v1::ITEM_STATE_TERMINATED, {});
+  } else if (!stale) {
+    progress_[item] = std::move(progress);
+  }
+  // From the loop: the run is still on the stack.
+  context_.loop.Post([weak = weak_from_this()] {
+    if (const auto owner = weak.lock()) {
+      owner->Pump();
+    }
+  });
+}
+
+void PartOwner::List(const ItemRef& item, v1::ItemState state,
+                     const ItemProgress& progress) {
+  const v1::BatchItem* stored = FindItem(item);
+  v1::ResultRecord result;
+  result.set_item(stored->id());
+  result.set_state(state);
+  result.set_text(progress.text());
+  for (const std::uint64_t version : progress.versions) {
+    result.add_versions(version);
+  }
+  const std::uint32_t position = next_position_[item.batch]++;
+  writer_->Append(
+      {{Encode(ResultKey{item.batch, position}), result.SerializeAsString()}},
+      [this, weak = weak_from_this(), batch = item.batch, position,
+       id = stored->id()] {
+        if (const auto owner = weak.lock()) {
+          context_.log.Write(
+              "item.listed",
+              {{"request", id},
+               {"batch", batch},
+               {"position", static_cast<std::int64_t>(position)}});
+        }
+      });
+}
+
+}  // namespace mulberryroad::batches
--- /dev/null
+++ b/src/batches/part_owner.h
@@ -0,0 +1,103 @@
+// Runs the batches of one partition while this node holds it.
+
+#ifndef MULBERRYROAD_SRC_BATCHES_PART_OWNER_H_
+#define MULBERRYROAD_SRC_BATCHES_PART_OWNER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "base/event_loop.h"
+#include "base/metrics.h"
+#include "base/structured_log.h"
+#include "batches/batch_table.h"
+#include "batches/item_run.h"
+#include "batches/item_scheduler.h"
+#include "mulberryroad/clock.h"
+#include "platform/partition_store.h"
+#include "serving/catalog.h"
+#include "serving/upstream_caller.h"
+#include "serving/upstreams.h"
+#include "store/fenced_writer.h"
+#include "store/keyed_tail.h"
+
+namespace mulberryroad::batches {
+
+/// Reads the platform's headers of an item.
+struct ItemHeaders {
+  /// Estimate of the output's tokens; 0 if there is none.
+  double expected_tokens = 0;
+};
+using ReadItemHeaders = std::function<ItemHeaders(const v1::BatchItem&)>;
+
+/// What the owners of a node share.
+struct BatchContext {
+  base::EventLoop& loop;
+  const Clock& clock;
+  base::StructuredLog& log;
+  base::Metrics& metrics;
+  platform::PartitionStore& store;
+  const serving::Catalog& catalog;
+  const serving::UpstreamDirectory& directory;
+  /// Runs of items and the pace of their events.
+  serving::UpstreamLoads& loads;
+  serving::UpstreamCaller& caller;
+  FailureDomainId own_domain;
+  std::mt19937_64& random;
+  ReadItemHeaders read_headers;
+};
+
+class PartOwner : public std::enable_shared_from_this<PartOwner> {
+ public:
+  /// @param epoch higher than that of all owners before
+  /// @param on_lost called once if another node took the partition over
+  PartOwner(BatchContext& context, platform::PartitionId partition,
+            std::uint64_t epoch, std::function<void()> on_lost);
+
+  void Start();
+  /// Ends all runs; what they brought is lost.
+  void Stop();
+  /// Places waiting items and gives up overdue ones.
+  void Pump();
+
+  std::size_t running() const { return runs_.size(); }
+  std::size_t waiting() const { return scheduler_.waiting(); }
+
+ private:
+  void OnReady();
+  void OnRecord(const platform::KeyedRecord& record);
+  void Refresh(const std::string& id);
+  void OpenBatch(const std::string& id, const Batch& batch);
+  void CloseBatch(const std::string& id);
+  std::optional<UpstreamId> Placement(const BatchInfo& batch,
+                                      const ItemRef& item,
+                                      const UpstreamId& last);
+  void StartRun(const StartItem& start);
+  void OnRunEnd(const ItemRef& item, const UpstreamId& upstream,
+                const RunEnd& end, ItemProgress progress);
+  void List(const ItemRef& item, v1::ItemState state,
+            const ItemProgress& progress);
+  const v1::BatchItem* FindItem(const ItemRef& item) const;
+
+  BatchContext& context_;
+  platform::PartitionId partition_;
+  std::uint64_t epoch_;
+  std::function<void()> on_lost_;
+  std::shared_ptr<store::FencedWriter> writer_;
+  std::shared_ptr<store::KeyedTail> tail_;
+  BatchTable table_;
+  ItemScheduler scheduler_;
+  std::map<ItemRef, std::shared_ptr<ItemRun>> runs_;
+  std::map<ItemRef, ItemProgress> progress_;
+  /// Items of the open batches by index.
+  std::map<std::string, std::vector<v1::BatchItem>> items_;
+  std::map<std::string, std::uint32_t> next_position_;
+  bool stopped_ = false;
+};
+
+}  // namespace mulberryroad::batches
+
+#endif  // MULBERRYROAD_SRC_BATCHES_PART_OWNER_H_
--- /dev/null
+++ b/src/duties/duty_lease.h
@@ -0,0 +1,79 @@
+// The lease on the duties that one node may do at a time. Pure.
+//
+// Every claim and renewal is appended on the condition that its author has read
+// the whole partition, so that of two claims only one is taken. The holder
+// counts its term from before it sent the renewal; a challenger counts from
+// when it read it.
+
+#ifndef MULBERRYROAD_SRC_DUTIES_DUTY_LEASE_H_
+#define MULBERRYROAD_SRC_DUTIES_DUTY_LEASE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "mulberryroad/clock.h"
+#include "mulberryroad/store.pb.h"
+
+namespace mulberryroad::duties {
+
+struct LeaseTiming {
+  /// Length of a term without renewal: a store that is fifty times slower than
+  /// usual still takes several renewals in it.
+  std::chrono::milliseconds term{2'000};
+  /// The holder stops this long before its term ends, and challengers wait as
+  /// long beyond it: more than timers are late.
+  std::chrono::milliseconds margin{250};
+  std::chrono::milliseconds renewal{500};
+  /// A process that held the lease, or may have held it before its start,
+  /// claims it only after this time, so that duties do not go back and forth.
+  std::chrono::milliseconds quiet{3'500};
+};
+
+/// Nothing is due.
+struct Rest {};
+/// Append this record where the partition was read to.
+struct WriteLease {
+  v1::DutyRecord record;
+};
+using LeaseStep = std::variant<Rest, WriteLease>;
+
+class DutyLease {
+ public:
+  /// @param holder name of this process; never that of an earlier one
+  /// @param may_claim_at_once no process of this system ran before
+  DutyLease(std::string holder, LeaseTiming timing, Instant started,
+            bool may_claim_at_once);
+
+  /// Takes in a record of the lease in the order of the partition.
+  void OnRecord(const v1::DutyRecord& record, Instant now);
+  /// Decides what is due. A record that it returns was sent at `now`.
+  LeaseStep Tick(Instant now);
+  /// Makes the record that gives the lease up, if it is held.
+  std::optional<v1::DutyRecord> Release(Instant now);
+
+  /// Returns the epoch while this process may act, else nullopt.
+  std::optional<std::uint64_t> epoch(Instant now) const;
+  const v1::DutyRecord& state() const { return state_; }
+
+ private:
+  bool mine() const { return state_.holder() == holder_ && !state_.released(); }
+
+  std::string holder_;
+  LeaseTiming timing_;
+  v1::DutyRecord state_;
+  std::optional<Instant> read_at_;
+  Instant claim_from_;
+  /// Sending times of records that may still be read, by epoch and renewal.
+  std::map<std::pair<std::uint64_t, std::uint64_t>, Instant> sent_;
+  std::optional<Instant> last_write_;
+  /// End of the term, as far as it is known.
+  Instant term_end_{};
+};
+
+}  // namespace mulberryroad::duties
+
+#endif  // MULBERRYROAD_SRC_DUTIES_DUTY_LEASE_H_
--- /dev/null
+++ b/src/duties/lease_runner.h
@@ -0,0 +1,63 @@
+// Keeps the lease on the duties in the store.
+
+#ifndef MULBERRYROAD_SRC_DUTIES_LEASE_RUNNER_H_
+#define MULBERRYROAD_SRC_DUTIES_LEASE_RUNNER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/event_loop.h"
+#include "base/structured_log.h"
+#include "duties/duty_lease.h"
+#include "mulberryroad/clock.h"
+#include "platform/partition_store.h"
+#include "store/keyed_tail.h"
+
+namespace mulberryroad::duties {
+
+/// Topic of the lease (partition 0) and of the closed usage windows (1).
+inline constexpr char kDutyTopic[] = "keyed.duties";
+inline constexpr int kLeasePartition = 0;
+inline constexpr int kClosedWindowsPartition = 1;
+
+class LeaseRunner {
+ public:
+  LeaseRunner(base::EventLoop& loop, const Clock& clock,
+              base::StructuredLog& log, platform::PartitionStore& store,
+              DutyLease lease);
+  ~LeaseRunner();
+  LeaseRunner(const LeaseRunner&) = delete;
+  LeaseRunner& operator=(const LeaseRunner&) = delete;
+
+  void Start();
+  /// Gives the lease up, and does not claim it again.
+  void Release();
+  /// Returns the epoch while this process may act, else nullopt.
+  std::optional<std::uint64_t> epoch() const;
+
+  static constexpr std::chrono::milliseconds kTick{100};
+  static constexpr std::chrono::milliseconds kAppendTimeout{500};
+
+ private:
+  void Take(const platform::KeyedRecord& record);
+  void Tick();
+  void Write(const v1::DutyRecord& record);
+
+  base::EventLoop& loop_;
+  const Clock& clock_;
+  base::StructuredLog& log_;
+  platform::PartitionStore& store_;
+  DutyLease lease_;
+  std::shared_ptr<store::KeyedTail> tail_;
+  base::Timer timer_;
+  std::optional<std::uint64_t> told_epoch_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace mulberryroad::duties
+
+#endif  // MULBERRYROAD_SRC_DUTIES_LEASE_RUNNER_H_
--- /dev/null
+++ b/src/duties/weight_orders.cc
@@ -0,0 +1,146 @@
+#include "duties/weight_orders.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace mulberryroad::duties {
+
+WeightOrders::WeightOrders(base::EventLoop& loop, const Clock& clock,
+                           base::StructuredLog& log, base::Metrics& metrics,
+                           platform::UpstreamOrders& orders,
+                           const serving::UpstreamDirectory& directory,
+                           const serving::Catalog& catalog, std::string node,
+                           std::function<std::optional<std::uint64_t>()> epoch)
+    : loop_(loop),
+      clock_(clock),
+      log_(log),
+      metrics_(metrics),
+      orders_(orders),
+      directory_(directory),
+      catalog_(catalog),
+      node_(std::move(node)),
+      epoch_(std::move(epoch)) {}
+
+WeightOrders::~WeightOrders() { *alive_ = false; }
+
+void WeightOrders::Start() {
+  timer_ = loop_.Every(kTick, [this] { Tick(); });
+}
+
+void WeightOrders::Named(const TargetId& model, std::uint64_t version) {
+  if (version > plan_.newest(model)) {
+    log_.Write("version.named",
+               {{"model", model.value()},
+                {"version", static_cast<std::int64_t>(version)}});
+  }
+  plan_.Named(model, version);
+}
+
+void WeightOrders::Tick() {
+  const auto epoch = epoch_();
+  if (!epoch.has_value() || epoch == fenced_epoch_) {
+    // Orders of the next holder are not known here.
+    targets_.clear();
+    return;
+  }
+  for (const LoadWeights& load : plan_.Next(directory_.all(), clock_.now())) {
+    Order(load);
+  }
+}
+
+void WeightOrders::Order(const LoadWeights& load) {
+  const serving::Registration* upstream = directory_.find(load.upstream);
+  Target& target = targets_[load.upstream];
+  if (target.started != upstream->started) {
+    target = {upstream->started, std::nullopt};
+  }
+  if (target.accepted_orders.has_value()) {
+    Send(load, *target.accepted_orders);
+    return;
+  }
+  orders_.ReadState(
+      {upstream->id, upstream->endpoint},
+      [this, alive = alive_,
+       load](const std::variant<platform::UpstreamState,
+                                platform::PlatformFailure>& state) {
+        if (!*alive) {
+          return;
+        }
+        if (const auto* read = std::get_if<platform::UpstreamState>(&state)) {
+          targets_[load.upstream].accepted_orders = read->accepted_orders;
+          Send(load, read->accepted_orders);
+        } else {
+          plan_.Ended(load.upstream);
+        }
+      });
+}
+
+platform::SwapMode WeightOrders::Mode(const TargetId& service) const {
+  const serving::Manifest* manifest = catalog_.manifest();
+  if (manifest == nullptr) {
+    return platform::SwapMode::kHold;
+  }
+  // A sample of one version must not see its weights change.
+  const bool one_version = std::any_of(
+      manifest->routes.begin(), manifest->routes.end(),
+      [&service](const serving::Route& route) {
+        return route.single_version &&
+               std::any_of(route.services.begin(), route.services.end(),
+                           [&service](const serving::ServiceShare& share) {
+                             return share.service == service;
+                           });
+      });
+  return one_version ? platform::SwapMode::kHold : platform::SwapMode::kRetain;
+}
+
+void WeightOrders::Send(const LoadWeights& load, std::uint64_t after_orders) {
+  const serving::Registration* upstream = directory_.find(load.upstream);
+  const auto epoch = epoch_();
+  if (upstream == nullptr || !epoch.has_value()) {
+    plan_.Ended(load.upstream);
+    return;
+  }
+  metrics_.Count("weight_orders_total", {});
+  orders_.ChangeVersion(
+      {node_, *epoch}, {upstream->id, upstream->endpoint},
+      {load.model, load.version, Mode(upstream->service), after_orders},
+      [this, alive = alive_, load,
+       after_orders](const platform::OrderOutcome& outcome) {
+        if (*alive) {
+          OnOutcome(load, after_orders, outcome);
+        }
+      });
+}
+
+void WeightOrders::OnOutcome(const LoadWeights& load,
+                             std::uint64_t after_orders,
+                             const platform::OrderOutcome& outcome) {
+  static constexpr const char* kNames[] = {"accepted", "holds",   "conflict",
+                                           "fenced",   "refused", "no answer"};
+  log_.Write("order.version",
+             {{"upstream", load.upstream.value()},
+              {"model", load.model.value()},
+              {"version", static_cast<std::int64_t>(load.version)},
+              {"after_orders", static_cast<std::int64_t>(after_orders)},
+              {"epoch", static_cast<std::int64_t>(epoch_().value_or(0))},
+              {"outcome", kNames[outcome.index()]}});
+  Target& target = targets_[load.upstream];
+  if (std::holds_alternative<platform::OrderAccepted>(outcome)) {
+    target.accepted_orders = after_orders + 1;
+    return;
+  }
+  if (std::holds_alternative<platform::OrderHolds>(outcome)) {
+    return;
+  }
+  // Whether it was accepted is asked before the next order.
+  target.accepted_orders.reset();
+  if (std::holds_alternative<platform::DutyFenced>(outcome)) {
+    fenced_epoch_ = epoch_();
+  }
+  if (!std::holds_alternative<platform::PlatformFailure>(outcome)) {
+    plan_.Ended(load.upstream);
+  }
+}
+
+}  // namespace mulberryroad::duties
--- /dev/null
+++ b/src/duties/weight_plan.cc
@@ -0,0 +1,104 @@
+#include "duties/weight_plan.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+#include "base/digest.h"
+
+namespace mulberryroad::duties {
+
+std::map<TargetId, std::vector<UpstreamId>> ShareUpstreams(
+    const std::vector<const serving::Registration*>& upstreams) {
+  std::set<TargetId> models;
+  for (const serving::Registration* upstream : upstreams) {
+    for (const auto& [model, version] : upstream->versions) {
+      models.insert(model);
+    }
+  }
+  std::map<TargetId, std::vector<UpstreamId>> shares;
+  if (models.empty()) {
+    return shares;
+  }
+  const std::size_t most =
+      (upstreams.size() + models.size() - 1) / models.size();
+  for (const serving::Registration* upstream : upstreams) {
+    // Each upstream prefers the models in an order of its own.
+    std::vector<std::pair<std::uint64_t, TargetId>> wishes;
+    for (const auto& [model, version] : upstream->versions) {
+      wishes.emplace_back(
+          base::StableHash(upstream->id.value() + "/" + model.value()), model);
+    }
+    std::sort(wishes.begin(), wishes.end());
+    for (const auto& [hash, model] : wishes) {
+      if (shares[model].size() < most) {
+        shares[model].push_back(upstream->id);
+        break;
+      }
+    }
+  }
+  return shares;
+}
+
+void WeightPlan::Named(const TargetId& model, std::uint64_t version) {
+  std::uint64_t& newest = newest_[model];
+  newest = std::max(newest, version);
+}
+
+std::uint64_t WeightPlan::newest(const TargetId& model) const {
+  const auto found = newest_.find(model);
+  return found == newest_.end() ? 1 : found->second;
+}
+
+void WeightPlan::Settle(
+    const std::map<UpstreamId, serving::Registration>& upstreams, Instant now) {
+  for (auto load = under_way_.begin(); load != under_way_.end();) {
+    const auto upstream = upstreams.find(load->first);
+    bool over = upstream == upstreams.end() ||
+                now >= load->second.since + rules_.patience;
+    if (!over) {
+      const auto version = upstream->second.versions.find(load->second.model);
+      over = version != upstream->second.versions.end() &&
+             version->second >= load->second.version;
+    }
+    load = over ? under_way_.erase(load) : std::next(load);
+  }
+}
+
+std::vector<LoadWeights> WeightPlan::Next(
+    const std::map<UpstreamId, serving::Registration>& upstreams, Instant now) {
+  Settle(upstreams, now);
+  std::map<TargetId, std::vector<const serving::Registration*>> services;
+  for (const auto& [id, upstream] : upstreams) {
+    if (!upstream.draining && !upstream.versions.empty()) {
+      services[upstream.service].push_back(&upstream);
+    }
+  }
+  // Those that lag most come first: they take no items of the current step.
+  std::vector<std::tuple<std::uint64_t, UpstreamId, TargetId>> lagging;
+  for (const auto& [service, members] : services) {
+    for (const auto& [model, share] : ShareUpstreams(members)) {
+      for (const UpstreamId& id : share) {
+        const std::uint64_t version = upstreams.at(id).versions.at(model);
+        if (version < newest(model) && !under_way_.contains(id)) {
+          lagging.emplace_back(newest(model) - version, id, model);
+        }
+      }
+    }
+  }
+  std::stable_sort(lagging.begin(), lagging.end(),
+                   [](const auto& a, const auto& b) {
+                     return std::get<0>(a) > std::get<0>(b);
+                   });
+  std::vector<LoadWeights> loads;
+  for (const auto& [lag, id, model] : lagging) {
+    if (under_way_.size() >= rules_.at_once) {
+      break;
+    }
+    under_way_[id] = {model, newest(model), now};
+    loads.push_back({id, model, newest(model)});
+  }
+  return loads;
+}
+
+}  // namespace mulberryroad::duties
--- /dev/null
+++ b/src/duties/weight_plan.h
@@ -0,0 +1,79 @@
+// Decides which upstream loads which weight version next. Pure.
+//
+// Upstreams are shared out among the models of their service, as each change of
+// weights costs an upstream about a second and its cached prompts. Few load at
+// a time, since the weight store slows down beyond that.
+
+#ifndef MULBERRYROAD_SRC_DUTIES_WEIGHT_PLAN_H_
+#define MULBERRYROAD_SRC_DUTIES_WEIGHT_PLAN_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "mulberryroad/clock.h"
+#include "mulberryroad/ids.h"
+#include "serving/upstreams.h"
+
+namespace mulberryroad::duties {
+
+/// Load this version at this upstream.
+struct LoadWeights {
+  UpstreamId upstream;
+  TargetId model;
+  std::uint64_t version = 0;
+};
+
+struct WeightPlanRules {
+  /// Loads under way at a time: the platform's pages say that a change takes
+  /// longer beyond two.
+  std::size_t at_once = 2;
+  /// A load that is not seen to end in this time is taken to have failed: three
+  /// times what one takes when the weight store is slow.
+  std::chrono::milliseconds patience{3'000};
+};
+
+/// Shares upstreams out among models, about as many to each. One that leaves
+/// or joins changes the share of few others.
+std::map<TargetId, std::vector<UpstreamId>> ShareUpstreams(
+    const std::vector<const serving::Registration*>& upstreams);
+
+class WeightPlan {
+ public:
+  explicit WeightPlan(WeightPlanRules rules = {}) : rules_(rules) {}
+
+  /// A trainer named a version.
+  void Named(const TargetId& model, std::uint64_t version);
+  /// Returns the newest version named; 1, the one at the start, if none was.
+  std::uint64_t newest(const TargetId& model) const;
+
+  /// Returns the loads to order now. Each counts as under way until its version
+  /// shows among the registrations, Ended is called, or its patience is over.
+  std::vector<LoadWeights> Next(
+      const std::map<UpstreamId, serving::Registration>& upstreams,
+      Instant now);
+  /// The order came to nothing.
+  void Ended(const UpstreamId& upstream) { under_way_.erase(upstream); }
+  std::size_t under_way() const { return under_way_.size(); }
+
+ private:
+  struct Load {
+    TargetId model;
+    std::uint64_t version = 0;
+    Instant since;
+  };
+
+  void Settle(const std::map<UpstreamId, serving::Registration>& upstreams,
+              Instant now);
+
+  WeightPlanRules rules_;
+  std::map<TargetId, std::uint64_t> newest_;
+  std::map<UpstreamId, Load> under_way_;
+};
+
+}  // namespace mulberryroad::duties
+
+#endif  // MULBERRYROAD_SRC_DUTIES_WEIGHT_PLAN_H_
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -6,6 +6,8 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
+#include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 #include "http/text.h"
@@ -57,6 +59,28 @@
   return "the connection failed";
 }
 
+// How long an idle connection is kept if the server names no time of its own.
+constexpr std::chrono::milliseconds kDefaultKeepAlive{60'000};
+// A request sent as the server closes the idle connection would be lost.
+constexpr std::chrono::milliseconds kKeepAliveMargin{500};
+
+// Returns how long the server keeps the idle connection, less a margin.
+std::chrono::milliseconds KeepAliveOf(const Response& response) {
+  const auto found = response.headers.find("keep-alive");
+  if (found == response.headers.end()) {
+    return kDefaultKeepAlive;
+  }
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::size_t at = found->second.find(kTimeout);
+  if (at == std::string::npos) {
+    return kDefaultKeepAlive;
+  }
+  const std::chrono::seconds stated(
+      std::strtol(found->second.c_str() + at + kTimeout.size(), nullptr, 10));
+  return std::max(std::chrono::milliseconds(0),
+                  std::chrono::milliseconds(stated) - kKeepAliveMargin);
+}
+
 }  // namespace
 
 /// One evhttp connection; closed when destroyed.
@@ -104,29 +128,38 @@
   std::unique_ptr<Connection> Take(const Endpoint& endpoint) {
     auto& idle = idle_[endpoint];
     while (!idle.empty()) {
-      std::unique_ptr<Connection> connection = std::move(idle.back());
+      IdleConnection candidate = std::move(idle.back());
       idle.pop_back();
-      if (!connection->broken() && !connection->HasSurplus()) {
-        return connection;
+      if (!candidate.connection->broken() &&
+          !candidate.connection->HasSurplus() &&
+          std::chrono::steady_clock::now() < candidate.usable_until) {
+        return std::move(candidate.connection);
       }
     }
     return std::make_unique<Connection>(loop_.base(), endpoint);
   }
 
-  void Return(const Endpoint& endpoint,
-              std::unique_ptr<Connection> connection) {
+  void Return(const Endpoint& endpoint, std::unique_ptr<Connection> connection,
+              std::chrono::milliseconds keep_alive) {
     auto& idle = idle_[endpoint];
     const bool usable = !connection->broken() && !connection->HasSurplus();
     if (usable && idle.size() < kMaxIdlePerEndpoint) {
-      idle.push_back(std::move(connection));
+      idle.push_back({std::move(connection),
+                      std::chrono::steady_clock::now() + keep_alive});
     }
   }
 
   void Forget(const Endpoint& endpoint) { idle_.erase(endpoint); }
 
  private:
+  struct IdleConnection {
+    std::unique_ptr<Connection> connection;
+    /// The server may close it after this.
+    std::chrono::steady_clock::time_point usable_until;
+  };
+
   base::EventLoop& loop_;
-  std::map<Endpoint, std::vector<std::unique_ptr<Connection>>> idle_;
+  std::map<Endpoint, std::vector<IdleConnection>> idle_;
 };
 
 class Client::ActiveCall final
@@ -134,11 +167,12 @@
       public std::enable_shared_from_this<ActiveCall> {
  public:
   ActiveCall(std::shared_ptr<Pool> pool, ClientRequest request, OnDone on_done,
-             OnChunk on_chunk)
+             OnChunk on_chunk, OnHead on_head)
       : pool_(std::move(pool)),
         request_(std::move(request)),
         on_done_(std::move(on_done)),
-        on_chunk_(std::move(on_chunk)) {}
+        on_chunk_(std::move(on_chunk)),
+        on_head_(std::move(on_head)) {}
 
   void Start() {
     self_ = shared_from_this();
@@ -168,11 +202,16 @@
     if (on_chunk_) {
       evhttp_request_set_chunked_cb(native, OnPiece);
     }
+    if (on_head_) {
+      evhttp_request_set_header_cb(native, OnHeaders);
+    }
     evkeyvalq* headers = evhttp_request_get_output_headers(native);
-    evhttp_add_header(headers, "Host", ToString(request_.endpoint).c_str());
     for (const Header& header : request_.headers) {
       evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
     }
+    if (evhttp_find_header(headers, "Host") == nullptr) {
+      evhttp_add_header(headers, "Host", ToString(request_.endpoint).c_str());
+    }
     evbuffer_add(evhttp_request_get_output_buffer(native), request_.body.data(),
                  request_.body.size());
     if (evhttp_make_request(connection_->native(), native,
@@ -210,6 +249,15 @@
     }
   }
 
+  static int OnHeaders(evhttp_request* native, void* argument) {
+    auto* self = static_cast<ActiveCall*>(argument);
+    if (!self->ended_) {
+      const std::shared_ptr<ActiveCall> keep = self->shared_from_this();
+      self->on_head_(ReadResponse(native));
+    }
+    return 0;
+  }
+
   static void OnAnswer(evhttp_request* native, void* argument) {
     auto* self = static_cast<ActiveCall*>(argument);
     if (self->ended_) {
@@ -225,13 +273,15 @@
     const bool has_length = response.headers.contains("content-length") ||
                             response.headers.contains("transfer-encoding") ||
                             response.status == HTTP_NOCONTENT;
-    if (!has_length) {
+    if (!has_length && !self->request_.accept_unframed) {
       self->FailLater("the answer has no length");
       return;
     }
     const auto connection = response.headers.find("connection");
-    const bool close = connection != response.headers.end() &&
-                       internal::LowerCase(connection->second) == "close";
+    const bool close =
+        !has_length || (connection != response.headers.end() &&
+                        internal::LowerCase(connection->second) == "close");
+    self->keep_alive_ = KeepAliveOf(response);
     self->pool_->loop().Post([keep = self->shared_from_this(), close,
                               response = std::move(response)]() mutable {
       keep->Succeed(std::move(response), !close);
@@ -277,12 +327,13 @@
     pool_->loop().Post([self = shared_from_this(), reusable] {
       if (reusable) {
         self->pool_->Return(self->request_.endpoint,
-                            std::move(self->connection_));
+                            std::move(self->connection_), self->keep_alive_);
       }
       self->connection_.reset();
     });
     self_.reset();
     on_chunk_ = on_chunk_ ? OnChunk([](int, std::string_view) {}) : nullptr;
+    on_head_ = on_head_ ? OnHead([](const Response&) {}) : nullptr;
     return std::exchange(on_done_, nullptr);
   }
 
@@ -290,6 +341,8 @@
   ClientRequest request_;
   OnDone on_done_;
   OnChunk on_chunk_;
+  OnHead on_head_;
+  std::chrono::milliseconds keep_alive_ = kDefaultKeepAlive;
   std::unique_ptr<Connection> connection_;
   evbuffer* output_ = nullptr;
   evbuffer_cb_entry* output_watch_ = nullptr;
@@ -307,9 +360,10 @@
 Client::~Client() = default;
 
 std::shared_ptr<Call> Client::Send(ClientRequest request, OnDone on_done,
-                                   OnChunk on_chunk) {
+                                   OnChunk on_chunk, OnHead on_head) {
   auto call = std::make_shared<ActiveCall>(
-      pool_, std::move(request), std::move(on_done), std::move(on_chunk));
+      pool_, std::move(request), std::move(on_done), std::move(on_chunk),
+      std::move(on_head));
   call->Start();
   return call;
 }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -28,8 +28,12 @@
   Method method = Method::kGet;
   /// Path with its query.
   std::string path;
+  /// A "Host" here takes the place of the endpoint's.
   Headers headers;
   std::string body;
+  /// Takes an answer without a length as whole if its connection ended in
+  /// order. Else such an answer is a failure.
+  bool accept_unframed = false;
   std::chrono::milliseconds connect_timeout{1'000};
   /// From the call of Send to the end of the answer.
   std::chrono::milliseconds timeout{10'000};
@@ -55,6 +59,9 @@
 /// Receives pieces of a body as they come, with the status of the answer.
 using OnChunk = std::function<void(int status, std::string_view piece)>;
 
+/// Receives status and headers of an answer, before its first piece.
+using OnHead = std::function<void(const Response& head)>;
+
 /// A request under way. Keeps itself alive until it is done.
 class Call {
  public:
@@ -78,7 +85,8 @@
   /// Starts a request. Exactly one of Cancel and on_done ends it; on_done is
   /// never called inside Send.
   std::shared_ptr<Call> Send(ClientRequest request, OnDone on_done,
-                             OnChunk on_chunk = nullptr);
+                             OnChunk on_chunk = nullptr,
+                             OnHead on_head = nullptr);
 
   /// Closes idle connections to an endpoint, for instance of an upstream that
   /// left.
--- a/src/http/server_sent_events.h
+++ b/src/http/server_sent_events.h
@@ -4,6 +4,7 @@
 #define MULBERRYROAD_SRC_HTTP_SERVER_SENT_EVENTS_H_
 
 #include <cstddef>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -16,6 +17,34 @@
 /// Returns one event that carries a line of data.
 std::string FormatEvent(std::string_view data);
 
+/// One event with all its fields, and its bytes as received.
+struct RawEvent {
+  std::string bytes;
+  /// Empty if the event has none.
+  std::string id;
+  std::string data;
+  /// Fields other than "id" and "data", by name.
+  std::map<std::string, std::string> fields;
+};
+
+/// Splits a byte stream into whole events and keeps their bytes.
+class EventSplitter {
+ public:
+  /// Takes the next bytes and returns the events completed by them.
+  std::vector<RawEvent> Feed(std::string_view bytes);
+
+  /// True if the stream stands between two events.
+  bool between_events() const { return pending_.empty(); }
+  /// True if an event is longer than kMaxEventBytes; it is then dropped.
+  bool overflowed() const { return overflowed_; }
+
+  static constexpr std::size_t kMaxEventBytes = 4U << 20U;
+
+ private:
+  std::string pending_;
+  bool overflowed_ = false;
+};
+
 /// Splits a byte stream into events.
 class EventParser {
  public:
--- /dev/null
+++ b/src/node/main.cc
@@ -0,0 +1,102 @@
+// mulberry-node: one node of the rollout service on the users' platform.
+
+#include <popt.h>
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "base/decision_log.h"
+#include "node/node.h"
+#include "platform/names.h"
+#include "platform/settings_codec.h"
+
+namespace {
+
+namespace adapter = mulberryroad::platform_adapter;
+
+constexpr int kExitOk = 0;
+constexpr int kExitFailure = 1;
+constexpr int kExitBadSettings = 2;
+
+struct Options {
+  std::string settings_path;
+  bool check_only = false;
+};
+
+// Reads the command line; exits with a message if it is wrong.
+Options ReadOptions(int argc, char** argv) {
+  const char* from_environment = std::getenv(adapter::kSettingsVariable);
+  char* path = nullptr;
+  int check_only = 0;
+  const poptOption table[] = {
+      {"settings", 's', POPT_ARG_STRING, &path, 0,
+       "settings file; else the one that the environment names", "PATH"},
+      {"check", 'c', POPT_ARG_NONE, &check_only, 0,
+       "check the settings and exit", nullptr},
+      POPT_AUTOHELP POPT_TABLEEND};
+  poptContext context = poptGetContext(
+      "mulberry-node", argc, const_cast<const char**>(argv), table, 0);
+  const int outcome = poptGetNextOpt(context);
+  if (outcome < -1 || poptPeekArg(context) != nullptr) {
+    std::fprintf(stderr, "mulberry-node: %s\n",
+                 outcome < -1 ? poptStrerror(outcome) : "unexpected argument");
+    std::exit(kExitBadSettings);
+  }
+  poptFreeContext(context);
+  Options options;
+  if (path != nullptr) {
+    options.settings_path = path;
+    std::free(path);
+  } else if (from_environment != nullptr) {
+    options.settings_path = from_environment;
+  }
+  options.check_only = check_only != 0;
+  return options;
+}
+
+int Serve(mulberryroad::node::Settings settings) {
+  mulberryroad::base::SetUpAsyncLogging("info");
+  mulberryroad::node::Node node(std::move(settings));
+  std::string reason;
+  if (!node.Start(&reason)) {
+    std::fprintf(stderr, "mulberry-node: %s\n", reason.c_str());
+    return kExitFailure;
+  }
+  node.Run();
+  mulberryroad::base::ShutDownLogging();
+  return kExitOk;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  // A caller that goes away shows as a failed write, not as a signal.
+  std::signal(SIGPIPE, SIG_IGN);
+  const Options options = ReadOptions(argc, argv);
+  std::ifstream file(options.settings_path);
+  if (!file) {
+    std::fprintf(stderr, "mulberry-node: settings file \"%s\" cannot be read\n",
+                 options.settings_path.c_str());
+    return kExitBadSettings;
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  auto decoded = adapter::DecodeSettings(text.str());
+  if (const auto* errors = std::get_if<adapter::SettingsErrors>(&decoded)) {
+    for (const std::string& message : errors->messages) {
+      std::fprintf(stderr, "mulberry-node: %s: %s\n",
+                   options.settings_path.c_str(), message.c_str());
+    }
+    return kExitBadSettings;
+  }
+  if (options.check_only) {
+    return kExitOk;
+  }
+  return Serve(std::get<mulberryroad::node::Settings>(std::move(decoded)));
+}
--- /dev/null
+++ b/src/node/node.cc
@@ -0,0 +1,378 @@
+#include "node/node.h"
+
+#include <unistd.h>
+
+#include <csignal>
+#include <random>
+#include <utility>
+
+#include "base/digest.h"
+#include "base/event_loop.h"
+#include "base/metrics.h"
+#include "base/structured_log.h"
+#include "batches/batch_host.h"
+#include "duties/lease_runner.h"
+#include "duties/usage_reporter.h"
+#include "duties/weight_orders.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "platform/batch_codec.h"
+#include "platform/duty_client.h"
+#include "platform/ingress.h"
+#include "platform/manifest_codec.h"
+#include "platform/names.h"
+#include "platform/store_client.h"
+#include "platform/upstream_client.h"
+
+namespace mulberryroad::node {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kOk = 200;
+constexpr int kServiceUnavailable = 503;
+// A node that has not reached the store for this long sends new callers to
+// other nodes: two reads of the store were lost in a row.
+constexpr milliseconds kStoreSilence{4'000};
+// Entries removed this soon after a failed read may have lapsed with the store.
+constexpr milliseconds kUnstableTime{3'500};
+// Between SIGTERM and the closing of the listening socket: the platform looks
+// at readiness once a second and takes a node out after two misses.
+constexpr milliseconds kLeaveDelay{2'500};
+// Left of the grace time when open requests are given up.
+constexpr milliseconds kStopMargin{500};
+constexpr milliseconds kDrainTick{50};
+constexpr milliseconds kExpireTick{100};
+// Gathers the heartbeats of upstreams into one read; far below the time in
+// which a leaving one must be noticed.
+constexpr milliseconds kRegistrationPace{150};
+constexpr std::size_t kMaxBodyBytes = 33'554'432;
+constexpr std::size_t kMaxHeaderBytes = 65'536;
+// Callers reuse connections that were idle for up to four fifths of the
+// manifest's idle time, 15 s on the known deployments.
+constexpr milliseconds kClientTimeout{30'000};
+
+// Names this process, and no earlier one on this machine.
+std::string ProcessName(const Settings& settings, const Clock& clock) {
+  std::random_device random;
+  return settings.node.value() + "/" +
+         std::to_string(UnixTime(clock.wall_now()).count()) + "-" +
+         std::to_string(random() % 100'000);
+}
+
+}  // namespace
+
+class Node::Parts {
+ public:
+  explicit Parts(Settings settings);
+
+  bool Start(std::string* reason);
+  void Run() { loop_.Run(); }
+
+ private:
+  store::TailHandler OperatorHandler();
+  store::TailHandler RegistrationHandler();
+  void TakeOperatorRecord(const platform::KeyedRecord& record);
+  void TakeRegistration(const platform::KeyedRecord& record);
+  bool store_unstable() const;
+  bool ready() const;
+  void BeginDrain();
+  void Drain();
+  void CountUsage(const OrganisationId& organisation);
+  void RegisterReadiness();
+
+  Settings settings_;
+  SystemClock clock_;
+  base::EventLoop loop_;
+  base::Metrics metrics_;
+  base::StructuredLog log_;
+  std::string process_;
+  std::mt19937_64 random_;
+  http::Client client_;
+  platform_adapter::StoreClient store_;
+  platform_adapter::UpstreamClient upstream_client_;
+  platform_adapter::DutyClient duty_client_;
+  serving::Catalog catalog_;
+  serving::UpstreamDirectory directory_;
+  serving::UpstreamLoads request_loads_;
+  serving::UpstreamLoads item_loads_;
+  serving::ServingContext serving_;
+  batches::BatchContext batch_context_;
+  std::shared_ptr<batches::BatchClient> batch_client_;
+  batches::BatchHost batch_host_;
+  duties::UsageCounts usage_counts_;
+  duties::LeaseRunner lease_;
+  duties::WeightOrders weights_;
+  duties::UsageReporter usage_;
+  std::shared_ptr<store::KeyedTail> operator_tail_;
+  std::shared_ptr<store::KeyedTail> registration_tail_;
+  http::Server callers_;
+  http::Server readiness_;
+  std::optional<http::Server> metrics_server_;
+  platform_adapter::Ingress ingress_;
+  bool registrations_known_ = false;
+  std::optional<Instant> draining_since_;
+  bool accepting_ = true;
+  base::Timer drain_timer_;
+  base::Timer expire_timer_;
+};
+
+Node::Parts::Parts(Settings settings)
+    : settings_(std::move(settings)),
+      log_(clock_, settings_.node),
+      process_(ProcessName(settings_, clock_)),
+      random_(base::StableHash(process_)),
+      client_(loop_),
+      store_(client_, settings_.store),
+      upstream_client_(client_),
+      duty_client_(client_, settings_.duty_services),
+      serving_{loop_,
+               clock_,
+               log_,
+               metrics_,
+               catalog_,
+               directory_,
+               request_loads_,
+               upstream_client_,
+               settings_.failure_domain,
+               random_,
+               [this](const OrganisationId& id) { CountUsage(id); },
+               platform_adapter::RetryAfter},
+      batch_context_{loop_,
+                     clock_,
+                     log_,
+                     metrics_,
+                     store_,
+                     catalog_,
+                     directory_,
+                     item_loads_,
+                     upstream_client_,
+                     settings_.failure_domain,
+                     random_,
+                     platform_adapter::ReadItemHeaders},
+      batch_client_(std::make_shared<batches::BatchClient>(
+          loop_, clock_, store_, settings_.partitions)),
+      batch_host_(batch_context_, process_),
+      usage_counts_(process_, settings_.usage_window),
+      lease_(loop_, clock_, log_, store_,
+             duties::DutyLease(process_,
+                               {.quiet = settings_.lease + milliseconds(500)},
+                               clock_.now(), settings_.first_start)),
+      weights_(loop_, clock_, log_, metrics_, duty_client_, directory_,
+               catalog_, settings_.node.value(),
+               [this] { return lease_.epoch(); }),
+      usage_(loop_, clock_, log_, store_, duty_client_, settings_.partitions,
+             {.window = settings_.usage_window}, settings_.node.value(),
+             usage_counts_, [this] { return lease_.epoch(); }),
+      operator_tail_(std::make_shared<store::KeyedTail>(
+          loop_, clock_, log_, store_,
+          platform::PartitionId{platform_adapter::kOperatorTopic, 0},
+          store::TailTiming{}, OperatorHandler())),
+      registration_tail_(std::make_shared<store::KeyedTail>(
+          loop_, clock_, log_, store_,
+          platform::PartitionId{platform_adapter::kRegistrationsTopic, 0},
+          store::TailTiming{.pace = kRegistrationPace}, RegistrationHandler())),
+      callers_(loop_, {kMaxBodyBytes, kMaxHeaderBytes, kClientTimeout}),
+      readiness_(loop_, {}),
+      ingress_(serving_, batch_client_, settings_.max_record_bytes,
+               [] { return std::nullopt; }) {}
+
+store::TailHandler Node::Parts::OperatorHandler() {
+  store::TailHandler handler;
+  handler.on_snapshot =
+      [this](const std::vector<platform::KeyedRecord>& records) {
+        for (const platform::KeyedRecord& record : records) {
+          TakeOperatorRecord(record);
+        }
+      };
+  handler.on_record = [this](const platform::KeyedRecord& record) {
+    TakeOperatorRecord(record);
+  };
+  return handler;
+}
+
+void Node::Parts::TakeOperatorRecord(const platform::KeyedRecord& record) {
+  const std::string value = record.value.value_or("");
+  if (record.key == platform_adapter::kManifestKey) {
+    auto manifest = platform_adapter::DecodeManifest(value);
+    if (!manifest.has_value()) {
+      log_.Write("manifest.malformed",
+                 {{"offset", static_cast<std::int64_t>(record.offset)}});
+      return;
+    }
+    const auto version = static_cast<std::int64_t>(manifest->version);
+    const bool newer = catalog_.Apply(*std::move(manifest));
+    log_.Write("manifest", {{"version", version}, {"in_force", newer}});
+    return;
+  }
+  if (record.key.starts_with(platform_adapter::kNamedVersionPrefix)) {
+    if (const auto named = platform_adapter::DecodeNamedVersion(value)) {
+      weights_.Named(named->model, named->version);
+    }
+  }
+}
+
+bool Node::Parts::store_unstable() const {
+  const auto failure = registration_tail_->last_failure();
+  return failure.has_value() && clock_.now() < *failure + kUnstableTime;
+}
+
+store::TailHandler Node::Parts::RegistrationHandler() {
+  store::TailHandler handler;
+  handler.on_snapshot =
+      [this](const std::vector<platform::KeyedRecord>& records) {
+        std::vector<serving::Registration> all;
+        for (const platform::KeyedRecord& record : records) {
+          if (auto registration = platform_adapter::DecodeRegistration(
+                  record.key, record.value.value_or(""))) {
+            all.push_back(*std::move(registration));
+          }
+        }
+        log_.Write("upstreams.list",
+                   {{"count", static_cast<std::int64_t>(all.size())}});
+        directory_.Replace(std::move(all), store_unstable(), clock_.now());
+        registrations_known_ = true;
+      };
+  handler.on_record = [this](const platform::KeyedRecord& record) {
+    TakeRegistration(record);
+  };
+  return handler;
+}
+
+void Node::Parts::TakeRegistration(const platform::KeyedRecord& record) {
+  const UpstreamId id(record.key);
+  if (!record.value.has_value()) {
+    log_.Write("upstream.removed", {{"upstream", id.value()},
+                                    {"store_unstable", store_unstable()}});
+    directory_.Remove(id, store_unstable(), clock_.now());
+    return;
+  }
+  auto registration =
+      platform_adapter::DecodeRegistration(record.key, *record.value);
+  if (!registration.has_value()) {
+    log_.Write("upstream.malformed", {{"upstream", id.value()}});
+    directory_.Remove(id, /*store_unstable=*/false, clock_.now());
+    return;
+  }
+  const serving::Registration* known = directory_.find(id);
+  if (known == nullptr || known->draining != registration->draining ||
+      known->started != registration->started) {
+    log_.Write("upstream", {{"upstream", id.value()},
+                            {"service", registration->service.value()},
+                            {"draining", registration->draining}});
+  }
+  directory_.Put(*std::move(registration));
+}
+
+void Node::Parts::CountUsage(const OrganisationId& organisation) {
+  usage_counts_.Count(organisation, clock_.wall_now());
+}
+
+bool Node::Parts::ready() const {
+  const auto contact = operator_tail_->last_contact();
+  return !draining_since_.has_value() && catalog_.manifest() != nullptr &&
+         registrations_known_ && contact.has_value() &&
+         clock_.now() < *contact + kStoreSilence;
+}
+
+void Node::Parts::RegisterReadiness() {
+  readiness_.Route(http::Method::kGet, platform_adapter::kReadyPath,
+                   [this](const std::shared_ptr<http::Exchange>& exchange) {
+                     exchange->Reply(ready() ? kOk : kServiceUnavailable, "{}");
+                   });
+  const auto serve_metrics =
+      [this](const std::shared_ptr<http::Exchange>& exchange) {
+        exchange->Reply(kOk, metrics_.ToPrometheus(),
+                        {{"Content-Type", "text/plain; version=0.0.4"}});
+      };
+  readiness_.Route(http::Method::kGet, "/metrics", serve_metrics);
+  if (settings_.metrics.has_value()) {
+    metrics_server_.emplace(loop_, http::ServerLimits{});
+    metrics_server_->Route(http::Method::kGet, "/metrics", serve_metrics);
+  }
+  metrics_.Gauge("batch_partitions",
+                 [this] { return static_cast<double>(batch_host_.parts()); });
+  metrics_.Gauge("items_running",
+                 [this] { return static_cast<double>(batch_host_.running()); });
+  metrics_.Gauge("items_waiting",
+                 [this] { return static_cast<double>(batch_host_.waiting()); });
+  metrics_.Gauge("log_lines_dropped",
+                 [this] { return static_cast<double>(log_.dropped()); });
+  metrics_.Gauge("manifest_version",
+                 [this] { return static_cast<double>(catalog_.version()); });
+}
+
+bool Node::Parts::Start(std::string* reason) {
+  RegisterReadiness();
+  ingress_.Register(callers_);
+  if (!callers_.Listen(settings_.callers)) {
+    *reason = "cannot listen on " + ToString(settings_.callers);
+    return false;
+  }
+  if (!readiness_.Listen(settings_.readiness)) {
+    *reason = "cannot listen on " + ToString(settings_.readiness);
+    return false;
+  }
+  if (metrics_server_.has_value() &&
+      !metrics_server_->Listen(*settings_.metrics)) {
+    *reason = "cannot listen on " + ToString(*settings_.metrics);
+    return false;
+  }
+  loop_.OnSignal(SIGTERM, [this] { BeginDrain(); });
+  loop_.OnSignal(SIGHUP, [this] { log_.Write("reload", {}); });
+  log_.Write("start", {{"process", process_},
+                       {"failure_domain", settings_.failure_domain.value()},
+                       {"first_start", settings_.first_start}});
+  operator_tail_->Start();
+  registration_tail_->Start();
+  lease_.Start();
+  weights_.Start();
+  usage_.Start();
+  batch_host_.Start();
+  expire_timer_ =
+      loop_.Every(kExpireTick, [this] { directory_.Expire(clock_.now()); });
+  return true;
+}
+
+void Node::Parts::BeginDrain() {
+  if (draining_since_.has_value()) {
+    return;
+  }
+  draining_since_ = clock_.now();
+  log_.Write("drain.begin",
+             {{"open_requests",
+               static_cast<std::int64_t>(callers_.open_exchanges())}});
+  lease_.Release();
+  batch_host_.Leave();
+  usage_.Flush();
+  callers_.BeginDrain();
+  drain_timer_ = loop_.Every(kDrainTick, [this] { Drain(); });
+}
+
+void Node::Parts::Drain() {
+  const auto since = clock_.now() - *draining_since_;
+  if (since >= kLeaveDelay && std::exchange(accepting_, false)) {
+    callers_.StopAccepting();
+  }
+  const bool idle = callers_.open_exchanges() == 0;
+  if ((!accepting_ && idle) || since >= settings_.grace - kStopMargin) {
+    usage_.Flush();
+    log_.Write("stop", {{"open_requests", static_cast<std::int64_t>(
+                                              callers_.open_exchanges())}});
+    drain_timer_.Cancel();
+    // Leaves the last counts time to reach the store.
+    drain_timer_ = loop_.After(kDrainTick * 2, [this] { loop_.Stop(); });
+  }
+}
+
+Node::Node(Settings settings)
+    : parts_(std::make_unique<Parts>(std::move(settings))) {}
+
+Node::~Node() = default;
+
+bool Node::Start(std::string* reason) { return parts_->Start(reason); }
+
+void Node::Run() { parts_->Run(); }
+
+}  // namespace mulberryroad::node
--- /dev/null
+++ b/src/serving/catalog.cc
@@ -0,0 +1,92 @@
+#include "serving/catalog.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberryroad::serving {
+
+bool Catalog::Apply(Manifest manifest) {
+  if (manifest_.has_value() && manifest.version <= manifest_->version) {
+    return false;
+  }
+  by_host_.clear();
+  by_key_.clear();
+  manifest_ = std::move(manifest);
+  for (const Route& route : manifest_->routes) {
+    by_host_[route.host].push_back(&route);
+  }
+  for (auto& [host, routes] : by_host_) {
+    std::stable_sort(routes.begin(), routes.end(),
+                     [](const Route* a, const Route* b) {
+                       return a->path_prefix.size() > b->path_prefix.size();
+                     });
+  }
+  if (manifest_->organisations.has_value()) {
+    for (const Organisation& organisation : *manifest_->organisations) {
+      for (const std::string& key : organisation.keys) {
+        by_key_[key] = organisation.id;
+      }
+    }
+  }
+  return true;
+}
+
+Admission Catalog::Admit(const std::string& host, const std::string& path,
+                         const std::string& key) const {
+  if (!manifest_.has_value()) {
+    return NoManifest{};
+  }
+  const Route* route = Match(host, path);
+  if (route == nullptr) {
+    return NoRoute{};
+  }
+  if (route->open || !manifest_->organisations.has_value()) {
+    return Admitted{route, {}};
+  }
+  const std::optional<OrganisationId> organisation = OrganisationOf(key);
+  if (!organisation.has_value()) {
+    return UnknownKey{};
+  }
+  return Admitted{route, *organisation};
+}
+
+std::optional<OrganisationId> Catalog::OrganisationOf(
+    const std::string& key) const {
+  const auto found = by_key_.find(key);
+  return found == by_key_.end() ? std::nullopt : std::optional(found->second);
+}
+
+const Route* Catalog::Match(const std::string& host,
+                            const std::string& path) const {
+  const auto routes = by_host_.find(host);
+  if (routes == by_host_.end()) {
+    return nullptr;
+  }
+  const auto found = std::find_if(routes->second.begin(), routes->second.end(),
+                                  [&path](const Route* route) {
+                                    return path.starts_with(route->path_prefix);
+                                  });
+  return found == routes->second.end() ? nullptr : *found;
+}
+
+const TargetId* PickService(const Route& route, double draw) {
+  double total = 0;
+  for (const ServiceShare& share : route.services) {
+    total += share.weight;
+  }
+  double left = draw * total;
+  const TargetId* last = nullptr;
+  for (const ServiceShare& share : route.services) {
+    if (share.weight <= 0) {
+      continue;
+    }
+    last = &share.service;
+    left -= share.weight;
+    if (left < 0) {
+      break;
+    }
+  }
+  return last;
+}
+
+}  // namespace mulberryroad::serving
--- /dev/null
+++ b/src/serving/request_session.cc
@@ -0,0 +1,285 @@
+#include "serving/request_session.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberryroad::serving {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr int kBadGateway = 502;
+constexpr int kServiceUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+AttemptRules RulesFor(const SessionRequest& request) {
+  const bool repeatable =
+      request.kind == RouteKind::kIdempotent ||
+      (request.kind == RouteKind::kStreaming && request.resumable);
+  return {repeatable, std::max(1, request.max_attempts)};
+}
+
+std::string Describe(const UpstreamOutcome& outcome) {
+  struct Visitor {
+    std::string operator()(const NotRun& result) const {
+      return "not run: " + result.reason;
+    }
+    std::string operator()(const MayHaveRun& result) const {
+      return "may have run: " + result.reason;
+    }
+    std::string operator()(const Whole& result) const {
+      return "status " + std::to_string(result.status);
+    }
+  };
+  return std::visit(Visitor{}, outcome);
+}
+
+}  // namespace
+
+RequestSession::RequestSession(ServingContext& context,
+                               std::shared_ptr<http::Exchange> exchange,
+                               SessionRequest request)
+    : context_(context),
+      exchange_(std::move(exchange)),
+      request_(std::move(request)),
+      policy_(RulesFor(request_)),
+      started_(context.clock.now()),
+      last_event_(request_.resume_after) {}
+
+void RequestSession::Start() {
+  self_ = shared_from_this();
+  exchange_->on_closed().connect([weak = weak_from_this()] {
+    const auto session = weak.lock();
+    if (session != nullptr && !session->finished_) {
+      session->CancelTries();
+      session->Finish("the caller left", 0);
+    }
+  });
+  if (left() <= milliseconds(0)) {
+    Refuse("the deadline has passed", kRetryWhenFull);
+    return;
+  }
+  deadline_timer_ = context_.loop.After(left(), [this] { OnDeadline(); });
+  SendNext();
+}
+
+milliseconds RequestSession::left() const {
+  return duration_cast<milliseconds>(request_.deadline - context_.clock.now());
+}
+
+const Registration* RequestSession::Choose() {
+  std::uniform_real_distribution<double> draw(0.0, 1.0);
+  return ChooseUpstream(context_.directory.Ready(request_.service),
+                        context_.loads, tried_, context_.own_domain,
+                        context_.clock.now(), draw(context_.random));
+}
+
+CallOptions RequestSession::Options(int number) {
+  CallOptions options;
+  options.deadline = left();
+  options.resume_after = last_event_;
+  if (streaming()) {
+    options.stream = StreamHandler{
+        [self = shared_from_this(), number](const StreamStart& start) {
+          self->OnStreamStart(number, start);
+        },
+        [self = shared_from_this(), number](const StreamEvent& event) {
+          self->OnStreamEvent(number, event);
+        }};
+  }
+  return options;
+}
+
+void RequestSession::SendNext() {
+  const Registration* upstream = Choose();
+  if (upstream == nullptr) {
+    if (policy_.open() > 0) {
+      return;
+    }
+    if (policy_.certainly_not_run()) {
+      Refuse("no upstream of the service takes requests", kRetryWhenAbsent);
+    } else {
+      Fail(kBadGateway, "no further upstream is left");
+    }
+    return;
+  }
+  const int number = next_number_++;
+  tried_.insert(upstream->id);
+  policy_.Sent();
+  context_.loads.Started(upstream->id);
+  Try& attempt = tries_[number];
+  attempt.upstream = upstream->id;
+  attempt.sent = context_.clock.now();
+  attempt.call = context_.caller.Send(
+      *upstream, request_.outgoing, Options(number),
+      [self = shared_from_this(), number](UpstreamOutcome outcome) {
+        self->OnDone(number, std::move(outcome));
+      });
+  ScheduleHedge();
+}
+
+void RequestSession::ScheduleHedge() {
+  if (streaming() || !policy_.may_hedge()) {
+    return;
+  }
+  const auto delay =
+      duration_cast<milliseconds>(request_.target_latency * kHedgeShare);
+  hedge_timer_ = context_.loop.After(delay, [this] {
+    if (!finished_ && policy_.may_hedge() && Choose() != nullptr) {
+      for (const auto& [number, attempt] : tries_) {
+        context_.loads.Failed(attempt.upstream, context_.clock.now());
+      }
+      context_.metrics.Count("request_hedges_total", {});
+      SendNext();
+    }
+  });
+}
+
+void RequestSession::Record(const Try& ended, const UpstreamOutcome& outcome) {
+  const Instant now = context_.clock.now();
+  context_.loads.Ended(ended.upstream);
+  if (const auto* refused = std::get_if<NotRun>(&outcome)) {
+    if (refused->full) {
+      context_.loads.Refused(ended.upstream, now);
+    } else {
+      context_.loads.Failed(ended.upstream, now);
+    }
+  } else if (std::holds_alternative<MayHaveRun>(outcome)) {
+    context_.loads.Failed(ended.upstream, now);
+  } else if (!streaming()) {
+    context_.loads.Worked(ended.upstream,
+                          duration_cast<microseconds>(now - ended.sent));
+  }
+  const bool ran = !std::holds_alternative<NotRun>(outcome);
+  if (ran && !std::exchange(counted_, true)) {
+    context_.count_usage(request_.outgoing.organisation);
+  }
+}
+
+void RequestSession::OnDone(int number, UpstreamOutcome outcome) {
+  const auto found = tries_.find(number);
+  if (finished_ || found == tries_.end()) {
+    return;
+  }
+  const Try ended = std::move(found->second);
+  tries_.erase(found);
+  Record(ended, outcome);
+  const AttemptStep step = policy_.OnOutcome(outcome, Choose() != nullptr);
+  if (!std::holds_alternative<Deliver>(step)) {
+    context_.log.Write("request.try_failed",
+                       {{"request", request_.outgoing.id.value()},
+                        {"upstream", ended.upstream.value()},
+                        {"outcome", Describe(outcome)},
+                        {"tries", static_cast<std::int64_t>(policy_.tries())},
+                        {"took_ms", duration_cast<milliseconds>(
+                                        context_.clock.now() - ended.sent)
+                                        .count()}});
+  }
+  struct Visitor {
+    RequestSession& session;
+    const UpstreamOutcome& outcome;
+    void operator()(const TryNext&) const { session.SendNext(); }
+    void operator()(const AwaitOthers&) const {}
+    void operator()(const Deliver&) const {
+      session.DeliverAnswer(std::get<Whole>(outcome));
+    }
+    void operator()(const RefuseNotRun&) const {
+      session.Refuse("all upstreams refused", kRetryWhenFull);
+    }
+    void operator()(const FailUnknown&) const {
+      session.Fail(kBadGateway, "the request may have run without an answer");
+    }
+  };
+  std::visit(Visitor{*this, outcome}, step);
+}
+
+void RequestSession::OnStreamStart(int number, const StreamStart& start) {
+  if (finished_ || !tries_.contains(number)) {
+    return;
+  }
+  streaming_try_ = number;
+  if (!std::exchange(stream_started_, true)) {
+    // A resumed stream keeps the headers of its first upstream.
+    exchange_->StartStream(start.status, start.headers);
+  }
+}
+
+void RequestSession::OnStreamEvent(int number, const StreamEvent& event) {
+  if (finished_ || number != streaming_try_) {
+    return;
+  }
+  last_event_ = event.id;
+  exchange_->Write(event.bytes);
+}
+
+void RequestSession::DeliverAnswer(const Whole& answer) {
+  CancelTries();
+  if (stream_started_) {
+    exchange_->Finish();
+  } else {
+    exchange_->Reply(answer.status, answer.body, answer.headers);
+  }
+  Finish("answered", answer.status);
+}
+
+void RequestSession::Refuse(const std::string& reason, milliseconds retry) {
+  exchange_->Reply(kServiceUnavailable,
+                   R"({"error":"no upstream is free","verdict":"not run"})",
+                   {context_.retry_after(retry)});
+  Finish("refused: " + reason, kServiceUnavailable);
+}
+
+void RequestSession::Fail(int status, const std::string& reason) {
+  CancelTries();
+  if (stream_started_) {
+    exchange_->Abort();
+  } else {
+    exchange_->Reply(
+        status, R"({"error":"no whole answer came","verdict":"may have run"})");
+  }
+  Finish("failed: " + reason, status);
+}
+
+void RequestSession::OnDeadline() {
+  if (!finished_) {
+    Fail(kGatewayTimeout, "the deadline has passed");
+  }
+}
+
+void RequestSession::CancelTries() {
+  for (const auto& [number, attempt] : tries_) {
+    if (attempt.call->sent() && !std::exchange(counted_, true)) {
+      context_.count_usage(request_.outgoing.organisation);
+    }
+    attempt.call->Cancel();
+    context_.loads.Ended(attempt.upstream);
+  }
+  tries_.clear();
+}
+
+void RequestSession::Finish(const std::string& outcome, int status) {
+  finished_ = true;
+  deadline_timer_.Cancel();
+  hedge_timer_.Cancel();
+  const auto took = context_.clock.now() - started_;
+  context_.metrics.Count("requests_total",
+                         {{"status", std::to_string(status)}});
+  context_.metrics.Observe("request_duration_seconds", {}, took);
+  context_.log.Write(
+      "request.end",
+      {{"request", request_.outgoing.id.value()},
+       {"organisation", request_.outgoing.organisation.value()},
+       {"service", request_.service.value()},
+       {"manifest", static_cast<std::int64_t>(context_.catalog.version())},
+       {"tries", static_cast<std::int64_t>(policy_.tries())},
+       {"status", static_cast<std::int64_t>(status)},
+       {"outcome", outcome},
+       {"took_ms", duration_cast<milliseconds>(took).count()}});
+  // The last reference may be this one; the caller still runs in a member.
+  context_.loop.Post([self = std::move(self_)] {});
+}
+
+}  // namespace mulberryroad::serving
--- /dev/null
+++ b/src/serving/upstreams.cc
@@ -0,0 +1,179 @@
+#include "serving/upstreams.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace mulberryroad::serving {
+
+namespace {
+
+// A refusal as full holds for about one plain request's work.
+constexpr std::chrono::milliseconds kFullTime{100};
+// Weight of the newest latency in the average: about the last five count.
+constexpr double kLatencyWeight = 0.2;
+// A request to another failure domain counts as this share of a slot more, so
+// that a nearer upstream is taken unless it is busier.
+constexpr double kRemoteCost = 0.15;
+// An upstream that failed is taken only if no other is left.
+constexpr double kAvoidCost = 1'000.0;
+constexpr double kFullCost = 100.0;
+// Breaks ties without outweighing a slot.
+constexpr double kTieCost = 0.05;
+
+}  // namespace
+
+void UpstreamDirectory::Put(Registration registration) {
+  lapsing_.erase(registration.id);
+  entries_[registration.id] = std::move(registration);
+}
+
+void UpstreamDirectory::Remove(const UpstreamId& id, bool store_unstable,
+                               Instant now) {
+  if (!entries_.contains(id)) {
+    return;
+  }
+  if (store_unstable) {
+    lapsing_.try_emplace(id, now + kLapseGrace);
+    return;
+  }
+  entries_.erase(id);
+  lapsing_.erase(id);
+}
+
+void UpstreamDirectory::Replace(std::vector<Registration> all,
+                                bool store_unstable, Instant now) {
+  std::set<UpstreamId> listed;
+  for (Registration& registration : all) {
+    listed.insert(registration.id);
+    Put(std::move(registration));
+  }
+  std::vector<UpstreamId> missing;
+  for (const auto& [id, registration] : entries_) {
+    if (!listed.contains(id)) {
+      missing.push_back(id);
+    }
+  }
+  for (const UpstreamId& id : missing) {
+    Remove(id, store_unstable, now);
+  }
+}
+
+void UpstreamDirectory::Expire(Instant now) {
+  for (auto entry = lapsing_.begin(); entry != lapsing_.end();) {
+    if (entry->second <= now) {
+      entries_.erase(entry->first);
+      entry = lapsing_.erase(entry);
+    } else {
+      ++entry;
+    }
+  }
+}
+
+const Registration* UpstreamDirectory::find(const UpstreamId& id) const {
+  const auto found = entries_.find(id);
+  return found == entries_.end() ? nullptr : &found->second;
+}
+
+std::vector<const Registration*> UpstreamDirectory::Ready(
+    const TargetId& service) const {
+  std::vector<const Registration*> ready;
+  for (const auto& [id, registration] : entries_) {
+    if (registration.service == service && !registration.draining) {
+      ready.push_back(&registration);
+    }
+  }
+  return ready;
+}
+
+void UpstreamLoads::Ended(const UpstreamId& id) {
+  Load& load = loads_[id];
+  load.running -= std::min<std::uint32_t>(load.running, 1);
+}
+
+void UpstreamLoads::Refused(const UpstreamId& id, Instant now) {
+  loads_[id].refused = now;
+}
+
+void UpstreamLoads::Failed(const UpstreamId& id, Instant now) {
+  loads_[id].failed = now;
+}
+
+void UpstreamLoads::Worked(const UpstreamId& id,
+                           std::chrono::microseconds latency) {
+  Load& load = loads_[id];
+  const auto newest = static_cast<double>(latency.count());
+  load.latency_us = load.latency_us.has_value()
+                        ? std::lerp(*load.latency_us, newest, kLatencyWeight)
+                        : newest;
+  load.failed.reset();
+}
+
+std::uint32_t UpstreamLoads::running(const UpstreamId& id) const {
+  const auto found = loads_.find(id);
+  return found == loads_.end() ? 0 : found->second.running;
+}
+
+bool UpstreamLoads::avoided(const UpstreamId& id, Instant now) const {
+  const auto found = loads_.find(id);
+  return found != loads_.end() && found->second.failed.has_value() &&
+         now < *found->second.failed + kAvoidTime;
+}
+
+bool UpstreamLoads::full(const UpstreamId& id, Instant now) const {
+  const auto found = loads_.find(id);
+  return found != loads_.end() && found->second.refused.has_value() &&
+         now < *found->second.refused + kFullTime;
+}
+
+std::optional<std::chrono::microseconds> UpstreamLoads::latency(
+    const UpstreamId& id) const {
+  const auto found = loads_.find(id);
+  if (found == loads_.end() || !found->second.latency_us.has_value()) {
+    return std::nullopt;
+  }
+  return std::chrono::microseconds(std::llround(*found->second.latency_us));
+}
+
+const Registration* ChooseUpstream(
+    const std::vector<const Registration*>& ready, const UpstreamLoads& loads,
+    const std::set<UpstreamId>& tried, const FailureDomainId& own_domain,
+    Instant now, double draw) {
+  // A latency far over that of the fastest marks a slow upstream.
+  double fastest = std::numeric_limits<double>::max();
+  for (const Registration* upstream : ready) {
+    if (const auto latency = loads.latency(upstream->id)) {
+      fastest = std::min(fastest, static_cast<double>(latency->count()));
+    }
+  }
+  const Registration* best = nullptr;
+  double best_cost = std::numeric_limits<double>::max();
+  std::size_t index = 0;
+  const auto count =
+      static_cast<double>(std::max<std::size_t>(ready.size(), 1));
+  for (const Registration* upstream : ready) {
+    const double turn =
+        std::fmod(static_cast<double>(index++) / count + draw, 1.0);
+    if (tried.contains(upstream->id)) {
+      continue;
+    }
+    const double slots = std::max<std::uint32_t>(upstream->slots, 1);
+    double cost = (loads.running(upstream->id) + 1) / slots;
+    if (const auto latency = loads.latency(upstream->id)) {
+      cost *= std::max(
+          1.0, static_cast<double>(latency->count()) / std::max(1.0, fastest));
+    }
+    cost += upstream->failure_domain == own_domain ? 0 : kRemoteCost;
+    cost += loads.avoided(upstream->id, now) ? kAvoidCost : 0;
+    cost += loads.full(upstream->id, now) ? kFullCost : 0;
+    cost += turn * kTieCost;
+    if (cost < best_cost) {
+      best = upstream;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+}  // namespace mulberryroad::serving
--- /dev/null
+++ b/src/serving/upstreams.h
@@ -0,0 +1,116 @@
+// The upstreams that registered themselves, and which of them to use.
+
+#ifndef MULBERRYROAD_SRC_SERVING_UPSTREAMS_H_
+#define MULBERRYROAD_SRC_SERVING_UPSTREAMS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "mulberryroad/clock.h"
+#include "mulberryroad/endpoint.h"
+#include "mulberryroad/ids.h"
+
+namespace mulberryroad::serving {
+
+/// What an upstream says of itself.
+struct Registration {
+  UpstreamId id;
+  TargetId service;
+  Endpoint endpoint;
+  FailureDomainId failure_domain;
+  /// Requests that it runs at once.
+  std::uint32_t slots = 1;
+  /// It takes no new work.
+  bool draining = false;
+  /// Start of its process; a new start knows nothing of the one before.
+  std::chrono::milliseconds started{0};
+  /// Weight version by model.
+  std::map<TargetId, std::uint64_t> versions;
+  /// Runs on capacity that may be reclaimed.
+  bool spot = false;
+};
+
+/// How long entries that were removed while the store was away, or just after,
+/// are still used: live upstreams register again within about two seconds of
+/// its return.
+inline constexpr std::chrono::milliseconds kLapseGrace{1'500};
+/// An upstream that failed to answer is used last for this long. Long enough
+/// for several requests to go elsewhere, short against a restart.
+inline constexpr std::chrono::milliseconds kAvoidTime{2'000};
+
+/// The current registrations.
+class UpstreamDirectory {
+ public:
+  /// Takes in one entry.
+  void Put(Registration registration);
+  /// Takes in the removal of an entry.
+  /// @param store_unstable the store was away a moment ago, so that the entry
+  ///     may have lapsed with it
+  void Remove(const UpstreamId& id, bool store_unstable, Instant now);
+  /// Takes in the full list of entries; all others are removed.
+  void Replace(std::vector<Registration> all, bool store_unstable, Instant now);
+  /// Drops the entries whose grace is over.
+  void Expire(Instant now);
+
+  /// Returns an entry, or null.
+  const Registration* find(const UpstreamId& id) const;
+  /// Returns the upstreams of a service that take new work.
+  std::vector<const Registration*> Ready(const TargetId& service) const;
+  const std::map<UpstreamId, Registration>& all() const { return entries_; }
+
+ private:
+  std::map<UpstreamId, Registration> entries_;
+  std::map<UpstreamId, Instant> lapsing_;
+};
+
+/// What this node knows of the load and the failures of upstreams from its own
+/// requests.
+class UpstreamLoads {
+ public:
+  void Started(const UpstreamId& id) { ++loads_[id].running; }
+  void Ended(const UpstreamId& id);
+  /// It refused a request as full.
+  void Refused(const UpstreamId& id, Instant now);
+  /// It failed, or did not answer in time.
+  void Failed(const UpstreamId& id, Instant now);
+  /// It did a unit of work, such as a request or an event, in this time.
+  void Worked(const UpstreamId& id, std::chrono::microseconds latency);
+
+  std::uint32_t running(const UpstreamId& id) const;
+  bool avoided(const UpstreamId& id, Instant now) const;
+  /// True for a short time after a refusal.
+  bool full(const UpstreamId& id, Instant now) const;
+  /// Smoothed time of a unit of work; nullopt before the first.
+  std::optional<std::chrono::microseconds> latency(const UpstreamId& id) const;
+
+ private:
+  struct Load {
+    std::uint32_t running = 0;
+    std::optional<Instant> refused;
+    std::optional<Instant> failed;
+    std::optional<double> latency_us;
+  };
+
+  std::map<UpstreamId, Load> loads_;
+};
+
+/// Chooses the upstream for a request: of those that did not fail lately the
+/// one with the lowest share of its slots in use, weighted by its latency, in
+/// this failure domain if all else is equal.
+/// @param tried upstreams that must not be used again
+/// @param draw a random number from 0 to 1 that decides between equals
+/// @return null if none is left
+const Registration* ChooseUpstream(
+    const std::vector<const Registration*>& ready, const UpstreamLoads& loads,
+    const std::set<UpstreamId>& tried, const FailureDomainId& own_domain,
+    Instant now, double draw);
+
+}  // namespace mulberryroad::serving
+
+#endif  // MULBERRYROAD_SRC_SERVING_UPSTREAMS_H_
--- /dev/null
+++ b/src/store/fenced_writer.cc
@@ -0,0 +1,121 @@
+#include "store/fenced_writer.h"
+
+#include <utility>
+#include <variant>
+
+namespace mulberryroad::store {
+
+namespace {
+
+// One name for all writers of a partition: epochs are compared within a name.
+constexpr char kWriterName[] = "owner";
+
+}  // namespace
+
+FencedWriter::FencedWriter(base::EventLoop& loop, base::StructuredLog& log,
+                           platform::PartitionStore& store,
+                           platform::PartitionId partition, std::uint64_t epoch,
+                           std::function<void()> on_ready,
+                           std::function<void()> on_fenced)
+    : loop_(loop),
+      log_(log),
+      store_(store),
+      partition_(std::move(partition)),
+      epoch_(epoch),
+      on_ready_(std::move(on_ready)),
+      on_fenced_(std::move(on_fenced)) {}
+
+void FencedWriter::Start() { Send(); }
+
+void FencedWriter::Stop() {
+  stopped_ = true;
+  retry_.Cancel();
+  queued_.clear();
+  in_flight_.clear();
+}
+
+void FencedWriter::Append(std::vector<platform::KeyedRecord> records,
+                          std::function<void()> on_appended) {
+  if (stopped_) {
+    return;
+  }
+  queued_.push_back({std::move(records), std::move(on_appended)});
+  SendNext();
+}
+
+void FencedWriter::SendNext() {
+  if (!ready_ || busy_ || stopped_ || queued_.empty()) {
+    return;
+  }
+  std::size_t bytes = 0;
+  while (!queued_.empty() && (in_flight_.empty() || bytes < kMaxBytes)) {
+    for (const platform::KeyedRecord& record : queued_.front().records) {
+      bytes += record.key.size() + (record.value ? record.value->size() : 0);
+    }
+    in_flight_.push_back(std::move(queued_.front()));
+    queued_.pop_front();
+  }
+  ++sequence_;
+  Send();
+}
+
+void FencedWriter::Send() {
+  busy_ = true;
+  std::vector<platform::KeyedRecord> records;
+  for (const Entry& entry : in_flight_) {
+    records.insert(records.end(), entry.records.begin(), entry.records.end());
+  }
+  store_.Append(
+      partition_, std::move(records),
+      platform::FencedWriter{kWriterName, epoch_, sequence_}, kTimeout,
+      [self = shared_from_this()](const platform::AppendOutcome& outcome) {
+        self->OnOutcome(outcome);
+      });
+}
+
+void FencedWriter::OnOutcome(const platform::AppendOutcome& outcome) {
+  if (stopped_) {
+    return;
+  }
+  if (std::holds_alternative<platform::Appended>(outcome)) {
+    Taken();
+    return;
+  }
+  if (const auto* failure = std::get_if<platform::PlatformFailure>(&outcome)) {
+    log_.Write("append.retry",
+               {{"topic", partition_.topic},
+                {"part", static_cast<std::int64_t>(partition_.number)},
+                {"epoch", static_cast<std::int64_t>(epoch_)},
+                {"sequence", static_cast<std::int64_t>(sequence_)},
+                {"reason", failure->reason}});
+    retry_ = loop_.After(kRetry, [self = shared_from_this()] { self->Send(); });
+    return;
+  }
+  log_.Write("append.fenced",
+             {{"topic", partition_.topic},
+              {"part", static_cast<std::int64_t>(partition_.number)},
+              {"epoch", static_cast<std::int64_t>(epoch_)},
+              {"sequence", static_cast<std::int64_t>(sequence_)},
+              {"by_sequence",
+               std::holds_alternative<platform::OutOfSequence>(outcome)}});
+  const std::function<void()> on_fenced = on_fenced_;
+  Stop();
+  on_fenced();
+}
+
+void FencedWriter::Taken() {
+  busy_ = false;
+  const std::vector<Entry> taken = std::exchange(in_flight_, {});
+  const auto keep = shared_from_this();
+  if (!std::exchange(ready_, true)) {
+    on_ready_();
+  }
+  for (const Entry& entry : taken) {
+    if (entry.on_appended && !stopped_) {
+      entry.on_appended();
+    }
+  }
+  SendNext();
+}
+
+}  // namespace mulberryroad::store
--- /dev/null
+++ b/src/store/keyed_tail.cc
@@ -0,0 +1,143 @@
+#include "store/keyed_tail.h"
+
+#include <utility>
+
+namespace mulberryroad::store {
+
+KeyedTail::KeyedTail(base::EventLoop& loop, const Clock& clock,
+                     base::StructuredLog& log, platform::PartitionStore& store,
+                     platform::PartitionId partition, TailTiming timing,
+                     TailHandler handler)
+    : loop_(loop),
+      clock_(clock),
+      log_(log),
+      store_(store),
+      partition_(std::move(partition)),
+      timing_(timing),
+      handler_(std::move(handler)) {}
+
+void KeyedTail::Start() { LoadPage({}); }
+
+void KeyedTail::Stop() {
+  stopped_ = true;
+  timer_.Cancel();
+}
+
+void KeyedTail::After(std::chrono::milliseconds delay,
+                      std::function<void()> step) {
+  if (stopped_) {
+    return;
+  }
+  if (delay == std::chrono::milliseconds(0)) {
+    step();
+    return;
+  }
+  timer_ = loop_.After(
+      delay, [self = shared_from_this(), step = std::move(step)] { step(); });
+}
+
+void KeyedTail::LoadPage(const std::string& after) {
+  if (after.empty()) {
+    loaded_.clear();
+    load_end_.reset();
+  }
+  store_.ReadNewest(partition_, after, timing_.wait + timing_.patience,
+                    [self = shared_from_this(),
+                     sent = clock_.now()](platform::NewestOutcome outcome) {
+                      self->OnNewest(sent, std::move(outcome));
+                    });
+}
+
+void KeyedTail::OnNewest(Instant sent, platform::NewestOutcome outcome) {
+  if (stopped_) {
+    return;
+  }
+  if (const auto* failure = std::get_if<platform::PlatformFailure>(&outcome)) {
+    Failed(failure->reason, [this] { LoadPage({}); });
+    return;
+  }
+  Answered(sent);
+  auto& page = std::get<platform::NewestPage>(outcome);
+  if (!load_end_.has_value()) {
+    // Pages are no snapshot: whatever was written since the first is read on.
+    load_end_ = page.end;
+  }
+  for (platform::KeyedRecord& record : page.records) {
+    loaded_.push_back(std::move(record));
+  }
+  if (page.has_more && !page.records.empty()) {
+    const std::string last = loaded_.back().key;
+    LoadPage(last);
+    return;
+  }
+  position_ = *load_end_;
+  caught_up_ = true;
+  handler_.on_snapshot(std::exchange(loaded_, {}));
+  if (!stopped_) {
+    Follow();
+  }
+}
+
+void KeyedTail::Follow() {
+  store_.Read(partition_, position_, timing_.wait,
+              timing_.wait + timing_.patience,
+              [self = shared_from_this(),
+               sent = clock_.now()](const platform::ReadOutcome& outcome) {
+                self->OnRead(sent, outcome);
+              });
+}
+
+void KeyedTail::OnRead(Instant sent, const platform::ReadOutcome& outcome) {
+  if (stopped_) {
+    return;
+  }
+  if (const auto* failure = std::get_if<platform::PlatformFailure>(&outcome)) {
+    Failed(failure->reason, [this] { Follow(); });
+    return;
+  }
+  Answered(sent);
+  if (const auto* lost = std::get_if<platform::HistoryLost>(&outcome)) {
+    log_.Write(
+        "store.history_lost",
+        {{"topic", partition_.topic},
+         {"part", static_cast<std::int64_t>(partition_.number)},
+         {"position", static_cast<std::int64_t>(position_)},
+         {"first_retained", static_cast<std::int64_t>(lost->first_retained)}});
+    LoadPage({});
+    return;
+  }
+  const auto& page = std::get<platform::RecordPage>(outcome);
+  for (const platform::KeyedRecord& record : page.records) {
+    position_ = record.offset + 1;
+    handler_.on_record(record);
+    if (stopped_) {
+      return;
+    }
+  }
+  position_ = page.next;
+  if (handler_.on_page_end) {
+    handler_.on_page_end();
+  }
+  After(page.records.empty() ? std::chrono::milliseconds(0) : timing_.pace,
+        [this] { Follow(); });
+}
+
+void KeyedTail::Answered(Instant sent) {
+  last_contact_ = sent;
+  if (std::exchange(failing_, false)) {
+    log_.Write("dependency.regained",
+               {{"dependency", "store"}, {"topic", partition_.topic}});
+  }
+}
+
+void KeyedTail::Failed(const std::string& reason, std::function<void()> retry) {
+  last_failure_ = clock_.now();
+  if (!std::exchange(failing_, true)) {
+    log_.Write("dependency.lost", {{"dependency", "store"},
+                                   {"topic", partition_.topic},
+                                   {"reason", reason}});
+  }
+  After(timing_.retry, std::move(retry));
+}
+
+}  // namespace mulberryroad::store
--- a/test/trace_replay_test.cc
+++ b/test/trace_replay_test.cc
@@ -127,25 +127,25 @@
   }
 }
 
-void Play(membership::Roster& roster, const v1::MembershipTraceStep& step) {
+void Play(membership::Roster& roster, const v1::MembersTraceStep& step) {
   const Instant now = At(step.at_ms());
   switch (step.event_case()) {
-    case v1::MembershipTraceStep::kTick:
+    case v1::MembersTraceStep::kTick:
       roster.Tick(now);
       return;
-    case v1::MembershipTraceStep::kNews:
+    case v1::MembersTraceStep::kNews:
       roster.Merge(step.news(), now);
       return;
-    case v1::MembershipTraceStep::kHeard:
+    case v1::MembersTraceStep::kHeard:
       roster.Heard(step.heard(), now);
       return;
-    case v1::MembershipTraceStep::kProbeFailed:
+    case v1::MembersTraceStep::kProbeFailed:
       roster.ProbeFailed(NodeId(step.probe_failed()), now);
       return;
-    case v1::MembershipTraceStep::kVmList:
+    case v1::MembersTraceStep::kVmList:
       roster.TakeVmList(step.vm_list(), now);
       return;
-    case v1::MembershipTraceStep::kLeave:
+    case v1::MembersTraceStep::kLeave:
       roster.Leave();
       return;
     default:
@@ -159,7 +159,7 @@
   self.set_incarnation(1);
   self.set_peer_endpoint("10.0.0.1:7000");
   membership::Roster roster(self, 1, membership::MembershipOptions{});
-  for (const auto& step : Load<v1::MembershipTraceStep>(file)) {
+  for (const auto& step : Load<v1::MembersTraceStep>(file)) {
     Play(roster, step);
     for (const auto& [node, state] : step.states()) {
       const auto member = roster.find(NodeId(node));
