--- a/src/batches/batch_host.cc
+++ b/src/batches/batch_host.cc
@@ -70,7 +70,8 @@
     }
   }
   for (const platform::PartitionId& partition : held) {
-    if (!owners_.contains(partition)) {
+    if (!owners_.contains(partition) &&
+        used_epochs_[partition] < share.generation) {
       Acquire(partition, share.generation);
     }
   }
@@ -78,6 +79,7 @@
 
 void BatchHost::Acquire(const platform::PartitionId& partition,
                         std::uint64_t epoch) {
+  used_epochs_[partition] = epoch;
   auto owner = std::make_shared<PartOwner>(context_, partition, epoch,
                                            [this, alive = alive_, partition] {
                                              if (*alive) {
--- a/src/batches/batch_host.h
+++ b/src/batches/batch_host.h
@@ -48,6 +48,9 @@
   bool joining_ = false;
   bool left_ = false;
   std::map<platform::PartitionId, std::shared_ptr<PartOwner>> owners_;
+  /// Epoch of the last owner of each partition in this process. None is used
+  /// twice, as the appends of both owners would have the same numbers.
+  std::map<platform::PartitionId, std::uint64_t> used_epochs_;
   base::Timer join_timer_;
   base::Timer pump_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/duties/usage_reporter.cc
+++ b/src/duties/usage_reporter.cc
@@ -58,13 +58,10 @@
 }
 
 void UsageReporter::Tick() {
+  // A lease that lapsed and was renewed goes on with its writer: a new one
+  // would number its appends like those before.
   const auto epoch = epoch_();
   if (!epoch.has_value()) {
-    if (term_ != nullptr) {
-      term_->over = true;
-      term_->writer->Stop();
-      term_.reset();
-    }
     return;
   }
   if (term_ == nullptr || term_->epoch != *epoch) {
@@ -202,6 +199,7 @@
                            std::int64_t window) {
   const auto epoch = epoch_();
   if (epoch != term->epoch) {
+    term->busy.erase(window);
     return;
   }
   UsageByOrganisation counts = term->closed[window];
