--- a/src/batches/batch_client.cc
+++ b/src/batches/batch_client.cc
@@ -15,6 +15,10 @@
                          platform::PartitionStore& store, int partitions)
     : loop_(loop), clock_(clock), store_(store), partitions_(partitions) {}
 
+platform::PartitionId BatchClient::Locate(const BatchName& batch) const {
+  return PartitionOf(batch.organisation.value(), partitions_);
+}
+
 void BatchClient::After(milliseconds delay, std::function<void()> step) {
   auto timer = std::make_shared<base::Timer>();
   *timer = loop_.After(
@@ -25,20 +29,19 @@
       });
 }
 
-void BatchClient::Submit(const std::string& batch,
+void BatchClient::Submit(const BatchName& batch,
                          std::vector<KeyedRecord> records,
                          milliseconds patience,
                          std::function<void(StoreResult)> on_result) {
-  Append(PartitionOf(batch, partitions_), std::move(records),
-         clock_.now() + patience, /*maybe_stored=*/false, std::move(on_result));
+  Append(Locate(batch), std::move(records), clock_.now() + patience,
+         /*maybe_stored=*/false, std::move(on_result));
 }
 
-void BatchClient::End(const std::string& batch, milliseconds patience,
+void BatchClient::End(const BatchName& batch, milliseconds patience,
                       std::function<void(StoreResult)> on_result) {
   v1::BatchEnd end;
   end.set_ended_ms(UnixTime(clock_.wall_now()).count());
-  Append(PartitionOf(batch, partitions_),
-         {{Encode(EndKey{batch}), end.SerializeAsString()}},
+  Append(Locate(batch), {{Encode(EndKey{batch.id}), end.SerializeAsString()}},
          clock_.now() + patience, /*maybe_stored=*/false, std::move(on_result));
 }
 
@@ -81,23 +84,24 @@
       });
 }
 
-void BatchClient::Remember(const std::string& batch, v1::BatchRecord record) {
+void BatchClient::Remember(const std::string& id, v1::BatchRecord record) {
   if (known_.size() >= kMaxKnown) {
+    // Any one will do: it is read again when it is asked for.
     known_.erase(known_.begin());
   }
-  known_[batch] = std::move(record);
+  known_[id] = std::move(record);
 }
 
 void BatchClient::Find(
-    const std::string& batch,
+    const BatchName& batch,
     std::function<void(std::variant<v1::BatchRecord, NoSuchBatch, Unsure>)>
         on_result) {
-  if (const auto found = known_.find(batch); found != known_.end()) {
+  if (const auto found = known_.find(batch.id); found != known_.end()) {
     on_result(found->second);
     return;
   }
   store_.ReadNewest(
-      PartitionOf(batch, partitions_), batch + "/", kReadTimeout,
+      Locate(batch), batch.id + "/", kReadTimeout,
       [self = shared_from_this(), batch,
        on_result = std::move(on_result)](const NewestOutcome& outcome) {
         if (const auto* failure = std::get_if<PlatformFailure>(&outcome)) {
@@ -107,33 +111,33 @@
         const auto& page = std::get<NewestPage>(outcome);
         v1::BatchRecord record;
         if (page.records.empty() ||
-            page.records.front().key != Encode(AcceptedKey{batch})) {
+            page.records.front().key != Encode(AcceptedKey{batch.id})) {
           on_result(NoSuchBatch{});
         } else if (!record.ParseFromString(
                        page.records.front().value.value_or(""))) {
           on_result(Unsure{"the record of the batch is malformed"});
         } else {
-          self->Remember(batch, record);
+          self->Remember(batch.id, record);
           on_result(std::move(record));
         }
       });
 }
 
-void BatchClient::Read(const std::string& batch, std::uint32_t position,
+void BatchClient::Read(const BatchName& batch, std::uint32_t position,
                        milliseconds wait,
                        std::function<void(ReadResult)> on_result) {
   ReadPage(batch, position, clock_.now() + wait, std::move(on_result));
 }
 
-void BatchClient::ReadPage(const std::string& batch, std::uint32_t position,
+void BatchClient::ReadPage(const BatchName& batch, std::uint32_t position,
                            Instant until,
                            std::function<void(ReadResult)> on_result) {
   // The key before the first one that is wanted.
   const std::string after = position == 0
-                                ? Encode(AcceptedKey{batch})
-                                : Encode(ResultKey{batch, position - 1});
+                                ? Encode(AcceptedKey{batch.id})
+                                : Encode(ResultKey{batch.id, position - 1});
   store_.ReadNewest(
-      PartitionOf(batch, partitions_), after, kReadTimeout,
+      Locate(batch), after, kReadTimeout,
       [self = shared_from_this(), batch, position, until,
        on_result = std::move(on_result)](const NewestOutcome& outcome) mutable {
         if (const auto* failure = std::get_if<PlatformFailure>(&outcome)) {
@@ -147,7 +151,7 @@
           const BatchKey key = Decode(record.key);
           const auto* result_key = std::get_if<ResultKey>(&key);
           v1::ResultRecord result;
-          if (result_key == nullptr || result_key->batch != batch ||
+          if (result_key == nullptr || result_key->batch != batch.id ||
               result_key->position != position + page.results.size() ||
               !result.ParseFromString(record.value.value_or("")) ||
               (bytes > 0 && bytes + record.value->size() > kMaxPageBytes)) {
@@ -169,16 +173,16 @@
       });
 }
 
-void BatchClient::ReadBody(const std::string& batch, const std::string& item,
+void BatchClient::ReadBody(const BatchName& batch, const std::string& item,
                            std::function<void(BodyResult)> on_result) {
-  ReadChunks(batch, item, Encode(EndKey{batch}), std::move(on_result));
+  ReadChunks(batch, item, Encode(EndKey{batch.id}), std::move(on_result));
 }
 
-void BatchClient::ReadChunks(const std::string& batch, const std::string& item,
+void BatchClient::ReadChunks(const BatchName& batch, const std::string& item,
                              const std::string& after,
                              std::function<void(BodyResult)> on_result) {
   store_.ReadNewest(
-      PartitionOf(batch, partitions_), after, kReadTimeout,
+      Locate(batch), after, kReadTimeout,
       [self = shared_from_this(), batch, item,
        on_result = std::move(on_result)](const NewestOutcome& outcome) mutable {
         if (const auto* failure = std::get_if<PlatformFailure>(&outcome)) {
@@ -190,7 +194,7 @@
           const BatchKey key = Decode(record.key);
           const auto* chunk_key = std::get_if<ChunkKey>(&key);
           v1::BatchChunk chunk;
-          if (chunk_key == nullptr || chunk_key->batch != batch) {
+          if (chunk_key == nullptr || chunk_key->batch != batch.id) {
             on_result(NoSuchBatch{});
             return;
           }
--- a/src/batches/batch_client.h
+++ b/src/batches/batch_client.h
@@ -17,6 +17,7 @@
 #include "base/event_loop.h"
 #include "batches/batch_table.h"
 #include "mulberryroad/clock.h"
+#include "mulberryroad/ids.h"
 #include "platform/partition_store.h"
 
 namespace mulberryroad::batches {
@@ -52,6 +53,12 @@
 };
 using BodyResult = std::variant<ItemBody, NoSuchBatch, Unsure>;
 
+/// Names a batch; its organisation tells where it lies.
+struct BatchName {
+  OrganisationId organisation;
+  std::string id;
+};
+
 class BatchClient : public std::enable_shared_from_this<BatchClient> {
  public:
   BatchClient(base::EventLoop& loop, const Clock& clock,
@@ -59,25 +66,25 @@
 
   /// Stores a batch.
   /// @param patience how long an append without an answer is repeated
-  void Submit(const std::string& batch,
+  void Submit(const BatchName& batch,
               std::vector<platform::KeyedRecord> records,
               std::chrono::milliseconds patience,
               std::function<void(StoreResult)> on_result);
   /// Stores the end of a batch.
-  void End(const std::string& batch, std::chrono::milliseconds patience,
+  void End(const BatchName& batch, std::chrono::milliseconds patience,
            std::function<void(StoreResult)> on_result);
   /// Finds what was accepted as a batch.
   void Find(
-      const std::string& batch,
+      const BatchName& batch,
       std::function<void(std::variant<v1::BatchRecord, NoSuchBatch, Unsure>)>
           on_result);
   /// Reads results from a position on.
   /// @param wait how long to wait for the first of them
-  void Read(const std::string& batch, std::uint32_t position,
+  void Read(const BatchName& batch, std::uint32_t position,
             std::chrono::milliseconds wait,
             std::function<void(ReadResult)> on_result);
   /// Reads the body of an item.
-  void ReadBody(const std::string& batch, const std::string& item,
+  void ReadBody(const BatchName& batch, const std::string& item,
                 std::function<void(BodyResult)> on_result);
 
   /// A page of results stays under the platform's 1 MB.
@@ -96,13 +103,14 @@
   void Append(const platform::PartitionId& partition,
               std::vector<platform::KeyedRecord> records, Instant give_up,
               bool maybe_stored, std::function<void(StoreResult)> on_result);
-  void ReadPage(const std::string& batch, std::uint32_t position, Instant until,
+  void ReadPage(const BatchName& batch, std::uint32_t position, Instant until,
                 std::function<void(ReadResult)> on_result);
-  void ReadChunks(const std::string& batch, const std::string& item,
+  void ReadChunks(const BatchName& batch, const std::string& item,
                   const std::string& after,
                   std::function<void(BodyResult)> on_result);
+  platform::PartitionId Locate(const BatchName& batch) const;
   void After(std::chrono::milliseconds delay, std::function<void()> step);
-  void Remember(const std::string& batch, v1::BatchRecord record);
+  void Remember(const std::string& id, v1::BatchRecord record);
 
   base::EventLoop& loop_;
   const Clock& clock_;
--- a/src/batches/batch_keys.cc
+++ b/src/batches/batch_keys.cc
@@ -78,9 +78,10 @@
          });
 }
 
-platform::PartitionId PartitionOf(const std::string& batch, int partitions) {
+platform::PartitionId PartitionOf(const std::string& organisation,
+                                  int partitions) {
   return {kBatchTopic,
-          static_cast<int>(base::StableHash(batch) %
+          static_cast<int>(base::StableHash(organisation) %
                            static_cast<std::uint64_t>(partitions))};
 }
 
--- a/src/batches/batch_keys.h
+++ b/src/batches/batch_keys.h
@@ -42,8 +42,11 @@
 
 /// Returns whether an id can be part of a key.
 bool IsBatchId(const std::string& id);
-/// Returns the partition that holds a batch.
-platform::PartitionId PartitionOf(const std::string& batch, int partitions);
+/// Returns the partition that holds the batches of an organisation. A trainer
+/// has one organisation: the owner of its partition keeps connections to the
+/// upstreams from step to step, and what the last step left of its groups.
+platform::PartitionId PartitionOf(const std::string& organisation,
+                                  int partitions);
 
 }  // namespace mulberryroad::batches
 
--- a/src/batches/item_run.h
+++ b/src/batches/item_run.h
@@ -34,6 +34,10 @@
   bool Take(const serving::StreamEvent& event);
   /// Returns the data of all events, separated by line feeds.
   std::string text() const;
+  /// True if no event was made under a version older than this.
+  bool fits(std::uint64_t min_version) const {
+    return versions.empty() || *versions.begin() >= min_version;
+  }
 };
 
 struct RunTiming {
@@ -61,6 +65,8 @@
   void Cancel();
 
   const UpstreamId& upstream() const { return upstream_; }
+  /// What this run and those before it have brought so far.
+  const ItemProgress& progress() const { return progress_; }
 
  private:
   void OnStart(const serving::StreamStart& start);
--- a/src/batches/item_scheduler.cc
+++ b/src/batches/item_scheduler.cc
@@ -11,15 +11,26 @@
     double& group = longest[item.group];
     group = std::max(group, item.expected_tokens);
   }
+  std::set<std::string> carried;
+  for (const ItemInfo& item : batch.items) {
+    if (item.carried) {
+      carried.insert(item.group);
+    }
+  }
   std::vector<std::pair<double, std::string>> groups;
   groups.reserve(longest.size());
   for (const auto& [group, tokens] : longest) {
-    groups.emplace_back(tokens, group);
+    if (!carried.contains(group)) {
+      groups.emplace_back(tokens, group);
+    }
   }
   std::sort(groups.begin(), groups.end());
   std::set<std::string> spare;
   const std::size_t desired =
-      batch.desired_groups == 0 ? groups.size() : batch.desired_groups;
+      batch.desired_groups == 0
+          ? groups.size()
+          : batch.desired_groups -
+                std::min(batch.desired_groups, carried.size());
   for (std::size_t i = desired; i < groups.size(); ++i) {
     spare.insert(groups[i].second);
   }
--- a/src/batches/item_scheduler.h
+++ b/src/batches/item_scheduler.h
@@ -30,6 +30,8 @@
   /// Estimate of its output; 0 if unknown.
   double expected_tokens = 0;
   bool listed = false;
+  /// An earlier batch had it: the trainer waits for its group in any case.
+  bool carried = false;
 };
 
 /// What it knows of a batch.
--- a/src/batches/part_owner.cc
+++ b/src/batches/part_owner.cc
@@ -141,9 +141,9 @@
     items.insert(items.end(), chunk.items().begin(), chunk.items().end());
   }
   for (const v1::BatchItem& item : items) {
-    info.items.push_back({item.id(), item.group(),
-                          context_.read_headers(item).expected_tokens,
-                          batch.listed.contains(item.id())});
+    info.items.push_back(
+        {item.id(), item.group(), context_.read_headers(item).expected_tokens,
+         batch.listed.contains(item.id()), leftovers_.contains(item.id())});
   }
   next_position_[id] = std::max(next_position_[id], batch.next_position);
   context_.log.Write(
@@ -158,12 +158,84 @@
        {"listed", static_cast<std::int64_t>(batch.listed.size())},
        {"age_ms", duration_cast<milliseconds>(age).count()}});
   scheduler_.Open(std::move(info));
+  UseLeftovers(id);
+}
+
+void PartOwner::UseLeftovers(const std::string& id) {
+  const std::uint64_t min_version = scheduler_.find(id)->min_version;
+  const v1::BatchRecord& record = *table_.find(id)->accepted;
+  const std::vector<v1::BatchItem>& items = items_[id];
+  for (std::size_t i = 0; i < items.size(); ++i) {
+    const auto found = leftovers_.find(items[i].id());
+    if (found == leftovers_.end()) {
+      continue;
+    }
+    Leftover leftover = std::move(found->second);
+    leftovers_.erase(found);
+    const serving::Route* route =
+        context_.catalog.Match(record.host(), items[i].path());
+    const bool one_version = route != nullptr && route->single_version;
+    if (!leftover.progress.fits(min_version) ||
+        (one_version && leftover.progress.versions.size() > 1)) {
+      continue;
+    }
+    context_.log.Write(
+        "item.reused",
+        {{"request", items[i].id()},
+         {"batch", id},
+         {"complete", leftover.complete},
+         {"events", static_cast<std::int64_t>(leftover.progress.last_event)}});
+    const ItemRef item{id, i};
+    if (!leftover.complete) {
+      progress_[item] = std::move(leftover.progress);
+    } else if (std::holds_alternative<ListCompleted>(scheduler_.OnRunEnd(
+                   item, RunCompleted{}, context_.clock.now()))) {
+      List(item, v1::ITEM_STATE_COMPLETED, leftover.progress);
+      completed_[item] = std::move(leftover.progress);
+    }
+  }
+}
+
+void PartOwner::KeepLeftovers(const std::string& id) {
+  const std::vector<v1::BatchItem>& items = items_[id];
+  std::map<std::string, bool> whole;
+  for (std::size_t i = 0; i < items.size(); ++i) {
+    const bool done = completed_.contains({id, i});
+    const auto [group, added] = whole.try_emplace(items[i].group(), done);
+    group->second = group->second && done;
+  }
+  const Instant now = context_.clock.now();
+  for (std::size_t i = 0; i < items.size(); ++i) {
+    if (whole[items[i].group()]) {
+      continue;
+    }
+    Leftover leftover{{}, false, now};
+    if (const auto done = completed_.find({id, i}); done != completed_.end()) {
+      leftover.progress = std::move(done->second);
+      leftover.complete = true;
+    } else if (const auto run = runs_.find({id, i}); run != runs_.end()) {
+      leftover.progress = run->second->progress();
+    } else if (const auto kept = progress_.find({id, i});
+               kept != progress_.end()) {
+      leftover.progress = std::move(kept->second);
+    }
+    leftovers_[items[i].id()] = std::move(leftover);
+  }
+}
+
+void PartOwner::ExpireLeftovers() {
+  const Instant now = context_.clock.now();
+  std::erase_if(leftovers_, [now](const auto& entry) {
+    return now >= entry.second.since + kLeftoverTime;
+  });
 }
 
 void PartOwner::CloseBatch(const std::string& id) {
   if (!scheduler_.knows(id)) {
     return;
   }
+  ExpireLeftovers();
+  KeepLeftovers(id);
   std::int64_t cancelled = 0;
   for (auto run = runs_.lower_bound({id, 0});
        run != runs_.end() && run->first.batch == id;) {
@@ -171,10 +243,11 @@
     run = runs_.erase(run);
     ++cancelled;
   }
-  for (auto kept = progress_.lower_bound({id, 0});
-       kept != progress_.end() && kept->first.batch == id;) {
-    kept = progress_.erase(kept);
-  }
+  const auto of_batch = [&id](const auto& entry) {
+    return entry.first.batch == id;
+  };
+  std::erase_if(progress_, of_batch);
+  std::erase_if(completed_, of_batch);
   items_.erase(id);
   scheduler_.Close(id);
   context_.log.Write("batch.close", {{"batch", id}, {"cancelled", cancelled}});
@@ -316,8 +389,7 @@
     return;
   }
   const bool completed = std::holds_alternative<RunCompleted>(end);
-  const bool stale = completed && !progress.versions.empty() &&
-                     *progress.versions.begin() < batch->min_version;
+  const bool stale = completed && !progress.fits(batch->min_version);
   context_.log.Write(
       "item.end",
       {{"request", stored->id()},
@@ -331,6 +403,7 @@
       item, stale ? RunEnd(RunInterrupted{}) : end, context_.clock.now());
   if (std::holds_alternative<ListCompleted>(step)) {
     List(item, v1::ITEM_STATE_COMPLETED, progress);
+    completed_[item] = std::move(progress);
   } else if (std::holds_alternative<ListTerminated>(step)) {
     List(item, v1::ITEM_STATE_TERMINATED, {});
   } else if (!stale) {
--- a/src/batches/part_owner.h
+++ b/src/batches/part_owner.h
@@ -63,6 +63,10 @@
   /// Places waiting items and gives up overdue ones.
   void Pump();
 
+  /// Steps follow each other within seconds; a group that did not come again in
+  /// this time will not.
+  static constexpr std::chrono::milliseconds kLeftoverTime{30'000};
+
   std::size_t running() const { return runs_.size(); }
   std::size_t waiting() const { return scheduler_.waiting(); }
 
@@ -70,6 +74,9 @@
   void OnReady();
   void OnRecord(const platform::KeyedRecord& record);
   void Refresh(const std::string& id);
+  void KeepLeftovers(const std::string& id);
+  void UseLeftovers(const std::string& id);
+  void ExpireLeftovers();
   void OpenBatch(const std::string& id, const Batch& batch);
   void CloseBatch(const std::string& id);
   std::optional<UpstreamId> Placement(const BatchInfo& batch,
@@ -95,6 +102,16 @@
   /// Items of the open batches by index.
   std::map<std::string, std::vector<v1::BatchItem>> items_;
   std::map<std::string, std::uint32_t> next_position_;
+  /// Outputs of the open batches' completed items.
+  std::map<ItemRef, ItemProgress> completed_;
+  /// What is left of the groups that ended batches did not complete, by item:
+  /// trainers submit such groups again under the same ids.
+  struct Leftover {
+    ItemProgress progress;
+    bool complete = false;
+    Instant since;
+  };
+  std::map<std::string, Leftover> leftovers_;
   bool stopped_ = false;
 };
 
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -16,7 +16,9 @@
 
 namespace {
 
-constexpr std::size_t kMaxIdlePerEndpoint = 16;
+// Over the requests that an upstream runs at once, so that a node that fills
+// it alone keeps its connections.
+constexpr std::size_t kMaxIdlePerEndpoint = 64;
 constexpr ev_ssize_t kMaxAnswerBytes = ev_ssize_t{64} << 20;
 // evhttp's own limit stays out of the way of the call's own timers.
 constexpr int kLibraryTimeoutSeconds = 24 * 3600;
