--- a/src/duties/duty_lease.cc
+++ b/src/duties/duty_lease.cc
@@ -22,7 +22,7 @@
     term_end_ = {};
     return;
   }
-  const auto sent = sent_.find({record.epoch(), record.renewals()});
+  const auto sent = sent_.find(record.attempt());
   if (sent != sent_.end()) {
     term_end_ = std::max(term_end_, sent->second + timing_.term);
     sent_.erase(sent_.begin(), std::next(sent));
@@ -38,7 +38,6 @@
   next.set_holder(holder_);
   if (mine() && now < term_end_) {
     next.set_epoch(state_.epoch());
-    next.set_renewals(state_.renewals() + 1);
   } else {
     const bool free = !read_at_.has_value() || state_.released() ||
                       now >= *read_at_ + timing_.term + timing_.margin;
@@ -48,7 +47,8 @@
     next.set_epoch(state_.epoch() + 1);
   }
   last_write_ = now;
-  sent_[{next.epoch(), next.renewals()}] = now;
+  next.set_attempt(++attempts_);
+  sent_[attempts_] = now;
   return WriteLease{std::move(next)};
 }
 
--- a/src/duties/duty_lease.h
+++ b/src/duties/duty_lease.h
@@ -67,8 +67,10 @@
   v1::DutyRecord state_;
   std::optional<Instant> read_at_;
   Instant claim_from_;
-  /// Sending times of records that may still be read, by epoch and renewal.
-  std::map<std::pair<std::uint64_t, std::uint64_t>, Instant> sent_;
+  /// Sending times of records that may still be read, by their numbers. Each
+  /// attempt has its own, as any of several may be the one that was taken.
+  std::map<std::uint64_t, Instant> sent_;
+  std::uint64_t attempts_ = 0;
   std::optional<Instant> last_write_;
   /// End of the term, as far as it is known.
   Instant term_end_{};
--- a/src/duties/weight_plan.cc
+++ b/src/duties/weight_plan.cc
@@ -1,6 +1,7 @@
 #include "duties/weight_plan.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <tuple>
 
@@ -50,6 +51,12 @@
   return found == newest_.end() ? 1 : found->second;
 }
 
+std::size_t WeightPlan::at_once(std::size_t upstreams) const {
+  const auto share = static_cast<std::size_t>(
+      std::llround(static_cast<double>(upstreams) * rules_.share_at_once));
+  return std::max<std::size_t>(share, 1);
+}
+
 void WeightPlan::Settle(
     const std::map<UpstreamId, serving::Registration>& upstreams, Instant now) {
   for (auto load = under_way_.begin(); load != under_way_.end();) {
@@ -90,9 +97,13 @@
                    [](const auto& a, const auto& b) {
                      return std::get<0>(a) > std::get<0>(b);
                    });
+  std::size_t engines = 0;
+  for (const auto& [service, members] : services) {
+    engines += members.size();
+  }
   std::vector<LoadWeights> loads;
   for (const auto& [lag, id, model] : lagging) {
-    if (under_way_.size() >= rules_.at_once) {
+    if (under_way_.size() >= at_once(engines)) {
       break;
     }
     under_way_[id] = {model, newest(model), now};
--- a/src/duties/weight_plan.h
+++ b/src/duties/weight_plan.h
@@ -28,9 +28,9 @@
 };
 
 struct WeightPlanRules {
-  /// Loads under way at a time: the platform's pages say that a change takes
-  /// longer beyond two.
-  std::size_t at_once = 2;
+  /// Share of the upstreams that load at a time. The weight store is said to
+  /// slow down beyond 2 loads of 12 or 9 upstreams, and 9 of 45.
+  double share_at_once = 0.2;
   /// A load that is not seen to end in this time is taken to have failed: three
   /// times what one takes when the weight store is slow.
   std::chrono::milliseconds patience{3'000};
@@ -66,6 +66,7 @@
     Instant since;
   };
 
+  std::size_t at_once(std::size_t upstreams) const;
   void Settle(const std::map<UpstreamId, serving::Registration>& upstreams,
               Instant now);
 
--- /dev/null
+++ b/test/contract/platform_adapter_test.cc
@@ -0,0 +1,252 @@
+// The adapter of the users' platform: what its bodies, headers and settings
+// mean.
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+#include "platform/batch_codec.h"
+#include "platform/headers.h"
+#include "platform/json.h"
+#include "platform/manifest_codec.h"
+#include "platform/settings_codec.h"
+#include "platform/store_client.h"
+#include "platform/upstream_client.h"
+
+namespace mulberryroad::platform_adapter {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char kManifest[] = R"({"version":7,"routes":[
+  {"name":"r1","host":"h","pathPrefix":"/a/","kind":"idempotent","timeoutMs":2000,"targetLatencyMs":150,
+   "trafficSplit":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"maxAttempts":2},
+  {"name":"r2","host":"h","pathPrefix":"/b/","kind":"rollout","service":"s1","maxAttempts":3,
+   "retentionS":40.0,"resultDeadlineMs":7500,"singleVersion":true,"resumable":true},
+  {"name":"r3","host":"h","pathPrefix":"/c/","kind":"something new","service":"s1","authExempt":true}],
+ "services":[{"name":"s1","engine":{"models":[{"name":"m"}]},
+   "scaling":{"min":1,"max":8,"zonePrices":{"z1":1.0,"z2":0.8}}}],
+ "limits":{"maxBodyBytes":1000,"idleTimeoutMs":15000},
+ "tenants":[{"name":"org","apiKeys":["k1","k2"]}]})";
+
+Test(manifest_codec, every_field_goes_where_it_belongs) {
+  const auto manifest = DecodeManifest(kManifest);
+  cr_assert(manifest.has_value());
+  cr_assert_eq(manifest->version, 7);
+  const serving::Route& plain = manifest->routes[0];
+  cr_assert(plain.kind == serving::RouteKind::kIdempotent);
+  cr_assert_eq(plain.services.size(), 2);
+  cr_assert(plain.target_latency == milliseconds(150));
+  const serving::Route& batch = manifest->routes[1];
+  cr_assert(batch.kind == serving::RouteKind::kBatch);
+  cr_assert(batch.retention == milliseconds(40'000));
+  cr_assert(batch.result_deadline == milliseconds(7'500));
+  cr_assert(batch.single_version && batch.resumable && !batch.open);
+  const serving::Route& unknown = manifest->routes[2];
+  cr_assert(unknown.kind == serving::RouteKind::kNonIdempotent,
+            "a kind that is not known allows least");
+  cr_assert(unknown.open);
+  cr_assert_eq(manifest->services[0].scaling->max, 8);
+  cr_assert_eq(manifest->limits.max_body_bytes, 1000);
+  cr_assert_eq(manifest->organisations->front().keys.size(), 2);
+}
+
+Test(manifest_codec, broken_manifests_are_refused) {
+  cr_assert(!DecodeManifest("").has_value());
+  cr_assert(!DecodeManifest("{\"version\":").has_value());
+  cr_assert(!DecodeManifest(R"({"version":"7"})").has_value());
+  cr_assert(!DecodeManifest(R"([1,2])").has_value());
+  cr_assert(!DecodeManifest(R"({"version":1})")->organisations.has_value());
+}
+
+constexpr char kEntry[] =
+    R"({"service":"s","addr":"10.1.0.9:8080","zone":"z","version":"v1","slots":12,"state":"ready",
+        "models":[{"name":"m","version":3}],"seq":4,"born":1700000000123})";
+
+std::string Replaced(std::string text, const std::string& from,
+                     const std::string& to) {
+  return text.replace(text.find(from), from.size(), to);
+}
+
+Test(registration_codec, entry_is_read) {
+  const auto entry = DecodeRegistration("i-1", kEntry);
+  cr_assert(entry.has_value());
+  cr_assert_eq(entry->slots, 12);
+  cr_assert_eq(entry->versions.at(TargetId("m")), 3);
+  cr_assert_eq(entry->started.count(), 1700000000123);
+  cr_assert(!entry->draining);
+  cr_assert(
+      DecodeRegistration("i-1", Replaced(kEntry, "ready", "draining"))
+          ->draining);
+}
+
+Test(registration_codec, foreign_entries_name_no_upstream) {
+  const std::string entry = kEntry;
+  cr_assert(!DecodeRegistration("i", "\xff\xfe").has_value());
+  cr_assert(!DecodeRegistration("i", "{}").has_value());
+  cr_assert(!DecodeRegistration("", entry).has_value());
+  cr_assert(
+      !DecodeRegistration("i", Replaced(entry, "\"ready\"", "\"new\"")));
+  cr_assert(!DecodeRegistration("i", Replaced(entry, "12", "\"12\"")));
+  cr_assert(!DecodeRegistration("i", Replaced(entry, "10.1.0.9:8080", "x")));
+  cr_assert(!DecodeRegistration("i", Replaced(entry, "\"s\"", "5")));
+}
+
+Test(store_framing, records_survive_the_round_trip) {
+  std::string body(16, '\0');
+  body[7] = 9;
+  body[15] = 4;
+  body += EncodeRecords({{"k", "value"}, {"dropped", std::nullopt}});
+  const auto page = DecodePage(body, 7);
+  cr_assert(page.has_value());
+  cr_assert_eq(page->end, 9);
+  cr_assert_eq(page->first_retained, 4);
+  cr_assert_eq(page->next, 9);
+  cr_assert_eq(page->records.size(), 2);
+  cr_assert_str_eq(page->records[0].value->c_str(), "value");
+  cr_assert_eq(page->records[1].offset, 8);
+  cr_assert(!page->records[1].value.has_value());
+}
+
+Test(store_framing, cut_pages_are_no_pages) {
+  std::string body(16, '\0');
+  body += EncodeRecords({{"k", "value"}});
+  for (std::size_t size = 0; size < body.size(); ++size) {
+    const auto page = DecodePage(body.substr(0, size), 0);
+    cr_assert(!page.has_value() || (size == 16 && page->records.empty()),
+              "a page of %zu bytes was taken", size);
+  }
+}
+
+Test(base64, padding_and_faults) {
+  cr_assert_str_eq(DecodeBase64("YQ==")->c_str(), "a");
+  cr_assert_str_eq(DecodeBase64("YWI=")->c_str(), "ab");
+  cr_assert_str_eq(DecodeBase64("YWJj")->c_str(), "abc");
+  cr_assert(DecodeBase64("")->empty());
+  cr_assert(!DecodeBase64("YWJ").has_value());
+  cr_assert(!DecodeBase64("Y!Jj").has_value());
+}
+
+http::Response MakeResponse(int status,
+                            std::map<std::string, std::string> headers) {
+  return {status, std::move(headers), "body"};
+}
+
+Test(classify, only_a_signed_answer_to_this_request_is_whole) {
+  const RequestId id("r1");
+  const auto whole = Classify(
+      id, MakeResponse(200, {{"request-id", "r1"}, {"server-seal", "x"}}));
+  cr_assert(std::holds_alternative<serving::Whole>(whole));
+  cr_assert(std::holds_alternative<serving::MayHaveRun>(
+      Classify(id, MakeResponse(200, {{"request-id", "r1"}}))));
+  cr_assert(std::holds_alternative<serving::MayHaveRun>(Classify(
+      id, MakeResponse(200, {{"request-id", "r2"}, {"server-seal", "x"}}))));
+  cr_assert(std::holds_alternative<serving::MayHaveRun>(
+      Classify(id, MakeResponse(200, {{"server-seal", "x"}}))));
+}
+
+Test(classify, only_stated_refusals_have_not_run) {
+  const RequestId id("r1");
+  const auto full = Classify(id, MakeResponse(503, {{"not-executed", "1"}}));
+  cr_assert(std::get<serving::NotRun>(full).full);
+  const auto moved = Classify(id, MakeResponse(421, {}));
+  cr_assert(!std::get<serving::NotRun>(moved).full);
+  cr_assert(std::holds_alternative<serving::Whole>(Classify(
+      id, MakeResponse(503, {{"request-id", "r1"}, {"server-seal", "x"}}))));
+  cr_assert(std::holds_alternative<serving::MayHaveRun>(Classify(
+      id, MakeResponse(503, {{"request-id", "r0"}, {"not-executed", "1"}}))));
+}
+
+Test(headers, caller_cannot_set_what_the_system_sets) {
+  http::Request request;
+  request.target = "/a/x?q=1";
+  request.headers = {{"host", "h:80"},          {"request-id", "r1"},
+                     {"credential", "secret"},  {"tenant", "other"},
+                     {"expect-instance", "i9"}, {"connection", "close"},
+                     {"x-kept", "yes"},         {"deadline-ms", "900"}};
+  const CallerHeaders headers = ReadCallerHeaders(request);
+  cr_assert_str_eq(headers.host.c_str(), "h");
+  cr_assert_str_eq(headers.key.c_str(), "secret");
+  cr_assert(headers.deadline == milliseconds(900));
+  const serving::OutgoingRequest outgoing =
+      MakeOutgoing(request, headers, OrganisationId("org"));
+  cr_assert_eq(outgoing.headers.size(), 1);
+  cr_assert_str_eq(outgoing.headers[0].name.c_str(), "x-kept");
+  cr_assert_str_eq(outgoing.organisation.value().c_str(), "org");
+}
+
+Test(batch_codec, submission_is_read_whole_or_not_at_all) {
+  const std::string body =
+      R"({"step":7,"model":"m","minVersion":6,"desired":12,"items":[
+          {"id":"i1","path":"/a/1","headers":{"Length-Hint":"55"},"body":"YWJj","tokens":940,"group":"g"}]})";
+  const auto submission = DecodeSubmission(body);
+  cr_assert(submission.has_value());
+  cr_assert_eq(submission->min_version, 6);
+  cr_assert_eq(submission->desired_groups, 12);
+  cr_assert_str_eq(submission->items[0].body().c_str(), "abc");
+  cr_assert_eq(ReadItemHeaders(submission->items[0]).expected_tokens, 55);
+  cr_assert(!DecodeSubmission(Replaced(body, "YWJj", "YW!")).has_value());
+  cr_assert(!DecodeSubmission(Replaced(body, "\"i1\"", "1")).has_value());
+  cr_assert(!DecodeSubmission(body.substr(0, 60)).has_value());
+  cr_assert(!DecodeSubmission(R"({"items":[]})").has_value());
+}
+
+Test(batch_codec, results_carry_their_versions_and_the_next_position) {
+  batches::ResultPage page;
+  page.total = 40;
+  v1::ResultRecord result;
+  result.set_item("i1");
+  result.set_state(v1::ITEM_STATE_COMPLETED);
+  result.set_text("a\nb");
+  result.add_versions(6);
+  result.add_versions(7);
+  page.results.push_back(result);
+  const auto body = ParseJson(EncodeResults(page, 12));
+  cr_assert_eq(Unsigned(body, "total").value_or(0), 40);
+  cr_assert_eq(Unsigned(body, "nextToken").value_or(0), 13);
+  cr_assert_str_eq(Text(body["results"][0], "state")->c_str(), "completed");
+  cr_assert_eq(body["results"][0]["versions"].size(), 2);
+}
+
+constexpr char kSettings[] = R"(
+node = "edge-1"
+zone = "z1"
+bootstrap = true
+ip = "10.1.0.7"
+internalPorts = [7660,7675]
+[listen]
+front = "10.1.0.7:8405"
+readiness = "10.1.0.7:8406"
+[bounds]
+graceS = 8
+leaseMs = 3000
+[platform]
+addr = "10.200.1.7:8408"
+parts = 12
+[cloud]
+addr = "10.200.0.60:8408"
+)";
+
+Test(settings_codec, settings_are_read) {
+  const auto decoded = DecodeSettings(kSettings);
+  const auto* settings = std::get_if<node::Settings>(&decoded);
+  cr_assert_not_null(settings);
+  cr_assert(settings->first_start);
+  cr_assert_eq(settings->partitions, 12);
+  cr_assert(settings->grace == milliseconds(8'000));
+  cr_assert_eq(settings->metrics->port, 7660);
+}
+
+Test(settings_codec, all_errors_are_told_at_once) {
+  std::string text = Replaced(kSettings, "zone = \"z1\"", "");
+  text = Replaced(text, "graceS = 8", "graceS = \"soon\"");
+  text = Replaced(text, "10.200.1.7:8408", "nowhere");
+  const auto decoded = DecodeSettings(text);
+  const auto* errors = std::get_if<SettingsErrors>(&decoded);
+  cr_assert_not_null(errors);
+  cr_assert_eq(errors->messages.size(), 3);
+  cr_assert(std::holds_alternative<SettingsErrors>(DecodeSettings("a = [")));
+}
+
+}  // namespace
+}  // namespace mulberryroad::platform_adapter
--- /dev/null
+++ b/test/duty_lease_test.cc
@@ -0,0 +1,143 @@
+// The lease on duties: one holder at a time, and none that comes back at once.
+
+#include "duties/duty_lease.h"
+
+#include <criterion/criterion.h>
+
+#include <deque>
+#include <random>
+#include <vector>
+
+namespace mulberryroad::duties {
+namespace {
+
+using std::chrono::milliseconds;
+
+Instant At(int millis) { return Instant{} + milliseconds(millis); }
+
+v1::DutyRecord Write(DutyLease& lease, Instant now) {
+  const LeaseStep step = lease.Tick(now);
+  const auto* write = std::get_if<WriteLease>(&step);
+  return write == nullptr ? v1::DutyRecord() : write->record;
+}
+
+Test(duty_lease, first_start_claims_at_once) {
+  DutyLease lease("a", {}, At(0), true);
+  const v1::DutyRecord claim = Write(lease, At(0));
+  cr_assert_eq(claim.epoch(), 1);
+  cr_assert(!lease.epoch(At(1)).has_value(), "an unread claim gives no right");
+  lease.OnRecord(claim, At(5));
+  cr_assert_eq(lease.epoch(At(6)).value_or(0), 1);
+}
+
+Test(duty_lease, term_counts_from_before_the_append) {
+  DutyLease lease("a", {}, At(0), true);
+  const v1::DutyRecord claim = Write(lease, At(0));
+  lease.OnRecord(claim, At(1'900));
+  cr_assert(!lease.epoch(At(1'900)).has_value(),
+            "a claim that was read late has nearly run out");
+}
+
+Test(duty_lease, challenger_waits_for_the_term_from_its_reading) {
+  DutyLease holder("a", {}, At(0), true);
+  DutyLease other("b", {}, At(0), true);
+  const v1::DutyRecord claim = Write(holder, At(0));
+  other.OnRecord(claim, At(100));
+  cr_assert_eq(Write(other, At(2'300)).epoch(), 0);
+  cr_assert_eq(Write(other, At(2'400)).epoch(), 2);
+}
+
+Test(duty_lease, restarted_process_does_not_claim_at_once) {
+  DutyLease lease("a/2", {}, At(0), false);
+  v1::DutyRecord released;
+  released.set_holder("b");
+  released.set_epoch(7);
+  released.set_released(true);
+  lease.OnRecord(released, At(10));
+  cr_assert_eq(Write(lease, At(3'000)).epoch(), 0);
+  cr_assert_eq(Write(lease, At(3'600)).epoch(), 8);
+}
+
+Test(duty_lease, released_lease_is_claimed_at_once_by_another) {
+  DutyLease holder("a", {}, At(0), true);
+  DutyLease other("b", {}, At(0), true);
+  const v1::DutyRecord claim = Write(holder, At(0));
+  holder.OnRecord(claim, At(4));
+  other.OnRecord(claim, At(4));
+  const auto release = holder.Release(At(500));
+  cr_assert(release.has_value());
+  cr_assert(!holder.epoch(At(500)).has_value());
+  other.OnRecord(*release, At(505));
+  cr_assert_eq(Write(other, At(510)).epoch(), 2);
+}
+
+// Three processes on a partition with conditional appends whose answers and
+// records come late, and processes that stand still: never do two hold the
+// lease at the same instant.
+Test(duty_lease, no_two_holders_under_delays_and_pauses) {
+  constexpr int kSeeds = 200;
+  constexpr int kStep = 50;
+  for (int seed = 0; seed < kSeeds; ++seed) {
+    std::mt19937_64 random(static_cast<std::uint64_t>(seed));
+    const auto draw = [&random](int below) {
+      return static_cast<int>(random() % static_cast<unsigned>(below));
+    };
+    struct Process {
+      DutyLease lease;
+      std::size_t read = 0;
+      int paused_until = 0;
+      int reads_at = 0;
+    };
+    std::vector<Process> processes;
+    for (const char* name : {"a", "b", "c"}) {
+      processes.push_back({DutyLease(name, {}, At(0), true)});
+    }
+    struct Append {
+      int at = 0;
+      std::size_t expected_end = 0;
+      v1::DutyRecord record;
+    };
+    std::deque<Append> on_the_way;
+    std::vector<v1::DutyRecord> log;
+    for (int now = 0; now < 60'000; now += kStep) {
+      for (auto append = on_the_way.begin(); append != on_the_way.end();) {
+        if (append->at > now) {
+          ++append;
+          continue;
+        }
+        if (append->expected_end == log.size()) {
+          log.push_back(append->record);
+        }
+        append = on_the_way.erase(append);
+      }
+      int holders = 0;
+      for (Process& process : processes) {
+        // Time goes on for a process that stands still: what it held lapses.
+        holders += process.lease.epoch(At(now)).has_value() ? 1 : 0;
+        if (now < process.paused_until) {
+          continue;
+        }
+        if (draw(400) == 0) {
+          process.paused_until = now + draw(8'000);
+          continue;
+        }
+        if (now >= process.reads_at) {
+          while (process.read < log.size()) {
+            process.lease.OnRecord(log[process.read++], At(now));
+          }
+          process.reads_at = now + draw(draw(30) == 0 ? 3'000 : 100);
+        }
+        const LeaseStep step = process.lease.Tick(At(now));
+        if (const auto* write = std::get_if<WriteLease>(&step)) {
+          on_the_way.push_back({now + draw(draw(20) == 0 ? 6'000 : 100),
+                                process.read, write->record});
+        }
+      }
+      cr_assert_leq(holders, 1, "seed %d at %d ms: %d holders", seed, now,
+                    holders);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace mulberryroad::duties
--- /dev/null
+++ b/test/fenced_writer_test.cc
@@ -0,0 +1,78 @@
+// The fenced writer: appends are taken once, and none after a successor.
+
+#include "store/fenced_writer.h"
+
+#include <criterion/criterion.h>
+
+#include "fakes/loop_wait.h"
+#include "fakes/memory_store.h"
+#include "mulberryroad/clock.h"
+
+namespace mulberryroad::store {
+namespace {
+
+const platform::PartitionId kPartition{"keyed.test", 0};
+
+struct Fixture {
+  base::EventLoop loop;
+  SystemClock clock;
+  base::StructuredLog log{clock, NodeId("node-1")};
+  fakes::MemoryStore store{loop};
+  bool ready = false;
+  bool fenced = false;
+
+  std::shared_ptr<FencedWriter> Make(std::uint64_t epoch) {
+    return std::make_shared<FencedWriter>(
+        loop, log, store, kPartition, epoch, [this] { ready = true; },
+        [this] { fenced = true; });
+  }
+};
+
+Test(fenced_writer, append_without_an_answer_is_taken_once) {
+  Fixture fixture;
+  const auto writer = fixture.Make(3);
+  writer->Start();
+  cr_assert(fakes::RunUntil(fixture.loop, [&] { return fixture.ready; }));
+  fixture.store.lost_appends = 1;
+  int appended = 0;
+  writer->Append({{"k", "v"}}, [&] { ++appended; });
+  cr_assert(fakes::RunUntil(fixture.loop, [&] { return appended == 1; }));
+  platform::Offset end = 0;
+  fixture.store.ReadNewest(kPartition, {}, std::chrono::milliseconds(1),
+                           [&end](platform::NewestOutcome outcome) {
+                             end = std::get<platform::NewestPage>(outcome).end;
+                           });
+  cr_assert(fakes::RunUntil(fixture.loop, [&] { return end != 0; }));
+  cr_assert_eq(end, 1, "expected one record, found %lu",
+               static_cast<unsigned long>(end));
+}
+
+Test(fenced_writer, earlier_epoch_is_told_that_it_lost) {
+  Fixture fixture;
+  const auto first = fixture.Make(3);
+  first->Start();
+  cr_assert(fakes::RunUntil(fixture.loop, [&] { return fixture.ready; }));
+  fixture.ready = false;
+  const auto second = fixture.Make(4);
+  second->Start();
+  cr_assert(fakes::RunUntil(fixture.loop, [&] { return fixture.ready; }));
+  bool appended = false;
+  first->Append({{"k", "late"}}, [&] { appended = true; });
+  cr_assert(fakes::RunUntil(fixture.loop, [&] { return fixture.fenced; }));
+  cr_assert(!appended);
+  cr_assert(!fixture.store.value(kPartition, "k").has_value());
+}
+
+Test(fenced_writer, waits_for_a_store_that_is_away) {
+  Fixture fixture;
+  fixture.store.away = true;
+  const auto writer = fixture.Make(1);
+  writer->Start();
+  fakes::RunFor(fixture.loop, std::chrono::milliseconds(150));
+  cr_assert(!fixture.ready);
+  fixture.store.away = false;
+  cr_assert(fakes::RunUntil(fixture.loop, [&] { return fixture.ready; }));
+}
+
+}  // namespace
+}  // namespace mulberryroad::store
--- /dev/null
+++ b/test/item_scheduler_test.cc
@@ -0,0 +1,155 @@
+// The order of a batch's items, and what becomes of them after a run.
+
+#include "batches/item_scheduler.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <queue>
+
+namespace mulberryroad::batches {
+namespace {
+
+using std::chrono::milliseconds;
+
+BatchInfo MakeBatch(const std::vector<std::pair<std::string, double>>& items,
+                    std::size_t desired_groups) {
+  BatchInfo batch;
+  batch.id = "batch";
+  batch.max_attempts = 3;
+  batch.desired_groups = desired_groups;
+  batch.retention_end = Instant{} + std::chrono::seconds(40);
+  for (std::size_t i = 0; i < items.size(); ++i) {
+    batch.items.push_back({"item-" + std::to_string(i), items[i].first,
+                           items[i].second, false, false});
+  }
+  return batch;
+}
+
+Test(item_scheduler, longest_items_of_the_desired_groups_start_first) {
+  const BatchInfo batch =
+      MakeBatch({{"a", 10}, {"a", 20}, {"b", 90}, {"b", 5}, {"c", 30}}, 2);
+  const std::vector<std::size_t> order = OrderItems(batch);
+  const std::vector<std::size_t> expected = {4, 1, 0, 2, 3};
+  cr_assert(order == expected, "group b, which can be spared, comes last");
+}
+
+Test(item_scheduler, carried_groups_are_never_spared) {
+  BatchInfo batch =
+      MakeBatch({{"a", 10}, {"a", 20}, {"b", 90}, {"b", 5}, {"c", 30}}, 2);
+  batch.items[2].carried = true;
+  const std::vector<std::size_t> order = OrderItems(batch);
+  cr_assert_eq(order.front(), 2);
+  cr_assert_eq(order.back(), 4);
+}
+
+// Plays a step on four upstreams of twelve places: 20 groups of four items, a
+// twelfth of them five times as long. Returns when the desired groups are
+// whole.
+double StepTime(const BatchInfo& batch, const std::vector<std::size_t>& order,
+                const std::vector<double>& lengths) {
+  constexpr int kPlaces = 24;
+  std::priority_queue<double, std::vector<double>, std::greater<>> free_at;
+  for (int i = 0; i < kPlaces; ++i) {
+    free_at.push(0);
+  }
+  std::map<std::string, double> whole_at;
+  for (const std::size_t index : order) {
+    const double end = free_at.top() + lengths[index];
+    free_at.pop();
+    free_at.push(end);
+    double& whole = whole_at[batch.items[index].group];
+    whole = std::max(whole, end);
+  }
+  std::vector<double> ends;
+  for (const auto& [group, end] : whole_at) {
+    ends.push_back(end);
+  }
+  std::sort(ends.begin(), ends.end());
+  return ends[batch.desired_groups - 1];
+}
+
+Test(item_scheduler, load_with_stragglers_is_whole_sooner_than_in_order) {
+  double in_order = 0;
+  double ordered = 0;
+  for (int seed = 0; seed < 50; ++seed) {
+    std::vector<std::pair<std::string, double>> items;
+    std::vector<double> lengths;
+    unsigned state = static_cast<unsigned>(seed) * 7919 + 1;
+    for (int i = 0; i < 80; ++i) {
+      state = state * 1103515245 + 12345;
+      const unsigned draw = state >> 16;
+      const double length = draw % 12 == 0 ? 5.0 : 0.5 + (draw % 10) * 0.1;
+      lengths.push_back(length);
+      // The estimate is off by up to a third.
+      items.emplace_back("g" + std::to_string(i / 4),
+                         length * (0.7 + (draw % 7) * 0.1));
+    }
+    const BatchInfo batch = MakeBatch(items, 18);
+    std::vector<std::size_t> as_submitted(items.size());
+    for (std::size_t i = 0; i < as_submitted.size(); ++i) {
+      as_submitted[i] = i;
+    }
+    in_order += StepTime(batch, as_submitted, lengths);
+    ordered += StepTime(batch, OrderItems(batch), lengths);
+  }
+  cr_assert_lt(ordered, in_order, "expected under %f, found %f", in_order,
+               ordered);
+}
+
+std::vector<StartItem> PlaceAll(ItemScheduler& scheduler, Instant now) {
+  return scheduler.Place(
+      now, [](const BatchInfo&, const ItemRef&, const UpstreamId&) {
+        return std::optional(UpstreamId("u"));
+      });
+}
+
+Test(item_scheduler, failing_item_is_given_up_after_its_attempts) {
+  ItemScheduler scheduler;
+  scheduler.Open(MakeBatch({{"a", 1}}, 1));
+  Instant now{};
+  for (int attempt = 1; attempt <= 3; ++attempt) {
+    cr_assert_eq(PlaceAll(scheduler, now).size(), 1);
+    const ItemStep step =
+        scheduler.OnRunEnd({"batch", 0}, RunFailed{}, now);
+    cr_assert_eq(std::holds_alternative<ListTerminated>(step), attempt == 3);
+    now += ItemScheduler::kRetryDelay;
+  }
+  cr_assert(PlaceAll(scheduler, now).empty());
+}
+
+Test(item_scheduler, impossible_item_is_given_up_at_once) {
+  ItemScheduler scheduler;
+  scheduler.Open(MakeBatch({{"a", 1}}, 1));
+  PlaceAll(scheduler, Instant{});
+  const ItemStep step =
+      scheduler.OnRunEnd({"batch", 0}, RunImpossible{}, Instant{});
+  cr_assert(std::holds_alternative<ListTerminated>(step));
+}
+
+Test(item_scheduler, refusals_and_cuts_do_not_use_up_attempts) {
+  ItemScheduler scheduler;
+  scheduler.Open(MakeBatch({{"a", 1}}, 1));
+  Instant now{};
+  for (int i = 0; i < 10; ++i) {
+    PlaceAll(scheduler, now);
+    const RunEnd end = i % 2 == 0 ? RunEnd(RunRefused{}) : RunInterrupted{};
+    cr_assert(std::holds_alternative<KeepWaiting>(
+        scheduler.OnRunEnd({"batch", 0}, end, now)));
+    now += ItemScheduler::kRetryDelay;
+  }
+  PlaceAll(scheduler, now);
+  cr_assert(std::holds_alternative<ListCompleted>(
+      scheduler.OnRunEnd({"batch", 0}, RunCompleted{}, now)));
+}
+
+Test(item_scheduler, items_are_given_up_only_after_their_retention) {
+  ItemScheduler scheduler;
+  scheduler.Open(MakeBatch({{"a", 1}, {"a", 2}}, 1));
+  cr_assert(scheduler.Overdue(Instant{} + milliseconds(39'999)).empty());
+  cr_assert_eq(scheduler.Overdue(Instant{} + milliseconds(40'000)).size(), 2);
+  cr_assert(scheduler.Overdue(Instant{} + milliseconds(40'001)).empty());
+}
+
+}  // namespace
+}  // namespace mulberryroad::batches
--- /dev/null
+++ b/test/keyed_tail_test.cc
@@ -0,0 +1,91 @@
+// The tail of a partition: newest records first, then each one, also across
+// lost history.
+
+#include "store/keyed_tail.h"
+
+#include <criterion/criterion.h>
+
+#include <map>
+
+#include "fakes/loop_wait.h"
+#include "fakes/memory_store.h"
+
+namespace mulberryroad::store {
+namespace {
+
+const platform::PartitionId kPartition{"keyed.test", 0};
+
+struct Fixture {
+  base::EventLoop loop;
+  SystemClock clock;
+  base::StructuredLog log{clock, NodeId("node-1")};
+  fakes::MemoryStore store{loop};
+  std::map<std::string, std::string> seen;
+  int snapshots = 0;
+  std::shared_ptr<KeyedTail> tail;
+
+  Fixture() {
+    TailHandler handler;
+    handler.on_snapshot = [this](const std::vector<platform::KeyedRecord>& all) {
+      ++snapshots;
+      seen.clear();
+      for (const platform::KeyedRecord& record : all) {
+        seen[record.key] = *record.value;
+      }
+    };
+    handler.on_record = [this](const platform::KeyedRecord& record) {
+      if (record.value.has_value()) {
+        seen[record.key] = *record.value;
+      } else {
+        seen.erase(record.key);
+      }
+    };
+    tail = std::make_shared<KeyedTail>(loop, clock, log, store, kPartition,
+                                       TailTiming{}, handler);
+  }
+  ~Fixture() { tail->Stop(); }
+
+  void Put(const std::string& key, std::optional<std::string> value) {
+    store.Append(kPartition, {{key, std::move(value)}}, {},
+                 std::chrono::milliseconds(1),
+                 [](const platform::AppendOutcome&) {});
+  }
+};
+
+Test(keyed_tail, reads_all_pages_and_what_comes_later) {
+  Fixture fixture;
+  fixture.store.page_size = 2;
+  for (const char* key : {"a", "b", "c", "d", "e"}) {
+    fixture.Put(key, key);
+  }
+  fixture.tail->Start();
+  cr_assert(fakes::RunUntil(fixture.loop,
+                            [&] { return fixture.seen.size() == 5; }));
+  fixture.Put("b", std::nullopt);
+  fixture.Put("f", "f");
+  cr_assert(fakes::RunUntil(fixture.loop, [&] {
+    return fixture.seen.contains("f") && !fixture.seen.contains("b");
+  }));
+}
+
+Test(keyed_tail, lost_history_is_read_anew) {
+  Fixture fixture;
+  fixture.Put("a", "1");
+  fixture.tail->Start();
+  cr_assert(fakes::RunUntil(fixture.loop,
+                            [&] { return fixture.seen.size() == 1; }));
+  fixture.store.away = true;
+  fakes::RunFor(fixture.loop, std::chrono::milliseconds(50));
+  cr_assert(fixture.tail->last_failure().has_value());
+  fixture.store.away = false;
+  fixture.Put("a", std::nullopt);
+  fixture.Put("b", "2");
+  fixture.store.DropHistory(kPartition);
+  cr_assert(fakes::RunUntil(fixture.loop, [&] {
+    return fixture.seen.contains("b") && !fixture.seen.contains("a");
+  }));
+  cr_assert_eq(fixture.snapshots, 2);
+}
+
+}  // namespace
+}  // namespace mulberryroad::store
--- /dev/null
+++ b/test/part_owner_test.cc
@@ -0,0 +1,339 @@
+// The owner of a partition: runs items, lists each once, and goes on where an
+// earlier owner stopped.
+
+#include "batches/part_owner.h"
+
+#include <criterion/criterion.h>
+
+#include "batches/batch_client.h"
+#include "fakes/fake_upstreams.h"
+#include "fakes/loop_wait.h"
+#include "fakes/memory_store.h"
+
+namespace mulberryroad::batches {
+namespace {
+
+using fakes::FakeUpstreams;
+using fakes::ReceivedRequest;
+using std::chrono::milliseconds;
+
+constexpr int kPartitions = 3;
+
+serving::Manifest MakeManifest(bool single_version) {
+  serving::Manifest manifest;
+  manifest.version = 1;
+  serving::Route route;
+  route.name = "drafts";
+  route.host = "h";
+  route.path_prefix = "/drafts/";
+  route.kind = serving::RouteKind::kBatch;
+  route.single_version = single_version;
+  route.services = {{TargetId("engines"), 1}};
+  route.max_attempts = 3;
+  route.result_deadline = milliseconds(7'500);
+  route.retention = milliseconds(40'000);
+  manifest.routes = {route};
+  return manifest;
+}
+
+struct Fixture {
+  base::EventLoop loop;
+  SystemClock clock;
+  base::StructuredLog log{clock, NodeId("node-1")};
+  base::Metrics metrics;
+  fakes::MemoryStore store{loop};
+  serving::Catalog catalog;
+  serving::UpstreamDirectory directory;
+  serving::UpstreamLoads loads;
+  FakeUpstreams upstreams{loop};
+  std::mt19937_64 random{1};
+  BatchContext context{loop,      clock,     log,
+                       metrics,   store,     catalog,
+                       directory, loads,     upstreams,
+                       FailureDomainId("d1"), random,
+                       [](const v1::BatchItem&) { return ItemHeaders{}; }};
+  std::shared_ptr<BatchClient> client =
+      std::make_shared<BatchClient>(loop, clock, store, kPartitions);
+  bool lost = false;
+
+  explicit Fixture(bool single_version = false) {
+    catalog.Apply(MakeManifest(single_version));
+    for (const char* id : {"u1", "u2"}) {
+      serving::Registration upstream = fakes::MakeUpstream(id, "engines");
+      upstream.versions[TargetId("m")] = 5;
+      directory.Put(upstream);
+    }
+  }
+
+  std::shared_ptr<PartOwner> Own(std::uint64_t epoch) {
+    auto owner = std::make_shared<PartOwner>(
+        context, PartitionOf("org", kPartitions), epoch, [this] { lost = true; });
+    owner->Start();
+    return owner;
+  }
+
+  void Submit(const std::string& batch, const std::vector<std::string>& items,
+              std::uint64_t min_version) {
+    v1::BatchRecord record;
+    record.set_batch(batch);
+    record.set_route("/drafts/x");
+    record.set_host("h");
+    record.set_organisation("org");
+    record.set_model("m");
+    record.set_min_version(min_version);
+    record.set_accepted_ms(UnixTime(clock.wall_now()).count());
+    std::vector<v1::BatchItem> stored;
+    for (const std::string& id : items) {
+      v1::BatchItem item;
+      item.set_id(id);
+      item.set_path("/drafts/" + id);
+      item.set_group("g");
+      item.set_body("body of " + id);
+      stored.push_back(item);
+    }
+    bool done = false;
+    client->Submit({OrganisationId("org"), batch},
+                   MakeRecords(record, stored, 64), milliseconds(500),
+                   [&done](const StoreResult& result) {
+                     done = std::holds_alternative<Stored>(result);
+                   });
+    cr_assert(fakes::RunUntil(loop, [&done] { return done; }));
+  }
+
+  std::vector<v1::ResultRecord> Results(const std::string& batch) {
+    std::optional<ReadResult> result;
+    client->Read({OrganisationId("org"), batch}, 0, milliseconds(0),
+                 [&result](ReadResult read) { result = std::move(read); });
+    cr_assert(fakes::RunUntil(loop, [&result] { return result.has_value(); }));
+    return std::get<ResultPage>(*result).results;
+  }
+
+  bool WaitForResults(const std::string& batch, std::size_t count) {
+    for (int i = 0; i < 100; ++i) {
+      if (Results(batch).size() >= count) {
+        return true;
+      }
+      fakes::RunFor(loop, milliseconds(10));
+    }
+    return false;
+  }
+
+  void AnswerAll(int events, std::uint64_t version) {
+    upstreams.script = [events, version](ReceivedRequest& received) {
+      FakeUpstreams::SendEvents(received, events, version);
+      received.done(serving::Whole{200, {}, {}});
+    };
+  }
+};
+
+Test(part_owner, items_are_run_and_listed_once) {
+  Fixture fixture;
+  fixture.AnswerAll(3, 5);
+  const auto owner = fixture.Own(1);
+  fixture.Submit("b1", {"i1", "i2", "i3"}, 4);
+  cr_assert(fixture.WaitForResults("b1", 3));
+  const auto results = fixture.Results("b1");
+  std::set<std::string> items;
+  for (const v1::ResultRecord& result : results) {
+    items.insert(result.item());
+    cr_assert_str_eq(result.text().c_str(), "e1\ne2\ne3");
+    cr_assert_eq(result.versions_size(), 1);
+    cr_assert_eq(result.versions(0), 5);
+  }
+  cr_assert_eq(items.size(), 3);
+  owner->Stop();
+}
+
+Test(part_owner, cut_run_goes_on_behind_its_last_event) {
+  Fixture fixture;
+  int calls = 0;
+  fixture.upstreams.script = [&calls](ReceivedRequest& received) {
+    if (++calls == 1) {
+      FakeUpstreams::SendEvents(received, 2, 5);
+      received.done(serving::MayHaveRun{"cut"});
+      return;
+    }
+    FakeUpstreams::SendEvents(received, 4, 6);
+    received.done(serving::Whole{200, {}, {}});
+  };
+  const auto owner = fixture.Own(1);
+  fixture.Submit("b1", {"i1"}, 4);
+  cr_assert(fixture.WaitForResults("b1", 1));
+  const v1::ResultRecord result = fixture.Results("b1").front();
+  cr_assert_str_eq(result.text().c_str(), "e1\ne2\ne3\ne4");
+  cr_assert_eq(result.versions_size(), 2);
+  cr_assert_str_eq(fixture.upstreams.requests[1]->options.resume_after.c_str(),
+                   "2");
+  owner->Stop();
+}
+
+Test(part_owner, sample_of_one_version_starts_anew_under_another) {
+  Fixture fixture(/*single_version=*/true);
+  int calls = 0;
+  fixture.upstreams.script = [&](ReceivedRequest& received) {
+    if (++calls == 1) {
+      FakeUpstreams::SendEvents(received, 2, 5);
+      for (const char* id : {"u1", "u2"}) {
+        serving::Registration upstream = fakes::MakeUpstream(id, "engines");
+        upstream.versions[TargetId("m")] = 6;
+        fixture.directory.Put(upstream);
+      }
+      received.done(serving::MayHaveRun{"cut"});
+      return;
+    }
+    FakeUpstreams::SendEvents(received, 4, 6);
+    received.done(serving::Whole{200, {}, {}});
+  };
+  const auto owner = fixture.Own(1);
+  fixture.Submit("b1", {"i1"}, 4);
+  cr_assert(fixture.WaitForResults("b1", 1));
+  const v1::ResultRecord result = fixture.Results("b1").front();
+  cr_assert_eq(result.versions_size(), 1);
+  cr_assert_eq(result.versions(0), 6);
+  cr_assert_eq(fixture.upstreams.requests[0]->options.version, 5);
+  owner->Stop();
+}
+
+Test(part_owner, upstream_with_old_weights_gets_no_item) {
+  Fixture fixture;
+  fixture.AnswerAll(1, 5);
+  const auto owner = fixture.Own(1);
+  fixture.Submit("b1", {"i1"}, 6);
+  fakes::RunFor(fixture.loop, milliseconds(100));
+  cr_assert(fixture.upstreams.requests.empty());
+  serving::Registration fresh = fakes::MakeUpstream("u3", "engines");
+  fresh.versions[TargetId("m")] = 6;
+  fixture.directory.Put(fresh);
+  fixture.AnswerAll(1, 6);
+  owner->Pump();
+  cr_assert(fixture.WaitForResults("b1", 1));
+  owner->Stop();
+}
+
+Test(part_owner, successor_lists_only_what_is_missing) {
+  Fixture fixture;
+  fixture.upstreams.script = [](ReceivedRequest& received) {
+    if (received.request.id.value() == "i1") {
+      FakeUpstreams::SendEvents(received, 1, 5);
+      received.done(serving::Whole{200, {}, {}});
+    }
+  };
+  const auto first = fixture.Own(1);
+  fixture.Submit("b1", {"i1", "i2"}, 4);
+  cr_assert(fixture.WaitForResults("b1", 1));
+  const auto second = fixture.Own(2);
+  fixture.AnswerAll(2, 5);
+  cr_assert(fixture.WaitForResults("b1", 2));
+  const auto results = fixture.Results("b1");
+  cr_assert_str_eq(results[0].item().c_str(), "i1");
+  cr_assert_str_eq(results[1].item().c_str(), "i2");
+  // The first owner's late result is refused, and it learns that it lost.
+  for (const auto& received : fixture.upstreams.requests) {
+    if (received->request.id.value() == "i2" && !received->cancelled &&
+        received->done) {
+      FakeUpstreams::SendEvents(*received, 1, 5);
+      received->done(serving::Whole{200, {}, {}});
+      break;
+    }
+  }
+  cr_assert(fakes::RunUntil(fixture.loop, [&] { return fixture.lost; }));
+  cr_assert_eq(fixture.Results("b1").size(), 2);
+  second->Stop();
+}
+
+Test(part_owner, end_cancels_runs_and_a_carried_group_uses_what_is_left) {
+  Fixture fixture;
+  fixture.upstreams.script = [](ReceivedRequest& received) {
+    FakeUpstreams::SendEvents(received, 2, 5);
+    if (received.request.id.value() == "i1") {
+      received.done(serving::Whole{200, {}, {}});
+    }
+  };
+  const auto owner = fixture.Own(1);
+  fixture.Submit("b1", {"i1", "i2"}, 4);
+  cr_assert(fixture.WaitForResults("b1", 1));
+  bool ended = false;
+  fixture.client->End({OrganisationId("org"), "b1"}, milliseconds(500),
+                      [&ended](const StoreResult&) { ended = true; });
+  cr_assert(fakes::RunUntil(fixture.loop, [&] {
+    return ended && fixture.upstreams.requests[0]->cancelled !=
+                        fixture.upstreams.requests[1]->cancelled;
+  }));
+  fixture.AnswerAll(3, 5);
+  fixture.Submit("b2", {"i1", "i2"}, 5);
+  cr_assert(fixture.WaitForResults("b2", 2));
+  cr_assert_eq(fixture.upstreams.requests.size(), 3,
+               "the completed item does not run again");
+  cr_assert_str_eq(fixture.upstreams.requests[2]->options.resume_after.c_str(),
+                   "2");
+  owner->Stop();
+}
+
+Test(part_owner, leftovers_of_old_weights_are_not_used) {
+  Fixture fixture;
+  fixture.upstreams.script = [](ReceivedRequest& received) {
+    FakeUpstreams::SendEvents(received, 2, 5);
+    if (received.request.id.value() == "i1") {
+      received.done(serving::Whole{200, {}, {}});
+    }
+  };
+  const auto owner = fixture.Own(1);
+  fixture.Submit("b1", {"i1", "i2"}, 4);
+  cr_assert(fixture.WaitForResults("b1", 1));
+  fixture.client->End({OrganisationId("org"), "b1"}, milliseconds(500),
+                      [](const StoreResult&) {});
+  fakes::RunFor(fixture.loop, milliseconds(50));
+  for (const char* id : {"u1", "u2"}) {
+    serving::Registration upstream = fakes::MakeUpstream(id, "engines");
+    upstream.versions[TargetId("m")] = 6;
+    fixture.directory.Put(upstream);
+  }
+  fixture.AnswerAll(2, 6);
+  fixture.Submit("b2", {"i1", "i2"}, 6);
+  cr_assert(fixture.WaitForResults("b2", 2));
+  for (const v1::ResultRecord& result : fixture.Results("b2")) {
+    cr_assert_eq(result.versions(0), 6);
+  }
+  owner->Stop();
+}
+
+Test(part_owner, body_of_an_item_is_read_from_the_store) {
+  Fixture fixture;
+  fixture.Submit("b1", {"i1", "i2", "i3"}, 4);
+  std::optional<BodyResult> body;
+  fixture.client->ReadBody({OrganisationId("org"), "b1"}, "i2",
+                           [&body](BodyResult read) { body = std::move(read); });
+  cr_assert(
+      fakes::RunUntil(fixture.loop, [&body] { return body.has_value(); }));
+  cr_assert_str_eq(std::get<ItemBody>(*body).bytes.c_str(), "body of i2");
+  std::optional<bool> unknown;
+  fixture.client->Find(
+      {OrganisationId("org"), "b9"},
+      [&unknown](const std::variant<v1::BatchRecord, NoSuchBatch, Unsure>& r) {
+        unknown = std::holds_alternative<NoSuchBatch>(r);
+      });
+  cr_assert(
+      fakes::RunUntil(fixture.loop, [&] { return unknown.has_value(); }));
+  cr_assert(*unknown);
+}
+
+Test(part_owner, store_that_is_away_makes_reads_unsure) {
+  Fixture fixture;
+  fixture.store.away = true;
+  std::optional<bool> unsure;
+  fixture.client->Find(
+      {OrganisationId("org"), "b1"},
+      [&unsure](const std::variant<v1::BatchRecord, NoSuchBatch, Unsure>& r) {
+        unsure = std::holds_alternative<Unsure>(r);
+      });
+  cr_assert(fakes::RunUntil(fixture.loop, [&] { return unsure.has_value(); }));
+  cr_assert(*unsure, "an unreachable store does not make a batch unknown");
+  std::optional<StoreResult> stored;
+  fixture.client->End({OrganisationId("org"), "b1"}, milliseconds(100),
+                      [&stored](const StoreResult& r) { stored = r; });
+  cr_assert(fakes::RunUntil(fixture.loop, [&] { return stored.has_value(); }));
+  cr_assert(std::holds_alternative<NotStored>(*stored));
+}
+
+}  // namespace
+}  // namespace mulberryroad::batches
--- /dev/null
+++ b/test/serving_test.cc
@@ -0,0 +1,203 @@
+// Routes and keys, choice of upstreams, and the tries of a request.
+
+#include <criterion/criterion.h>
+
+#include "fakes/fake_upstreams.h"
+#include "serving/attempt_policy.h"
+#include "serving/catalog.h"
+#include "serving/upstreams.h"
+
+namespace mulberryroad::serving {
+namespace {
+
+using std::chrono::milliseconds;
+
+Instant At(int millis) { return Instant{} + milliseconds(millis); }
+
+Manifest MakeManifest(std::uint64_t version) {
+  Manifest manifest;
+  manifest.version = version;
+  Route wide;
+  wide.name = "wide";
+  wide.host = "h";
+  wide.path_prefix = "/a/";
+  wide.services = {{TargetId("s1"), 90}, {TargetId("s2"), 10}};
+  Route narrow = wide;
+  narrow.name = "narrow";
+  narrow.path_prefix = "/a/b/";
+  narrow.open = true;
+  manifest.routes = {wide, narrow};
+  manifest.organisations = {{OrganisationId("org"), {"key"}}};
+  return manifest;
+}
+
+Test(catalog, longest_prefix_wins_and_keys_are_checked) {
+  Catalog catalog;
+  cr_assert(
+      std::holds_alternative<NoManifest>(catalog.Admit("h", "/a/x", "key")));
+  cr_assert(catalog.Apply(MakeManifest(3)));
+  const Admission admitted = catalog.Admit("h", "/a/x", "key");
+  cr_assert_str_eq(std::get<Admitted>(admitted).organisation.value().c_str(),
+                   "org");
+  cr_assert_str_eq(
+      std::get<Admitted>(catalog.Admit("h", "/a/b/x", "")).route->name.c_str(),
+      "narrow");
+  cr_assert(
+      std::holds_alternative<UnknownKey>(catalog.Admit("h", "/a/x", "none")));
+  cr_assert(std::holds_alternative<NoRoute>(catalog.Admit("h", "/c/", "key")));
+  cr_assert(
+      std::holds_alternative<NoRoute>(catalog.Admit("other", "/a/x", "key")));
+}
+
+Test(catalog, version_never_goes_back) {
+  Catalog catalog;
+  cr_assert(catalog.Apply(MakeManifest(3)));
+  cr_assert(!catalog.Apply(MakeManifest(3)));
+  Manifest older = MakeManifest(2);
+  older.routes.clear();
+  cr_assert(!catalog.Apply(older));
+  cr_assert_eq(catalog.version(), 3);
+  cr_assert_not_null(catalog.Match("h", "/a/x"));
+}
+
+Test(catalog, split_follows_the_weights) {
+  Manifest manifest = MakeManifest(1);
+  Route& route = manifest.routes.front();
+  cr_assert_str_eq(PickService(route, 0.0)->value().c_str(), "s1");
+  cr_assert_str_eq(PickService(route, 0.89)->value().c_str(), "s1");
+  cr_assert_str_eq(PickService(route, 0.91)->value().c_str(), "s2");
+  route.services[0].weight = 0;
+  cr_assert_str_eq(PickService(route, 0.0)->value().c_str(), "s2");
+}
+
+Test(upstream_directory, removed_entry_is_kept_while_the_store_is_unstable) {
+  UpstreamDirectory directory;
+  directory.Put(fakes::MakeUpstream("u1", "s"));
+  directory.Put(fakes::MakeUpstream("u2", "s"));
+  directory.Remove(UpstreamId("u1"), /*store_unstable=*/false, At(0));
+  cr_assert_eq(directory.Ready(TargetId("s")).size(), 1);
+  directory.Remove(UpstreamId("u2"), /*store_unstable=*/true, At(0));
+  cr_assert_eq(directory.Ready(TargetId("s")).size(), 1);
+  directory.Expire(At(1'499));
+  cr_assert_eq(directory.Ready(TargetId("s")).size(), 1);
+  directory.Expire(At(1'500));
+  cr_assert_eq(directory.Ready(TargetId("s")).size(), 0);
+}
+
+Test(upstream_directory, entry_that_comes_back_in_time_stays) {
+  UpstreamDirectory directory;
+  directory.Put(fakes::MakeUpstream("u1", "s"));
+  directory.Remove(UpstreamId("u1"), /*store_unstable=*/true, At(0));
+  directory.Put(fakes::MakeUpstream("u1", "s"));
+  directory.Expire(At(5'000));
+  cr_assert_eq(directory.Ready(TargetId("s")).size(), 1);
+}
+
+Test(upstream_directory, draining_upstream_takes_nothing_new) {
+  UpstreamDirectory directory;
+  Registration upstream = fakes::MakeUpstream("u1", "s");
+  upstream.draining = true;
+  directory.Put(upstream);
+  cr_assert(directory.Ready(TargetId("s")).empty());
+}
+
+Test(choose_upstream, prefers_free_near_and_sound_ones) {
+  const Registration near = fakes::MakeUpstream("u1", "s", "d1");
+  const Registration far = fakes::MakeUpstream("u2", "s", "d2");
+  const std::vector<const Registration*> ready = {&near, &far};
+  UpstreamLoads loads;
+  const auto choose = [&](const std::set<UpstreamId>& tried, int now) {
+    const Registration* chosen = ChooseUpstream(
+        ready, loads, tried, FailureDomainId("d1"), At(now), 0.5);
+    return chosen == nullptr ? std::string() : chosen->id.value();
+  };
+  cr_assert_str_eq(choose({}, 0).c_str(), "u1");
+  cr_assert_str_eq(choose({UpstreamId("u1")}, 0).c_str(), "u2");
+  loads.Started(near.id);
+  cr_assert_str_eq(choose({}, 0).c_str(), "u2");
+  loads.Ended(near.id);
+  loads.Failed(near.id, At(0));
+  cr_assert_str_eq(choose({}, 100).c_str(), "u2");
+  cr_assert_str_eq(choose({}, 2'000).c_str(), "u1");
+  cr_assert(choose({near.id, far.id}, 0).empty());
+}
+
+Test(choose_upstream, slow_upstream_gets_less) {
+  const Registration fast = fakes::MakeUpstream("u1", "s");
+  const Registration slow = fakes::MakeUpstream("u2", "s");
+  UpstreamLoads loads;
+  loads.Worked(fast.id, milliseconds(25));
+  loads.Worked(slow.id, milliseconds(100));
+  int to_fast = 0;
+  for (int i = 0; i < 6; ++i) {
+    const Registration* chosen = ChooseUpstream(
+        {&slow, &fast}, loads, {}, FailureDomainId("d1"), At(0), 0.5);
+    loads.Started(chosen->id);
+    to_fast += chosen == &fast ? 1 : 0;
+  }
+  cr_assert_geq(to_fast, 4);
+}
+
+struct PolicyCase {
+  const char* name;
+  AttemptRules rules;
+  UpstreamOutcome outcome;
+  bool others_left;
+  std::size_t expected_step;
+};
+
+// Steps in the order of AttemptStep.
+constexpr std::size_t kTryNext = 0;
+constexpr std::size_t kDeliver = 2;
+constexpr std::size_t kRefuse = 3;
+constexpr std::size_t kFail = 4;
+
+Test(attempt_policy, first_outcome_decides) {
+  const AttemptRules repeatable{true, 2};
+  const AttemptRules once{false, 2};
+  const std::vector<PolicyCase> cases = {
+      {"answer", once, Whole{200, {}, {}}, true, kDeliver},
+      {"own error of one that may run again", repeatable, Whole{500, {}, {}},
+       true, kTryNext},
+      {"own error without another upstream", repeatable, Whole{500, {}, {}},
+       false, kDeliver},
+      {"own error of one that runs once", once, Whole{500, {}, {}}, true,
+       kDeliver},
+      {"client error", repeatable, Whole{404, {}, {}}, true, kDeliver},
+      {"refusal", once, NotRun{"full", true}, true, kTryNext},
+      {"refusal by the last", once, NotRun{"full", true}, false, kRefuse},
+      {"cut of one that may run again", repeatable, MayHaveRun{"cut"}, true,
+       kTryNext},
+      {"cut without another upstream", repeatable, MayHaveRun{"cut"}, false,
+       kFail},
+      {"cut of one that runs once", once, MayHaveRun{"cut"}, true, kFail},
+  };
+  for (const PolicyCase& test : cases) {
+    AttemptPolicy policy(test.rules);
+    policy.Sent();
+    const AttemptStep step = policy.OnOutcome(test.outcome, test.others_left);
+    cr_assert_eq(step.index(), test.expected_step, "%s: step %zu", test.name,
+                 step.index());
+  }
+}
+
+Test(attempt_policy, runs_stay_within_the_routes_attempts) {
+  AttemptPolicy policy({true, 2});
+  policy.Sent();
+  cr_assert(policy.may_hedge());
+  policy.Sent();
+  cr_assert(!policy.may_hedge());
+  cr_assert_eq(policy.OnOutcome(MayHaveRun{"cut"}, true).index(), 1);
+  cr_assert_eq(policy.OnOutcome(MayHaveRun{"cut"}, true).index(), kFail);
+}
+
+Test(attempt_policy, refusal_after_a_cut_promises_nothing) {
+  AttemptPolicy policy({true, 3});
+  policy.Sent();
+  cr_assert_eq(policy.OnOutcome(MayHaveRun{"cut"}, true).index(), kTryNext);
+  policy.Sent();
+  cr_assert_eq(policy.OnOutcome(NotRun{"full", true}, false).index(), kFail);
+}
+
+}  // namespace
+}  // namespace mulberryroad::serving
--- /dev/null
+++ b/test/weight_plan_test.cc
@@ -0,0 +1,110 @@
+// Which upstream loads which weights: shares, waves and those that lag first.
+
+#include "duties/weight_plan.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <set>
+
+#include "fakes/fake_upstreams.h"
+
+namespace mulberryroad::duties {
+namespace {
+
+using std::chrono::milliseconds;
+
+Instant At(int millis) { return Instant{} + milliseconds(millis); }
+
+std::map<UpstreamId, serving::Registration> MakeUpstreams(int count) {
+  std::map<UpstreamId, serving::Registration> upstreams;
+  for (int i = 0; i < count; ++i) {
+    serving::Registration upstream =
+        fakes::MakeUpstream("u" + std::to_string(i), "s");
+    for (const char* model : {"m0", "m1", "m2"}) {
+      upstream.versions[TargetId(model)] = 1;
+    }
+    upstreams[upstream.id] = upstream;
+  }
+  return upstreams;
+}
+
+std::vector<const serving::Registration*> Pointers(
+    const std::map<UpstreamId, serving::Registration>& upstreams) {
+  std::vector<const serving::Registration*> pointers;
+  for (const auto& [id, upstream] : upstreams) {
+    pointers.push_back(&upstream);
+  }
+  return pointers;
+}
+
+Test(weight_plan, shares_are_even_and_nearly_stable) {
+  auto upstreams = MakeUpstreams(12);
+  const auto before = ShareUpstreams(Pointers(upstreams));
+  cr_assert_eq(before.size(), 3);
+  for (const auto& [model, share] : before) {
+    cr_assert_eq(share.size(), 4);
+  }
+  upstreams.erase(UpstreamId("u5"));
+  int moved = 0;
+  for (const auto& [model, share] : ShareUpstreams(Pointers(upstreams))) {
+    for (const UpstreamId& id : share) {
+      const auto& old = before.at(model);
+      moved += std::find(old.begin(), old.end(), id) == old.end() ? 1 : 0;
+    }
+  }
+  cr_assert_leq(moved, 4, "%d of 11 upstreams changed their model", moved);
+}
+
+Test(weight_plan, few_load_at_a_time_and_all_get_there) {
+  auto upstreams = MakeUpstreams(12);
+  WeightPlan plan;
+  plan.Named(TargetId("m0"), 2);
+  std::set<UpstreamId> loaded;
+  for (int now = 0; now < 10'000; now += 100) {
+    for (const LoadWeights& load : plan.Next(upstreams, At(now))) {
+      cr_assert_eq(load.version, 2);
+      cr_assert(loaded.insert(load.upstream).second);
+    }
+    cr_assert_leq(plan.under_way(), 2);
+    if (now % 900 == 800) {
+      for (const UpstreamId& id : loaded) {
+        upstreams[id].versions[TargetId("m0")] = 2;
+      }
+    }
+  }
+  cr_assert_eq(loaded.size(), 4, "one model's share of 12 upstreams");
+}
+
+Test(weight_plan, those_that_lag_most_come_first) {
+  auto upstreams = MakeUpstreams(3);
+  const auto shares = ShareUpstreams(Pointers(upstreams));
+  WeightPlan plan;
+  plan.Named(TargetId("m0"), 2);
+  plan.Named(TargetId("m1"), 4);
+  const auto loads = plan.Next(upstreams, At(0));
+  cr_assert_str_eq(loads[0].model.value().c_str(), "m1");
+  cr_assert(loads[0].upstream == shares.at(TargetId("m1")).front());
+}
+
+Test(weight_plan, load_without_effect_is_ordered_again) {
+  auto upstreams = MakeUpstreams(3);
+  WeightPlan plan;
+  plan.Named(TargetId("m0"), 2);
+  cr_assert_eq(plan.Next(upstreams, At(0)).size(), 1);
+  cr_assert(plan.Next(upstreams, At(2'900)).empty());
+  cr_assert_eq(plan.Next(upstreams, At(3'000)).size(), 1);
+}
+
+Test(weight_plan, draining_upstreams_load_nothing) {
+  auto upstreams = MakeUpstreams(3);
+  for (auto& [id, upstream] : upstreams) {
+    upstream.draining = true;
+  }
+  WeightPlan plan;
+  plan.Named(TargetId("m0"), 2);
+  cr_assert(plan.Next(upstreams, At(0)).empty());
+}
+
+}  // namespace
+}  // namespace mulberryroad::duties
