Keep results in a topic of their own, spread by batch

Now it reads the open batches only. Each partition of results is fenced before its content is taken as complete; a batch that was accepted before the fence and seen after it is loaded too (part_owner::results_listed_before_the_take_over_keep_their_positions, failed first). Items of ended batches are dropped from the store, results after their time.

--- a/src/batches/batch_client.cc
+++ b/src/batches/batch_client.cc
@@ -19,6 +19,10 @@
   return PartitionOf(batch.organisation.value(), partitions_);
 }
 
+platform::PartitionId BatchClient::LocateResults(const BatchName& batch) const {
+  return ResultPartitionOf(batch.id, partitions_);
+}
+
 void BatchClient::After(milliseconds delay, std::function<void()> step) {
   auto timer = std::make_shared<base::Timer>();
   *timer = loop_.After(
@@ -137,7 +141,7 @@
                                 ? Encode(AcceptedKey{batch.id})
                                 : Encode(ResultKey{batch.id, position - 1});
   store_.ReadNewest(
-      Locate(batch), after, kReadTimeout,
+      LocateResults(batch), after, kReadTimeout,
       [self = shared_from_this(), batch, position, until,
        on_result = std::move(on_result)](const NewestOutcome& outcome) mutable {
         if (const auto* failure = std::get_if<PlatformFailure>(&outcome)) {
--- a/src/batches/batch_client.h
+++ b/src/batches/batch_client.h
@@ -109,6 +109,7 @@
                   const std::string& after,
                   std::function<void(BodyResult)> on_result);
   platform::PartitionId Locate(const BatchName& batch) const;
+  platform::PartitionId LocateResults(const BatchName& batch) const;
   void After(std::chrono::milliseconds delay, std::function<void()> step);
   void Remember(const std::string& id, v1::BatchRecord record);
 
--- a/src/batches/batch_keys.cc
+++ b/src/batches/batch_keys.cc
@@ -85,4 +85,11 @@
                            static_cast<std::uint64_t>(partitions))};
 }
 
+platform::PartitionId ResultPartitionOf(const std::string& batch,
+                                        int partitions) {
+  return {kResultTopic,
+          static_cast<int>(base::StableHash(batch) %
+                           static_cast<std::uint64_t>(partitions))};
+}
+
 }  // namespace mulberryroad::batches
--- a/src/batches/batch_keys.h
+++ b/src/batches/batch_keys.h
@@ -12,8 +12,11 @@
 
 namespace mulberryroad::batches {
 
-/// Topic of all batches.
+/// Topic of what was accepted and ended, by organisation.
 inline constexpr char kBatchTopic[] = "keyed.batches";
+/// Topic of the results, by batch. It is apart, so that the owner of a
+/// partition reads little when it takes over.
+inline constexpr char kResultTopic[] = "keyed.results";
 
 /// What a key names.
 struct AcceptedKey {
@@ -48,6 +51,10 @@
 platform::PartitionId PartitionOf(const std::string& organisation,
                                   int partitions);
 
+/// Returns the partition that holds the results of a batch.
+platform::PartitionId ResultPartitionOf(const std::string& batch,
+                                        int partitions);
+
 }  // namespace mulberryroad::batches
 
 #endif  // MULBERRYROAD_SRC_BATCHES_BATCH_KEYS_H_
--- a/src/batches/batch_table.cc
+++ b/src/batches/batch_table.cc
@@ -18,8 +18,8 @@
         } else {
           if (record.value.has_value()) {
             Take(named, record);
-          } else if (std::is_same_v<Key, AcceptedKey>) {
-            batches_.erase(named.batch);
+          } else if (batches_.contains(named.batch)) {
+            Drop(named);
           }
           return named.batch;
         }
@@ -34,6 +34,7 @@
   // A batch that arrives again is the one that was accepted first.
   if (!batch.accepted.has_value() && accepted.ParseFromString(*record.value)) {
     batch.accepted = std::move(accepted);
+    batch.offset = record.offset;
   }
 }
 
@@ -57,6 +58,7 @@
 void BatchTable::Take(const ChunkKey& key,
                       const platform::KeyedRecord& record) {
   Batch& batch = batches_[key.batch];
+  batch.stored_chunks.insert(key.number);
   v1::BatchChunk chunk;
   if (!batch.ended && !batch.chunks.contains(key.number) &&
       chunk.ParseFromString(*record.value)) {
@@ -64,6 +66,17 @@
   }
 }
 
+void BatchTable::Drop(const AcceptedKey& key) { batches_.erase(key.batch); }
+
+// A result stays listed for those that run the batch.
+void BatchTable::Drop(const ResultKey& /*key*/) {}
+
+void BatchTable::Drop(const EndKey& /*key*/) {}
+
+void BatchTable::Drop(const ChunkKey& key) {
+  batches_[key.batch].stored_chunks.erase(key.number);
+}
+
 const Batch* BatchTable::find(const std::string& id) const {
   const auto found = batches_.find(id);
   return found == batches_.end() ? nullptr : &found->second;
--- a/src/batches/batch_table.h
+++ b/src/batches/batch_table.h
@@ -1,5 +1,5 @@
-// The batches of one partition, as a fold over its records. Every reader of the
-// partition comes to the same state.
+// The batches of one partition, as a fold over their records. Every reader comes
+// to the same state.
 
 #ifndef MULBERRYROAD_SRC_BATCHES_BATCH_TABLE_H_
 #define MULBERRYROAD_SRC_BATCHES_BATCH_TABLE_H_
@@ -19,7 +19,11 @@
 
 struct Batch {
   std::optional<v1::BatchRecord> accepted;
+  /// Where in the partition it was accepted.
+  platform::Offset offset = 0;
   std::map<std::uint32_t, v1::BatchChunk> chunks;
+  /// Numbers of the chunks that the store holds.
+  std::set<std::uint32_t> stored_chunks;
   /// Ids of the items with a listed result.
   std::set<std::string> listed;
   /// First position without a result.
@@ -48,6 +52,11 @@
   void Take(const EndKey& key, const platform::KeyedRecord& record);
   void Take(const ChunkKey& key, const platform::KeyedRecord& record);
 
+  void Drop(const AcceptedKey& key);
+  void Drop(const ResultKey& key);
+  void Drop(const EndKey& key);
+  void Drop(const ChunkKey& key);
+
   std::map<std::string, Batch> batches_;
 };
 
--- a/src/batches/part_owner.cc
+++ b/src/batches/part_owner.cc
@@ -24,31 +24,13 @@
       on_lost_(std::move(on_lost)) {}
 
 void PartOwner::Start() {
-  context_.log.Write("part.acquire",
-                     {{"part", static_cast<std::int64_t>(partition_.number)},
-                      {"epoch", static_cast<std::int64_t>(epoch_)}});
-  writer_ = std::make_shared<store::FencedWriter>(
-      context_.loop, context_.log, context_.store, partition_, epoch_,
-      [weak = weak_from_this()] {
-        if (const auto owner = weak.lock()) {
-          owner->OnReady();
-        }
-      },
-      [weak = weak_from_this()] {
-        const auto owner = weak.lock();
-        if (owner != nullptr && !owner->stopped_) {
-          owner->Stop();
-          owner->on_lost_();
-        }
-      });
-  writer_->Start();
+  context_.log.Write(
+      "part.acquire", {{"part", static_cast<std::int64_t>(partition_.number)},
+                       {"epoch", static_cast<std::int64_t>(epoch_)}});
+  FollowBatches();
 }
 
-void PartOwner::OnReady() {
-  if (stopped_) {
-    return;
-  }
-  // Nobody else lists results from here on, so that what is read is complete.
+void PartOwner::FollowBatches() {
   store::TailHandler handler;
   handler.on_snapshot = [weak = weak_from_this()](
                             const std::vector<platform::KeyedRecord>& records) {
@@ -70,6 +52,7 @@
   };
   handler.on_page_end = [weak = weak_from_this()] {
     if (const auto owner = weak.lock()) {
+      owner->NoteCleanPartitions();
       owner->Pump();
     }
   };
@@ -79,6 +62,39 @@
   tail_->Start();
 }
 
+PartOwner::ResultWriter& PartOwner::WriterFor(const std::string& batch) {
+  const platform::PartitionId partition =
+      ResultPartitionOf(batch, context_.partitions);
+  ResultWriter& entry = writers_[partition];
+  if (entry.writer != nullptr) {
+    return entry;
+  }
+  // Owners of one partition compare their epochs under its name.
+  entry.writer = std::make_shared<store::FencedWriter>(
+      context_.loop, context_.log, context_.store, partition,
+      "part-" + std::to_string(partition_.number), epoch_,
+      [weak = weak_from_this(), partition] {
+        const auto owner = weak.lock();
+        if (owner == nullptr) {
+          return;
+        }
+        ResultWriter& ready = owner->writers_[partition];
+        ready.ready_at = owner->context_.clock.now();
+        for (const auto& step : std::exchange(ready.waiting, {})) {
+          step();
+        }
+      },
+      [weak = weak_from_this()] {
+        const auto owner = weak.lock();
+        if (owner != nullptr && !owner->stopped_) {
+          owner->Stop();
+          owner->on_lost_();
+        }
+      });
+  entry.writer->Start();
+  return entry;
+}
+
 void PartOwner::Stop() {
   if (std::exchange(stopped_, true)) {
     return;
@@ -87,7 +103,9 @@
                      {{"part", static_cast<std::int64_t>(partition_.number)},
                       {"epoch", static_cast<std::int64_t>(epoch_)},
                       {"runs", static_cast<std::int64_t>(runs_.size())}});
-  writer_->Stop();
+  for (const auto& [partition, entry] : writers_) {
+    entry.writer->Stop();
+  }
   if (tail_ != nullptr) {
     tail_->Stop();
   }
@@ -107,10 +125,125 @@
   const Batch* batch = table_.find(id);
   if (batch == nullptr || batch->ended) {
     CloseBatch(id);
+    if (batch != nullptr && !batch->stored_chunks.empty()) {
+      DropChunks(id, *batch);
+    }
+    return;
+  }
+  if (!batch->complete() || scheduler_.knows(id) || loading_.contains(id)) {
     return;
   }
-  if (batch->complete() && !scheduler_.knows(id)) {
+  ResultWriter& entry = WriterFor(id);
+  if (entry.clean_from.has_value() && batch->offset >= *entry.clean_from) {
     OpenBatch(id, *batch);
+    return;
+  }
+  loading_.insert(id);
+  const auto load = [weak = weak_from_this(), id] {
+    if (const auto owner = weak.lock()) {
+      owner->LoadResults(id, Encode(AcceptedKey{id}));
+    }
+  };
+  if (entry.writer->ready()) {
+    load();
+  } else {
+    entry.waiting.push_back(load);
+  }
+}
+
+// A read that was sent once earlier owners were shut out ends behind all
+// batches for which they may have listed results.
+void PartOwner::NoteCleanPartitions() {
+  for (auto& [partition, entry] : writers_) {
+    if (!entry.clean_from.has_value() && entry.ready_at.has_value() &&
+        tail_->last_contact() > entry.ready_at) {
+      entry.clean_from = tail_->position();
+    }
+  }
+}
+
+// Only once earlier owners can list nothing more is what is read complete.
+void PartOwner::LoadResults(const std::string& id, const std::string& after) {
+  context_.store.ReadNewest(
+      ResultPartitionOf(id, context_.partitions), after, kReadTimeout,
+      [weak = weak_from_this(), id,
+       after](const platform::NewestOutcome& outcome) {
+        const auto owner = weak.lock();
+        if (owner == nullptr || owner->stopped_) {
+          return;
+        }
+        const auto* page = std::get_if<platform::NewestPage>(&outcome);
+        if (page == nullptr) {
+          owner->LoadResults(id, after);
+          return;
+        }
+        bool whole = !page->has_more || page->records.empty();
+        for (const platform::KeyedRecord& record : page->records) {
+          const BatchKey key = Decode(record.key);
+          const auto* result = std::get_if<ResultKey>(&key);
+          if (result == nullptr || result->batch != id) {
+            whole = true;
+            break;
+          }
+          owner->table_.Apply(record);
+        }
+        if (!whole) {
+          owner->LoadResults(id, page->records.back().key);
+          return;
+        }
+        owner->loading_.erase(id);
+        const Batch* batch = owner->table_.find(id);
+        if (batch != nullptr && !batch->ended &&
+            !owner->scheduler_.knows(id)) {
+          owner->OpenBatch(id, *batch);
+          owner->Pump();
+        }
+      });
+}
+
+// The items of an ended batch are of no use any more.
+void PartOwner::DropChunks(const std::string& id, const Batch& batch) {
+  if (!dropping_.insert(id).second) {
+    return;
+  }
+  std::vector<platform::KeyedRecord> drops;
+  for (const std::uint32_t number : batch.stored_chunks) {
+    drops.push_back({Encode(ChunkKey{id, number}), std::nullopt});
+  }
+  context_.store.Append(
+      partition_, std::move(drops), {}, kReadTimeout,
+      [weak = weak_from_this(), id](const platform::AppendOutcome& outcome) {
+        const auto owner = weak.lock();
+        if (owner != nullptr &&
+            !std::holds_alternative<platform::Appended>(outcome)) {
+          owner->dropping_.erase(id);
+        }
+      });
+}
+
+void PartOwner::DropExpired() {
+  const std::int64_t now_ms = UnixTime(context_.clock.wall_now()).count();
+  for (const auto& [id, batch] : table_.all()) {
+    const bool expired =
+        batch.ended && batch.accepted.has_value() &&
+        batch.accepted->accepted_ms() + context_.results_kept.count() < now_ms;
+    if (!expired || !dropping_.insert(id + "/").second) {
+      continue;
+    }
+    std::vector<platform::KeyedRecord> results;
+    for (std::uint32_t i = 0; i < batch.accepted->items(); ++i) {
+      results.push_back({Encode(ResultKey{id, i}), std::nullopt});
+    }
+    WriterFor(id).writer->Append(
+        std::move(results), [weak = weak_from_this(), id] {
+          if (const auto owner = weak.lock()) {
+            owner->context_.store.Append(
+                owner->partition_,
+                {{Encode(EndKey{id}), std::nullopt},
+                 {Encode(AcceptedKey{id}), std::nullopt}},
+                {}, kReadTimeout, [](const platform::AppendOutcome&) {});
+          }
+        });
   }
 }
 
@@ -309,6 +442,7 @@
     return;
   }
   const Instant now = context_.clock.now();
+  DropExpired();
   for (const ItemRef& item : scheduler_.Overdue(now)) {
     if (const auto run = runs_.find(item); run != runs_.end()) {
       run->second->Cancel();
@@ -428,7 +562,7 @@
     result.add_versions(version);
   }
   const std::uint32_t position = next_position_[item.batch]++;
-  writer_->Append(
+  WriterFor(item.batch).writer->Append(
       {{Encode(ResultKey{item.batch, position}), result.SerializeAsString()}},
       [this, weak = weak_from_this(), batch = item.batch, position,
        id = stored->id()] {
--- a/src/batches/part_owner.h
+++ b/src/batches/part_owner.h
@@ -48,6 +48,10 @@
   FailureDomainId own_domain;
   std::mt19937_64& random;
   ReadItemHeaders read_headers;
+  /// Partitions of each topic.
+  int partitions = 1;
+  /// How long an ended batch's results can be read.
+  std::chrono::milliseconds results_kept{180'000};
 };
 
 class PartOwner : public std::enable_shared_from_this<PartOwner> {
@@ -67,11 +71,28 @@
   /// this time will not.
   static constexpr std::chrono::milliseconds kLeftoverTime{30'000};
 
+  /// A read of the store that takes longer is tried again.
+  static constexpr std::chrono::milliseconds kReadTimeout{1'000};
+
   std::size_t running() const { return runs_.size(); }
   std::size_t waiting() const { return scheduler_.waiting(); }
 
  private:
-  void OnReady();
+  /// Appends to one partition of results, and who waits until that is safe.
+  struct ResultWriter {
+    std::shared_ptr<store::FencedWriter> writer;
+    std::vector<std::function<void()>> waiting;
+    std::optional<Instant> ready_at;
+    /// Batches accepted from here on have no results of earlier owners.
+    std::optional<platform::Offset> clean_from;
+  };
+
+  void FollowBatches();
+  ResultWriter& WriterFor(const std::string& batch);
+  void NoteCleanPartitions();
+  void LoadResults(const std::string& id, const std::string& after);
+  void DropChunks(const std::string& id, const Batch& batch);
+  void DropExpired();
   void OnRecord(const platform::KeyedRecord& record);
   void Refresh(const std::string& id);
   void KeepLeftovers(const std::string& id);
@@ -93,7 +114,11 @@
   platform::PartitionId partition_;
   std::uint64_t epoch_;
   std::function<void()> on_lost_;
-  std::shared_ptr<store::FencedWriter> writer_;
+  std::map<platform::PartitionId, ResultWriter> writers_;
+  /// Batches whose results are being read.
+  std::set<std::string> loading_;
+  /// Ended batches whose items are being dropped from the store.
+  std::set<std::string> dropping_;
   std::shared_ptr<store::KeyedTail> tail_;
   BatchTable table_;
   ItemScheduler scheduler_;
--- a/src/duties/usage_reporter.cc
+++ b/src/duties/usage_reporter.cc
@@ -10,6 +10,9 @@
 
 namespace {
 
+// All reporters write under one name, so that their epochs are compared.
+constexpr char kReporterName[] = "usage-reporter";
+
 UsageByOrganisation FromRecord(const v1::UsageCount& record) {
   UsageByOrganisation counts;
   for (const auto& [organisation, count] : record.requests()) {
@@ -96,7 +99,8 @@
   const std::weak_ptr<Term> weak = term_;
   term_->writer = std::make_shared<store::FencedWriter>(
       loop_, log_, store_,
-      platform::PartitionId{kDutyTopic, kClosedWindowsPartition}, epoch,
+      platform::PartitionId{kDutyTopic, kClosedWindowsPartition}, kReporterName,
+      epoch,
       [this, alive = alive_, weak] {
         const auto term = weak.lock();
         if (*alive && term != nullptr) {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -42,6 +42,8 @@
 constexpr milliseconds kLeaveDelay{2'500};
 // Left of the grace time when open requests are given up.
 constexpr milliseconds kStopMargin{500};
+// Results are kept a little longer than readers are promised.
+constexpr milliseconds kResultsMargin{10'000};
 constexpr milliseconds kDrainTick{50};
 constexpr milliseconds kExpireTick{100};
 // Gathers the heartbeats of upstreams into one read; far below the time in
@@ -150,7 +152,9 @@
                      upstream_client_,
                      settings_.failure_domain,
                      random_,
-                     platform_adapter::ReadItemHeaders},
+                     platform_adapter::ReadItemHeaders,
+                     settings_.partitions,
+                     settings_.results_kept + kResultsMargin},
       batch_client_(std::make_shared<batches::BatchClient>(
           loop_, clock_, store_, settings_.partitions)),
       batch_host_(batch_context_, process_),
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -39,6 +39,8 @@
   /// Duties must not go back and forth between nodes within this time.
   std::chrono::milliseconds lease{3'000};
   std::chrono::seconds usage_window{5};
+  /// How long the results of a batch can be read after its submission.
+  std::chrono::milliseconds results_kept{120'000};
   /// How long a withdrawn key may still work.
   std::chrono::milliseconds key_withdrawal{5'000};
 };
--- a/src/store/fenced_writer.cc
+++ b/src/store/fenced_writer.cc
@@ -5,22 +5,16 @@
 
 namespace mulberryroad::store {
 
-namespace {
-
-// One name for all writers of a partition: epochs are compared within a name.
-constexpr char kWriterName[] = "owner";
-
-}  // namespace
-
 FencedWriter::FencedWriter(base::EventLoop& loop, base::StructuredLog& log,
                            platform::PartitionStore& store,
-                           platform::PartitionId partition, std::uint64_t epoch,
-                           std::function<void()> on_ready,
+                           platform::PartitionId partition, std::string writer,
+                           std::uint64_t epoch, std::function<void()> on_ready,
                            std::function<void()> on_fenced)
     : loop_(loop),
       log_(log),
       store_(store),
       partition_(std::move(partition)),
+      writer_(std::move(writer)),
       epoch_(epoch),
       on_ready_(std::move(on_ready)),
       on_fenced_(std::move(on_fenced)) {}
@@ -67,7 +61,7 @@
   }
   store_.Append(
       partition_, std::move(records),
-      platform::FencedWriter{kWriterName, epoch_, sequence_}, kTimeout,
+      platform::FencedWriter{writer_, epoch_, sequence_}, kTimeout,
       [self = shared_from_this()](const platform::AppendOutcome& outcome) {
         self->OnOutcome(outcome);
       });
--- a/src/store/fenced_writer.h
+++ b/src/store/fenced_writer.h
@@ -24,11 +24,13 @@
 /// it is taken once.
 class FencedWriter : public std::enable_shared_from_this<FencedWriter> {
  public:
+  /// @param writer name under which epochs are compared
   /// @param on_ready called once no writer with a lower epoch can append
   /// @param on_fenced called once when a higher epoch took over
   FencedWriter(base::EventLoop& loop, base::StructuredLog& log,
                platform::PartitionStore& store, platform::PartitionId partition,
-               std::uint64_t epoch, std::function<void()> on_ready,
+               std::string writer, std::uint64_t epoch,
+               std::function<void()> on_ready,
                std::function<void()> on_fenced);
 
   void Start();
@@ -39,6 +41,8 @@
               std::function<void()> on_appended);
 
   std::uint64_t epoch() const { return epoch_; }
+  /// True once no writer with a lower epoch can append.
+  bool ready() const { return ready_; }
   /// True while no record waits for its append.
   bool idle() const { return queued_.empty() && in_flight_.empty(); }
 
@@ -64,6 +68,7 @@
   base::StructuredLog& log_;
   platform::PartitionStore& store_;
   platform::PartitionId partition_;
+  std::string writer_;
   std::uint64_t epoch_;
   std::function<void()> on_ready_;
   std::function<void()> on_fenced_;
--- a/test/fakes/memory_store.h
+++ b/test/fakes/memory_store.h
@@ -27,6 +27,8 @@
   bool away = false;
   /// Carries out this many appends without an answer that the caller gets.
   int lost_appends = 0;
+  /// Runs once before an append that has no records is carried out.
+  std::function<void()> before_fence;
   /// Partitions that each member of a group holds.
   std::map<std::string, platform::GroupShare> shares;
 
@@ -39,6 +41,9 @@
       Answer(done, platform::AppendOutcome(Away()));
       return;
     }
+    if (records.empty() && before_fence) {
+      std::exchange(before_fence, nullptr)();
+    }
     platform::AppendOutcome outcome = Execute(id, records, condition);
     if (lost_appends > 0) {
       --lost_appends;
@@ -129,6 +134,14 @@
     Answer(done, platform::OwnersOutcome(owners));
   }
 
+  /// Appends at once, as another process would.
+  platform::AppendOutcome AppendNow(
+      const platform::PartitionId& id,
+      const std::vector<platform::KeyedRecord>& records,
+      const platform::AppendCondition& condition = {}) {
+    return Execute(id, records, condition);
+  }
+
   /// Drops all records but the newest of each key.
   void DropHistory(const platform::PartitionId& id) {
     Partition& partition = partitions_[id];
--- a/test/fenced_writer_test.cc
+++ b/test/fenced_writer_test.cc
@@ -23,7 +23,7 @@
 
   std::shared_ptr<FencedWriter> Make(std::uint64_t epoch) {
     return std::make_shared<FencedWriter>(
-        loop, log, store, kPartition, epoch, [this] { ready = true; },
+        loop, log, store, kPartition, "owner", epoch, [this] { ready = true; },
         [this] { fenced = true; });
   }
 };
--- a/test/part_owner_test.cc
+++ b/test/part_owner_test.cc
@@ -51,7 +51,8 @@
                        metrics,   store,     catalog,
                        directory, loads,     upstreams,
                        FailureDomainId("d1"), random,
-                       [](const v1::BatchItem&) { return ItemHeaders{}; }};
+                       [](const v1::BatchItem&) { return ItemHeaders{}; },
+                       kPartitions};
   std::shared_ptr<BatchClient> client =
       std::make_shared<BatchClient>(loop, clock, store, kPartitions);
   bool lost = false;
@@ -241,6 +242,66 @@
   second->Stop();
 }
 
+// An earlier owner lists a result just before it is shut out of the partition
+// of results, for a batch that its successor sees only afterwards.
+Test(part_owner, results_listed_before_the_take_over_keep_their_positions) {
+  Fixture fixture;
+  std::string other;
+  for (int i = 0; other.empty(); ++i) {
+    const std::string id = "x" + std::to_string(i);
+    if (ResultPartitionOf(id, kPartitions) ==
+        ResultPartitionOf("b0", kPartitions)) {
+      other = id;
+    }
+  }
+  fixture.Submit("b0", {"i0"}, 4);
+  fixture.store.before_fence = [&] {
+    v1::BatchRecord record;
+    record.set_batch(other);
+    record.set_route("/drafts/x");
+    record.set_host("h");
+    record.set_organisation("org");
+    record.set_model("m");
+    record.set_accepted_ms(UnixTime(fixture.clock.wall_now()).count());
+    std::vector<v1::BatchItem> items(2);
+    items[0].set_id("first");
+    items[0].set_path("/drafts/1");
+    items[1].set_id("second");
+    items[1].set_path("/drafts/2");
+    fixture.store.AppendNow(PartitionOf("org", kPartitions),
+                            MakeRecords(record, items, 1'000));
+    v1::ResultRecord result;
+    result.set_item("second");
+    result.set_state(v1::ITEM_STATE_COMPLETED);
+    result.set_text("made by the earlier owner");
+    fixture.store.AppendNow(
+        ResultPartitionOf(other, kPartitions),
+        {{Encode(ResultKey{other, 0}), result.SerializeAsString()}});
+  };
+  fixture.AnswerAll(1, 5);
+  const auto owner = fixture.Own(2);
+  cr_assert(fixture.WaitForResults(other, 2));
+  const auto results = fixture.Results(other);
+  cr_assert_str_eq(results[0].text().c_str(), "made by the earlier owner");
+  cr_assert_str_eq(results[1].item().c_str(), "first");
+  owner->Stop();
+}
+
+Test(part_owner, items_of_an_ended_batch_are_dropped_from_the_store) {
+  Fixture fixture;
+  fixture.AnswerAll(1, 5);
+  const auto owner = fixture.Own(1);
+  fixture.Submit("b1", {"i1", "i2", "i3"}, 4);
+  cr_assert(fixture.WaitForResults("b1", 3));
+  fixture.client->End({OrganisationId("org"), "b1"}, milliseconds(500),
+                      [](const StoreResult&) {});
+  cr_assert(fakes::RunUntil(fixture.loop, [&] {
+    return fixture.store.keys(PartitionOf("org", kPartitions)).size() == 2;
+  }));
+  cr_assert_eq(fixture.Results("b1").size(), 3);
+  owner->Stop();
+}
+
 Test(part_owner, end_cancels_runs_and_a_carried_group_uses_what_is_left) {
   Fixture fixture;
   fixture.upstreams.script = [](ReceivedRequest& received) {
