Move runs from slow upstreams; let most restarted VMs claim the lease at once

Cause: the last items of a step ran on for 12 s and more at upstreams slowed four times while others stood free; after the loss of all VMs nobody gave orders for 3.7 s, as each restarted VM waited in case it had held the lease. The lease's record now names earlier holders, and its term is 1.5 s.

--- a/src/batches/batch_host.cc
+++ b/src/batches/batch_host.cc
@@ -20,6 +20,11 @@
 void BatchHost::Start() {
   Join();
   join_timer_ = context_.loop.Every(kJoinInterval, [this] { Join(); });
+  move_timer_ = context_.loop.Every(kMoveInterval, [this] {
+    for (const auto& [partition, owner] : owners_) {
+      owner->MoveStragglers();
+    }
+  });
   pump_timer_ = context_.loop.Every(kPumpInterval, [this] {
     for (const auto& [partition, owner] : owners_) {
       if (owner->waiting() > 0) {
@@ -33,6 +38,7 @@
   left_ = true;
   join_timer_.Cancel();
   pump_timer_.Cancel();
+  move_timer_.Cancel();
   for (const auto& [partition, owner] : owners_) {
     owner->Stop();
   }
--- a/src/batches/batch_host.h
+++ b/src/batches/batch_host.h
@@ -36,6 +36,8 @@
   static constexpr std::chrono::milliseconds kJoinTimeout{800};
   /// Items that wait for a place are looked at this often.
   static constexpr std::chrono::milliseconds kPumpInterval{50};
+  /// Runs on slow upstreams are looked at this often.
+  static constexpr std::chrono::milliseconds kMoveInterval{250};
 
  private:
   void Join();
@@ -53,6 +55,7 @@
   std::map<platform::PartitionId, std::uint64_t> used_epochs_;
   base::Timer join_timer_;
   base::Timer pump_timer_;
+  base::Timer move_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/batches/item_run.cc
+++ b/src/batches/item_run.cc
@@ -61,6 +61,7 @@
                     const serving::OutgoingRequest& request,
                     std::uint64_t expected_version) {
   loads_.Started(upstream_);
+  started_ = clock_.now();
   serving::CallOptions options;
   options.deadline = duration_cast<milliseconds>(deadline_ - clock_.now());
   options.version = expected_version;
@@ -90,6 +91,13 @@
   }
 }
 
+void ItemRun::Move() {
+  if (!ended_) {
+    call_->Cancel();
+    End(RunInterrupted{});
+  }
+}
+
 void ItemRun::Watch(milliseconds silence) {
   silence_timer_ =
       loop_.After(silence, [self = shared_from_this()] { self->Interrupt(); });
@@ -111,8 +119,8 @@
   }
   const Instant now = clock_.now();
   if (last_event_at_.has_value()) {
-    loads_.Worked(upstream_,
-                  duration_cast<microseconds>(now - *last_event_at_));
+    loads_.Worked(upstream_, duration_cast<microseconds>(now - *last_event_at_),
+                  now);
   }
   last_event_at_ = now;
   Watch(timing_.next_event);
--- a/src/batches/item_run.h
+++ b/src/batches/item_run.h
@@ -63,8 +63,12 @@
              std::uint64_t expected_version);
   /// Ends the run without a call of on_end.
   void Cancel();
+  /// Ends the run so that it can go on elsewhere.
+  void Move();
 
   const UpstreamId& upstream() const { return upstream_; }
+  /// When it was sent.
+  Instant started() const { return started_; }
   /// What this run and those before it have brought so far.
   const ItemProgress& progress() const { return progress_; }
 
@@ -86,6 +90,7 @@
   RunTiming timing_;
   OnEnd on_end_;
   std::shared_ptr<http::Call> call_;
+  Instant started_{};
   std::optional<Instant> last_event_at_;
   bool ended_ = false;
   base::Timer silence_timer_;
--- a/src/batches/part_owner.cc
+++ b/src/batches/part_owner.cc
@@ -4,6 +4,8 @@
 #include <utility>
 #include <variant>
 
+#include "batches/straggler_policy.h"
+
 namespace mulberryroad::batches {
 
 namespace {
@@ -24,9 +26,9 @@
       on_lost_(std::move(on_lost)) {}
 
 void PartOwner::Start() {
-  context_.log.Write(
-      "part.acquire", {{"part", static_cast<std::int64_t>(partition_.number)},
-                       {"epoch", static_cast<std::int64_t>(epoch_)}});
+  context_.log.Write("part.acquire",
+                     {{"part", static_cast<std::int64_t>(partition_.number)},
+                      {"epoch", static_cast<std::int64_t>(epoch_)}});
   FollowBatches();
 }
 
@@ -193,8 +195,7 @@
         }
         owner->loading_.erase(id);
         const Batch* batch = owner->table_.find(id);
-        if (batch != nullptr && !batch->ended &&
-            !owner->scheduler_.knows(id)) {
+        if (batch != nullptr && !batch->ended && !owner->scheduler_.knows(id)) {
           owner->OpenBatch(id, *batch);
           owner->Pump();
         }
@@ -386,6 +387,24 @@
   context_.log.Write("batch.close", {{"batch", id}, {"cancelled", cancelled}});
 }
 
+std::vector<const serving::Registration*> PartOwner::UsableUpstreams(
+    const BatchInfo& batch, const TargetId& service) const {
+  std::vector<const serving::Registration*> usable;
+  const Instant now = context_.clock.now();
+  for (const serving::Registration* upstream :
+       context_.directory.Ready(service)) {
+    const auto version = upstream->versions.find(batch.model);
+    const bool fresh = version != upstream->versions.end() &&
+                       version->second >= batch.min_version;
+    const bool room = context_.loads.running(upstream->id) < upstream->slots &&
+                      !context_.loads.full(upstream->id, now);
+    if (fresh && room) {
+      usable.push_back(upstream);
+    }
+  }
+  return usable;
+}
+
 std::optional<UpstreamId> PartOwner::Placement(const BatchInfo& batch,
                                                const ItemRef& ref,
                                                const UpstreamId& last) {
@@ -403,19 +422,9 @@
   if (service == nullptr) {
     return std::nullopt;
   }
-  std::vector<const serving::Registration*> usable;
   const Instant now = context_.clock.now();
-  for (const serving::Registration* upstream :
-       context_.directory.Ready(*service)) {
-    const auto version = upstream->versions.find(batch.model);
-    const bool fresh = version != upstream->versions.end() &&
-                       version->second >= batch.min_version;
-    const bool room = context_.loads.running(upstream->id) < upstream->slots &&
-                      !context_.loads.full(upstream->id, now);
-    if (fresh && room) {
-      usable.push_back(upstream);
-    }
-  }
+  const std::vector<const serving::Registration*> usable =
+      UsableUpstreams(batch, *service);
   std::set<UpstreamId> tried;
   if (usable.size() > 1 && !last.empty()) {
     tried.insert(last);
@@ -430,6 +439,47 @@
   return chosen->id;
 }
 
+void PartOwner::MoveStragglers() {
+  std::set<std::string> batches;
+  for (const auto& [item, run] : runs_) {
+    batches.insert(item.batch);
+  }
+  for (const std::string& id : batches) {
+    MoveStragglersOf(id);
+  }
+}
+
+void PartOwner::MoveStragglersOf(const std::string& id) {
+  const BatchInfo* batch = scheduler_.find(id);
+  const Instant now = context_.clock.now();
+  std::vector<RunningItem> running;
+  std::vector<FreeUpstream> free;
+  for (auto run = runs_.lower_bound({id, 0});
+       run != runs_.end() && run->first.batch == id; ++run) {
+    running.push_back(
+        {run->first, run->second->upstream(),
+         context_.loads.latency(run->second->upstream(), now),
+         duration_cast<milliseconds>(now - run->second->started()),
+         batch->items[run->first.index].expected_tokens});
+  }
+  const serving::Registration* any =
+      context_.directory.find(running.front().upstream);
+  if (any == nullptr) {
+    return;
+  }
+  for (const serving::Registration* upstream :
+       UsableUpstreams(*batch, any->service)) {
+    if (!context_.loads.avoided(upstream->id, now)) {
+      free.push_back({upstream->id, context_.loads.latency(upstream->id, now),
+                      upstream->slots - context_.loads.running(upstream->id)});
+    }
+  }
+  for (const ItemRef& item : RunsToMove(std::move(running), free)) {
+    context_.metrics.Count("item_moves_total", {});
+    runs_.at(item)->Move();
+  }
+}
+
 const v1::BatchItem* PartOwner::FindItem(const ItemRef& item) const {
   const auto found = items_.find(item.batch);
   return found == items_.end() || item.index >= found->second.size()
@@ -562,18 +612,20 @@
     result.add_versions(version);
   }
   const std::uint32_t position = next_position_[item.batch]++;
-  WriterFor(item.batch).writer->Append(
-      {{Encode(ResultKey{item.batch, position}), result.SerializeAsString()}},
-      [this, weak = weak_from_this(), batch = item.batch, position,
-       id = stored->id()] {
-        if (const auto owner = weak.lock()) {
-          context_.log.Write(
-              "item.listed",
-              {{"request", id},
-               {"batch", batch},
-               {"position", static_cast<std::int64_t>(position)}});
-        }
-      });
+  WriterFor(item.batch)
+      .writer->Append(
+          {{Encode(ResultKey{item.batch, position}),
+            result.SerializeAsString()}},
+          [this, weak = weak_from_this(), batch = item.batch, position,
+           id = stored->id()] {
+            if (const auto owner = weak.lock()) {
+              context_.log.Write(
+                  "item.listed",
+                  {{"request", id},
+                   {"batch", batch},
+                   {"position", static_cast<std::int64_t>(position)}});
+            }
+          });
 }
 
 }  // namespace mulberryroad::batches
--- a/src/batches/part_owner.h
+++ b/src/batches/part_owner.h
@@ -74,6 +74,9 @@
   /// A read of the store that takes longer is tried again.
   static constexpr std::chrono::milliseconds kReadTimeout{1'000};
 
+  /// Moves runs from slow upstreams to faster ones with places free.
+  void MoveStragglers();
+
   std::size_t running() const { return runs_.size(); }
   std::size_t waiting() const { return scheduler_.waiting(); }
 
@@ -100,6 +103,9 @@
   void ExpireLeftovers();
   void OpenBatch(const std::string& id, const Batch& batch);
   void CloseBatch(const std::string& id);
+  std::vector<const serving::Registration*> UsableUpstreams(
+      const BatchInfo& batch, const TargetId& service) const;
+  void MoveStragglersOf(const std::string& id);
   std::optional<UpstreamId> Placement(const BatchInfo& batch,
                                       const ItemRef& item,
                                       const UpstreamId& last);
--- a/src/duties/duty_lease.cc
+++ b/src/duties/duty_lease.cc
@@ -5,11 +5,19 @@
 
 namespace mulberryroad::duties {
 
-DutyLease::DutyLease(std::string holder, LeaseTiming timing, Instant started,
-                     bool may_claim_at_once)
-    : holder_(std::move(holder)),
+DutyLease::DutyLease(std::string node, std::string process, LeaseTiming timing,
+                     Instant started)
+    : node_(std::move(node)),
+      process_(std::move(process)),
       timing_(timing),
-      claim_from_(may_claim_at_once ? started : started + timing.quiet) {}
+      started_(started),
+      claim_from_(started + timing.deference) {}
+
+bool DutyLease::held_before_present_holder() const {
+  const auto& earlier = state_.earlier_nodes();
+  return state_.node() != node_ &&
+         std::find(earlier.begin(), earlier.end(), node_) != earlier.end();
+}
 
 void DutyLease::OnRecord(const v1::DutyRecord& record, Instant now) {
   const bool was_mine = mine();
@@ -35,16 +43,29 @@
     return Rest{};
   }
   v1::DutyRecord next;
-  next.set_holder(holder_);
+  next.set_holder(process_);
+  next.set_node(node_);
   if (mine() && now < term_end_) {
     next.set_epoch(state_.epoch());
+    *next.mutable_earlier_nodes() = state_.earlier_nodes();
   } else {
-    const bool free = !read_at_.has_value() || state_.released() ||
-                      now >= *read_at_ + timing_.term + timing_.margin;
-    if (!free || now < claim_from_) {
+    const bool free =
+        !read_at_.has_value() || state_.released() ||
+        now >= *read_at_ + timing_.term + timing_.margin + timing_.deference;
+    const bool too_soon =
+        held_before_present_holder() && now < started_ + timing_.quiet;
+    if (!free || too_soon || now < claim_from_) {
       return Rest{};
     }
     next.set_epoch(state_.epoch() + 1);
+    if (!state_.node().empty() && state_.node() != node_) {
+      next.add_earlier_nodes(state_.node());
+    }
+    for (const std::string& earlier : state_.earlier_nodes()) {
+      if (earlier != node_ && next.earlier_nodes_size() < kRemembered) {
+        next.add_earlier_nodes(earlier);
+      }
+    }
   }
   last_write_ = now;
   next.set_attempt(++attempts_);
--- a/src/duties/duty_lease.h
+++ b/src/duties/duty_lease.h
@@ -23,14 +23,17 @@
 struct LeaseTiming {
   /// Length of a term without renewal: a store that is fifty times slower than
   /// usual still takes several renewals in it.
-  std::chrono::milliseconds term{2'000};
+  std::chrono::milliseconds term{1'500};
   /// The holder stops this long before its term ends, and challengers wait as
   /// long beyond it: more than timers are late.
-  std::chrono::milliseconds margin{250};
-  std::chrono::milliseconds renewal{500};
-  /// A process that held the lease, or may have held it before its start,
-  /// claims it only after this time, so that duties do not go back and forth.
+  std::chrono::milliseconds margin{200};
+  std::chrono::milliseconds renewal{300};
+  /// A VM that held the lease before its present holder claims it again only
+  /// after this time, so that duties do not go back and forth.
   std::chrono::milliseconds quiet{3'500};
+  /// A VM with little processor time waits this much longer for others to
+  /// claim the lease.
+  std::chrono::milliseconds deference{0};
 };
 
 /// Nothing is due.
@@ -43,10 +46,10 @@
 
 class DutyLease {
  public:
-  /// @param holder name of this process; never that of an earlier one
-  /// @param may_claim_at_once no process of this system ran before
-  DutyLease(std::string holder, LeaseTiming timing, Instant started,
-            bool may_claim_at_once);
+  /// @param node name of this VM
+  /// @param process name of this process; never that of an earlier one
+  DutyLease(std::string node, std::string process, LeaseTiming timing,
+            Instant started);
 
   /// Takes in a record of the lease in the order of the partition.
   void OnRecord(const v1::DutyRecord& record, Instant now);
@@ -55,17 +58,25 @@
   /// Makes the record that gives the lease up, if it is held.
   std::optional<v1::DutyRecord> Release(Instant now);
 
+  /// VMs that a record remembers.
+  static constexpr int kRemembered = 4;
+
   /// Returns the epoch while this process may act, else nullopt.
   std::optional<std::uint64_t> epoch(Instant now) const;
   const v1::DutyRecord& state() const { return state_; }
 
  private:
-  bool mine() const { return state_.holder() == holder_ && !state_.released(); }
+  bool mine() const {
+    return state_.holder() == process_ && !state_.released();
+  }
+  bool held_before_present_holder() const;
 
-  std::string holder_;
+  std::string node_;
+  std::string process_;
   LeaseTiming timing_;
   v1::DutyRecord state_;
   std::optional<Instant> read_at_;
+  Instant started_;
   Instant claim_from_;
   /// Sending times of records that may still be read, by their numbers. Each
   /// attempt has its own, as any of several may be the one that was taken.
--- a/src/serving/request_session.cc
+++ b/src/serving/request_session.cc
@@ -151,7 +151,7 @@
     context_.loads.Failed(ended.upstream, now);
   } else if (!streaming()) {
     context_.loads.Worked(ended.upstream,
-                          duration_cast<microseconds>(now - ended.sent));
+                          duration_cast<microseconds>(now - ended.sent), now);
   }
   const bool ran = !std::holds_alternative<NotRun>(outcome);
   if (ran && !std::exchange(counted_, true)) {
--- a/src/serving/upstreams.cc
+++ b/src/serving/upstreams.cc
@@ -101,10 +101,12 @@
 }
 
 void UpstreamLoads::Worked(const UpstreamId& id,
-                           std::chrono::microseconds latency) {
+                           std::chrono::microseconds latency, Instant now) {
   Load& load = loads_[id];
   const auto newest = static_cast<double>(latency.count());
-  load.latency_us = load.latency_us.has_value()
+  const bool recent = now < load.worked + kLatencyAge;
+  load.worked = now;
+  load.latency_us = load.latency_us.has_value() && recent
                         ? std::lerp(*load.latency_us, newest, kLatencyWeight)
                         : newest;
   load.failed.reset();
@@ -128,9 +130,10 @@
 }
 
 std::optional<std::chrono::microseconds> UpstreamLoads::latency(
-    const UpstreamId& id) const {
+    const UpstreamId& id, Instant now) const {
   const auto found = loads_.find(id);
-  if (found == loads_.end() || !found->second.latency_us.has_value()) {
+  if (found == loads_.end() || !found->second.latency_us.has_value() ||
+      now >= found->second.worked + kLatencyAge) {
     return std::nullopt;
   }
   return std::chrono::microseconds(std::llround(*found->second.latency_us));
@@ -143,7 +146,7 @@
   // A latency far over that of the fastest marks a slow upstream.
   double fastest = std::numeric_limits<double>::max();
   for (const Registration* upstream : ready) {
-    if (const auto latency = loads.latency(upstream->id)) {
+    if (const auto latency = loads.latency(upstream->id, now)) {
       fastest = std::min(fastest, static_cast<double>(latency->count()));
     }
   }
@@ -160,7 +163,7 @@
     }
     const double slots = std::max<std::uint32_t>(upstream->slots, 1);
     double cost = (loads.running(upstream->id) + 1) / slots;
-    if (const auto latency = loads.latency(upstream->id)) {
+    if (const auto latency = loads.latency(upstream->id, now)) {
       cost *= std::max(
           1.0, static_cast<double>(latency->count()) / std::max(1.0, fastest));
     }
--- a/src/serving/upstreams.h
+++ b/src/serving/upstreams.h
@@ -44,6 +44,10 @@
 /// for several requests to go elsewhere, short against a restart.
 inline constexpr std::chrono::milliseconds kAvoidTime{2'000};
 
+/// A latency is forgotten after this time without work, so that an upstream
+/// that was slow is tried again.
+inline constexpr std::chrono::milliseconds kLatencyAge{4'000};
+
 /// The current registrations.
 class UpstreamDirectory {
  public:
@@ -80,14 +84,16 @@
   /// It failed, or did not answer in time.
   void Failed(const UpstreamId& id, Instant now);
   /// It did a unit of work, such as a request or an event, in this time.
-  void Worked(const UpstreamId& id, std::chrono::microseconds latency);
+  void Worked(const UpstreamId& id, std::chrono::microseconds latency,
+              Instant now);
 
   std::uint32_t running(const UpstreamId& id) const;
   bool avoided(const UpstreamId& id, Instant now) const;
   /// True for a short time after a refusal.
   bool full(const UpstreamId& id, Instant now) const;
-  /// Smoothed time of a unit of work; nullopt before the first.
-  std::optional<std::chrono::microseconds> latency(const UpstreamId& id) const;
+  /// Smoothed time of a unit of work; nullopt if there was none lately.
+  std::optional<std::chrono::microseconds> latency(const UpstreamId& id,
+                                                   Instant now) const;
 
  private:
   struct Load {
@@ -95,6 +101,7 @@
     std::optional<Instant> refused;
     std::optional<Instant> failed;
     std::optional<double> latency_us;
+    Instant worked{};
   };
 
   std::map<UpstreamId, Load> loads_;
