Tell peers what the store holds; refuse at once while it is silent; spare small VMs

Cause: a node that the store turned away knew of no withdrawn key and no new route, and held calls on batches for 1.5 s; nodes called themselves unready while nobody reached the store; on the grown sites 0.12-core VMs would own trainers' steps.

--- a/src/batches/batch_host.cc
+++ b/src/batches/batch_host.cc
@@ -1,5 +1,6 @@
 #include "batches/batch_host.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 #include <variant>
@@ -9,15 +10,22 @@
 namespace {
 
 constexpr char kGroup[] = "batch-owners";
+constexpr char kSparePrefix[] = "spare:";
 
 }  // namespace
 
-BatchHost::BatchHost(BatchContext& context, std::string member)
-    : context_(context), member_(std::move(member)) {}
+BatchHost::BatchHost(BatchContext& context, const std::string& process,
+                     bool spare)
+    : context_(context),
+      member_(spare ? kSparePrefix + process : process),
+      wanted_(!spare) {}
 
 BatchHost::~BatchHost() { *alive_ = false; }
 
 void BatchHost::Start() {
+  if (!wanted_) {
+    look_timer_ = context_.loop.Every(kLookInterval, [this] { LookForOthers(); });
+  }
   Join();
   join_timer_ = context_.loop.Every(kJoinInterval, [this] { Join(); });
   move_timer_ = context_.loop.Every(kMoveInterval, [this] {
@@ -36,9 +44,37 @@
 
 void BatchHost::Leave() {
   left_ = true;
+  look_timer_.Cancel();
   join_timer_.Cancel();
   pump_timer_.Cancel();
   move_timer_.Cancel();
+  Release();
+}
+
+void BatchHost::LookForOthers() {
+  context_.store.ListOwners(
+      kGroup, kJoinTimeout,
+      [this, alive = alive_](const platform::OwnersOutcome& outcome) {
+        const auto* owners = std::get_if<platform::GroupOwners>(&outcome);
+        if (!*alive || left_ || owners == nullptr) {
+          return;
+        }
+        const bool others = std::any_of(
+            owners->owners.begin(), owners->owners.end(), [](const auto& row) {
+              return !row.second.empty() &&
+                     !row.second.starts_with(kSparePrefix);
+            });
+        if (wanted_ == others) {
+          wanted_ = !others;
+          context_.log.Write("batches.spare", {{"wanted", wanted_}});
+          if (!wanted_) {
+            Release();
+          }
+        }
+      });
+}
+
+void BatchHost::Release() {
   for (const auto& [partition, owner] : owners_) {
     owner->Stop();
   }
@@ -47,7 +83,7 @@
 }
 
 void BatchHost::Join() {
-  if (left_ || std::exchange(joining_, true)) {
+  if (left_ || !wanted_ || std::exchange(joining_, true)) {
     return;
   }
   context_.store.Join(
@@ -57,7 +93,8 @@
           return;
         }
         joining_ = false;
-        if (const auto* share = std::get_if<platform::GroupShare>(&outcome)) {
+        const auto* share = std::get_if<platform::GroupShare>(&outcome);
+        if (share != nullptr && wanted_) {
           OnShare(*share);
         }
       });
--- a/src/batches/batch_host.h
+++ b/src/batches/batch_host.h
@@ -15,8 +15,10 @@
 
 class BatchHost {
  public:
-  /// @param member name of this process; never that of an earlier one
-  BatchHost(BatchContext& context, std::string member);
+  /// @param process name of this process; never that of an earlier one
+  /// @param spare runs batches only while no other kind of node does: it has
+  ///     too little processor time to keep up with a trainer
+  BatchHost(BatchContext& context, const std::string& process, bool spare);
   ~BatchHost();
   BatchHost(const BatchHost&) = delete;
   BatchHost& operator=(const BatchHost&) = delete;
@@ -34,6 +36,8 @@
   static constexpr std::chrono::milliseconds kLifetime{1'500};
   static constexpr std::chrono::milliseconds kJoinInterval{300};
   static constexpr std::chrono::milliseconds kJoinTimeout{800};
+  /// A spare node looks this often whether others run the batches.
+  static constexpr std::chrono::milliseconds kLookInterval{2'000};
   /// Items that wait for a place are looked at this often.
   static constexpr std::chrono::milliseconds kPumpInterval{50};
   /// Runs on slow upstreams are looked at this often.
@@ -41,11 +45,15 @@
 
  private:
   void Join();
+  void LookForOthers();
+  void Release();
   void OnShare(const platform::GroupShare& share);
   void Acquire(const platform::PartitionId& partition, std::uint64_t epoch);
 
   BatchContext& context_;
   std::string member_;
+  /// False while others run the batches.
+  bool wanted_;
   std::uint64_t generation_ = 0;
   bool joining_ = false;
   bool left_ = false;
@@ -53,6 +61,7 @@
   /// Epoch of the last owner of each partition in this process. None is used
   /// twice, as the appends of both owners would have the same numbers.
   std::map<platform::PartitionId, std::uint64_t> used_epochs_;
+  base::Timer look_timer_;
   base::Timer join_timer_;
   base::Timer pump_timer_;
   base::Timer move_timer_;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -16,6 +16,7 @@
 #include "duties/weight_orders.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "node/peer_view.h"
 #include "platform/batch_codec.h"
 #include "platform/duty_client.h"
 #include "platform/ingress.h"
@@ -32,9 +33,6 @@
 
 constexpr int kOk = 200;
 constexpr int kServiceUnavailable = 503;
-// A node that has not reached the store for this long sends new callers to
-// other nodes: two reads of the store were lost in a row.
-constexpr milliseconds kStoreSilence{4'000};
 // Entries removed this soon after a failed read may have lapsed with the store.
 constexpr milliseconds kUnstableTime{3'500};
 // Between SIGTERM and the closing of the listening socket: the platform looks
@@ -44,6 +42,10 @@
 constexpr milliseconds kStopMargin{500};
 // Results are kept a little longer than readers are promised.
 constexpr milliseconds kResultsMargin{10'000};
+// When a trainer may come back while nobody reaches the store, and while others
+// than this node may reach it.
+constexpr milliseconds kOutageRetry{2'000};
+constexpr milliseconds kElsewhereRetry{50};
 constexpr milliseconds kDrainTick{50};
 constexpr milliseconds kExpireTick{100};
 // Gathers the heartbeats of upstreams into one read; far below the time in
@@ -55,6 +57,24 @@
 // manifest's idle time, 15 s on the known deployments.
 constexpr milliseconds kClientTimeout{30'000};
 
+// A trainer's step of 150 items takes a tenth of a core; with reads and callers
+// beside it, a VM under a quarter of a core falls behind.
+constexpr double kSmallCores = 0.25;
+constexpr milliseconds kDeference{1'000};
+
+bool is_small(const Settings& settings) {
+  return settings.cores < kSmallCores;
+}
+
+// Peers that the settings name, this node aside.
+std::vector<Endpoint> PeersOf(const Settings& settings) {
+  std::vector<Endpoint> peers = settings.seeds;
+  if (settings.peers.has_value()) {
+    std::erase(peers, *settings.peers);
+  }
+  return peers;
+}
+
 // Names this process, and no earlier one on this machine.
 std::string ProcessName(const Settings& settings, const Clock& clock) {
   std::random_device random;
@@ -77,7 +97,10 @@
   store::TailHandler RegistrationHandler();
   void TakeOperatorRecord(const platform::KeyedRecord& record);
   void TakeRegistration(const platform::KeyedRecord& record);
+  void TakeRegistrations(const std::vector<platform::KeyedRecord>& records);
+  std::optional<std::string> Refusal() const;
   bool store_unstable() const;
+  bool store_silent() const;
   bool ready() const;
   void BeginDrain();
   void Drain();
@@ -107,10 +130,12 @@
   duties::LeaseRunner lease_;
   duties::WeightOrders weights_;
   duties::UsageReporter usage_;
+  PeerView peers_;
   std::shared_ptr<store::KeyedTail> operator_tail_;
   std::shared_ptr<store::KeyedTail> registration_tail_;
   http::Server callers_;
   http::Server readiness_;
+  std::optional<http::Server> peer_server_;
   std::optional<http::Server> metrics_server_;
   platform_adapter::Ingress ingress_;
   bool registrations_known_ = false;
@@ -157,11 +182,14 @@
                      settings_.results_kept + kResultsMargin},
       batch_client_(std::make_shared<batches::BatchClient>(
           loop_, clock_, store_, settings_.partitions)),
-      batch_host_(batch_context_, process_),
+      batch_host_(batch_context_, process_, is_small(settings_)),
       usage_counts_(process_, settings_.usage_window),
       lease_(loop_, clock_, log_, store_,
              duties::DutyLease(settings_.node.value(), process_,
-                               {.quiet = settings_.lease + milliseconds(500)},
+                               {.quiet = settings_.lease + milliseconds(500),
+                                .deference = is_small(settings_)
+                                                 ? kDeference
+                                                 : milliseconds(0)},
                                clock_.now())),
       weights_(loop_, clock_, log_, metrics_, duty_client_, directory_,
                catalog_, settings_.node.value(),
@@ -169,6 +197,16 @@
       usage_(loop_, clock_, log_, store_, duty_client_, settings_.partitions,
              {.window = settings_.usage_window}, settings_.node.value(),
              usage_counts_, [this] { return lease_.epoch(); }),
+      peers_(
+          loop_, clock_, log_, client_, random_, PeersOf(settings_),
+          [this](const std::vector<platform::KeyedRecord>& records) {
+            for (const platform::KeyedRecord& record : records) {
+              TakeOperatorRecord(record);
+            }
+          },
+          [this](const std::vector<platform::KeyedRecord>& records) {
+            TakeRegistrations(records);
+          }),
       operator_tail_(std::make_shared<store::KeyedTail>(
           loop_, clock_, log_, store_,
           platform::PartitionId{platform_adapter::kOperatorTopic, 0},
@@ -180,17 +218,27 @@
       callers_(loop_, {kMaxBodyBytes, kMaxHeaderBytes, kClientTimeout}),
       readiness_(loop_, {}),
       ingress_(serving_, batch_client_, settings_.max_record_bytes,
-               [] { return std::nullopt; }) {}
+               [this] { return Refusal(); },
+               [this]() -> std::optional<milliseconds> {
+                 if (!store_silent()) {
+                   return std::nullopt;
+                 }
+                 return peers_.reach() == Reach::kOutage ? kOutageRetry
+                                                         : kElsewhereRetry;
+               }) {}
 
 store::TailHandler Node::Parts::OperatorHandler() {
   store::TailHandler handler;
+  handler.on_contact = [this](Instant sent) { peers_.OnStore(sent); };
   handler.on_snapshot =
       [this](const std::vector<platform::KeyedRecord>& records) {
+        peers_.operator_records().Replace(records);
         for (const platform::KeyedRecord& record : records) {
           TakeOperatorRecord(record);
         }
       };
   handler.on_record = [this](const platform::KeyedRecord& record) {
+    peers_.operator_records().Take(record);
     TakeOperatorRecord(record);
   };
   return handler;
@@ -222,23 +270,31 @@
   return failure.has_value() && clock_.now() < *failure + kUnstableTime;
 }
 
+void Node::Parts::TakeRegistrations(
+    const std::vector<platform::KeyedRecord>& records) {
+  std::vector<serving::Registration> all;
+  for (const platform::KeyedRecord& record : records) {
+    if (auto registration = platform_adapter::DecodeRegistration(
+            record.key, record.value.value_or(""))) {
+      all.push_back(*std::move(registration));
+    }
+  }
+  log_.Write("upstreams.list",
+             {{"count", static_cast<std::int64_t>(all.size())}});
+  directory_.Replace(std::move(all), store_unstable(), clock_.now());
+  registrations_known_ = true;
+}
+
 store::TailHandler Node::Parts::RegistrationHandler() {
   store::TailHandler handler;
+  handler.on_contact = [this](Instant sent) { peers_.OnStore(sent); };
   handler.on_snapshot =
       [this](const std::vector<platform::KeyedRecord>& records) {
-        std::vector<serving::Registration> all;
-        for (const platform::KeyedRecord& record : records) {
-          if (auto registration = platform_adapter::DecodeRegistration(
-                  record.key, record.value.value_or(""))) {
-            all.push_back(*std::move(registration));
-          }
-        }
-        log_.Write("upstreams.list",
-                   {{"count", static_cast<std::int64_t>(all.size())}});
-        directory_.Replace(std::move(all), store_unstable(), clock_.now());
-        registrations_known_ = true;
+        peers_.registrations().Replace(records);
+        TakeRegistrations(records);
       };
   handler.on_record = [this](const platform::KeyedRecord& record) {
+    peers_.registrations().Take(record);
     TakeRegistration(record);
   };
   return handler;
@@ -273,11 +329,31 @@
   usage_counts_.Count(organisation, clock_.wall_now());
 }
 
-bool Node::Parts::ready() const {
+// A single failed read is no outage yet.
+bool Node::Parts::store_silent() const {
   const auto contact = operator_tail_->last_contact();
+  return operator_tail_->failing() &&
+         (!contact.has_value() ||
+          clock_.now() >= *contact + ReachJudge::kFresh);
+}
+
+// While nobody reaches the store, callers are as well off here as elsewhere.
+bool Node::Parts::ready() const {
+  const bool store_failing =
+      store_silent() && peers_.reach() != Reach::kOutage;
   return !draining_since_.has_value() && catalog_.manifest() != nullptr &&
-         registrations_known_ && contact.has_value() &&
-         clock_.now() < *contact + kStoreSilence;
+         registrations_known_ && !store_failing;
+}
+
+// A node that hears of nobody cannot know which keys were withdrawn.
+std::optional<std::string> Node::Parts::Refusal() const {
+  const auto contact = operator_tail_->last_contact();
+  const bool late = contact.has_value() &&
+                    clock_.now() >= *contact + settings_.key_withdrawal;
+  if (late && peers_.reach() == Reach::kIsolated) {
+    return "the node is cut off from the store and from its peers";
+  }
+  return std::nullopt;
 }
 
 void Node::Parts::RegisterReadiness() {
@@ -318,6 +394,14 @@
     *reason = "cannot listen on " + ToString(settings_.readiness);
     return false;
   }
+  if (settings_.peers.has_value()) {
+    peer_server_.emplace(loop_, http::ServerLimits{});
+    peers_.Register(*peer_server_);
+    if (!peer_server_->Listen(*settings_.peers)) {
+      *reason = "cannot listen on " + ToString(*settings_.peers);
+      return false;
+    }
+  }
   if (metrics_server_.has_value() &&
       !metrics_server_->Listen(*settings_.metrics)) {
     *reason = "cannot listen on " + ToString(*settings_.metrics);
@@ -330,6 +414,7 @@
                        {"first_start", settings_.first_start}});
   operator_tail_->Start();
   registration_tail_->Start();
+  peers_.Start();
   lease_.Start();
   weights_.Start();
   usage_.Start();
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -32,6 +32,8 @@
   int partitions = 1;
   /// Longest record that the store takes.
   std::size_t max_record_bytes = 262'144;
+  /// Processor time that this VM has, in cores.
+  double cores = 1;
   /// Takes usage reports and orders of capacity.
   Endpoint duty_services;
   /// Time between SIGTERM and SIGKILL.
--- a/src/store/keyed_tail.cc
+++ b/src/store/keyed_tail.cc
@@ -124,6 +124,9 @@
 
 void KeyedTail::Answered(Instant sent) {
   last_contact_ = sent;
+  if (handler_.on_contact) {
+    handler_.on_contact(sent);
+  }
   if (std::exchange(failing_, false)) {
     log_.Write("dependency.regained",
                {{"dependency", "store"}, {"topic", partition_.topic}});
--- a/src/store/keyed_tail.h
+++ b/src/store/keyed_tail.h
@@ -39,6 +39,8 @@
   std::function<void(const platform::KeyedRecord&)> on_record;
   /// The end of a page of later records.
   std::function<void()> on_page_end;
+  /// An answered call, by when it was sent.
+  std::function<void(Instant)> on_contact;
 };
 
 /// Reads until it is stopped or destroyed.
@@ -57,6 +59,8 @@
   std::optional<Instant> last_contact() const { return last_contact_; }
   /// When the last call failed; nullopt if none did.
   std::optional<Instant> last_failure() const { return last_failure_; }
+  /// True from a failed call to the next answered one.
+  bool failing() const { return failing_; }
   /// Offset behind the last record read.
   platform::Offset position() const { return position_; }
 
