--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -42,9 +42,8 @@
 constexpr milliseconds kStopMargin{500};
 // Results are kept a little longer than readers are promised.
 constexpr milliseconds kResultsMargin{10'000};
-// When a trainer may come back while nobody reaches the store, and while others
-// than this node may reach it.
-constexpr milliseconds kOutageRetry{2'000};
+// When a trainer may come back, to another node, while this one alone does not
+// reach the store.
 constexpr milliseconds kElsewhereRetry{50};
 constexpr milliseconds kDrainTick{50};
 constexpr milliseconds kExpireTick{100};
@@ -62,9 +61,7 @@
 constexpr double kSmallCores = 0.25;
 constexpr milliseconds kDeference{1'000};
 
-bool is_small(const Settings& settings) {
-  return settings.cores < kSmallCores;
-}
+bool is_small(const Settings& settings) { return settings.cores < kSmallCores; }
 
 // Peers that the settings name, this node aside.
 std::vector<Endpoint> PeersOf(const Settings& settings) {
@@ -184,13 +181,13 @@
           loop_, clock_, store_, settings_.partitions)),
       batch_host_(batch_context_, process_, is_small(settings_)),
       usage_counts_(process_, settings_.usage_window),
-      lease_(loop_, clock_, log_, store_,
-             duties::DutyLease(settings_.node.value(), process_,
-                               {.quiet = settings_.lease + milliseconds(500),
-                                .deference = is_small(settings_)
-                                                 ? kDeference
-                                                 : milliseconds(0)},
-                               clock_.now())),
+      lease_(
+          loop_, clock_, log_, store_,
+          duties::DutyLease(
+              settings_.node.value(), process_,
+              {.quiet = settings_.lease + milliseconds(500),
+               .deference = is_small(settings_) ? kDeference : milliseconds(0)},
+              clock_.now())),
       weights_(loop_, clock_, log_, metrics_, duty_client_, directory_,
                catalog_, settings_.node.value(),
                [this] { return lease_.epoch(); }),
@@ -217,15 +214,15 @@
           store::TailTiming{.pace = kRegistrationPace}, RegistrationHandler())),
       callers_(loop_, {kMaxBodyBytes, kMaxHeaderBytes, kClientTimeout}),
       readiness_(loop_, {}),
-      ingress_(serving_, batch_client_, settings_.max_record_bytes,
-               [this] { return Refusal(); },
-               [this]() -> std::optional<milliseconds> {
-                 if (!store_silent()) {
-                   return std::nullopt;
-                 }
-                 return peers_.reach() == Reach::kOutage ? kOutageRetry
-                                                         : kElsewhereRetry;
-               }) {}
+      ingress_(
+          serving_, batch_client_, settings_.max_record_bytes,
+          [this] { return Refusal(); },
+          [this]() -> std::optional<milliseconds> {
+            if (!store_silent() || peers_.reach() == Reach::kOutage) {
+              return std::nullopt;
+            }
+            return kElsewhereRetry;
+          }) {}
 
 store::TailHandler Node::Parts::OperatorHandler() {
   store::TailHandler handler;
@@ -339,8 +336,7 @@
 
 // While nobody reaches the store, callers are as well off here as elsewhere.
 bool Node::Parts::ready() const {
-  const bool store_failing =
-      store_silent() && peers_.reach() != Reach::kOutage;
+  const bool store_failing = store_silent() && peers_.reach() != Reach::kOutage;
   return !draining_since_.has_value() && catalog_.manifest() != nullptr &&
          registrations_known_ && !store_failing;
 }
--- a/src/node/peer_view.cc
+++ b/src/node/peer_view.cc
@@ -109,7 +109,7 @@
 void PeerView::Start() {
   timer_ = loop_.Every(kAskInterval, [this] {
     const Instant now = clock_.now();
-    if (now >= last_store_ + ReachJudge::kFresh) {
+    if (now >= last_store_ + kAskFrom) {
       Ask();
     }
     const Reach reach = judge_.reach(now);
@@ -143,10 +143,9 @@
   }
   http::ClientRequest request;
   request.endpoint = peers_[random_() % peers_.size()];
-  request.path =
-      std::string(kPath) +
-      "?operator=" + std::to_string(operator_records_.position) +
-      "&registrations=" + std::to_string(registrations_.position);
+  request.path = std::string(kPath) +
+                 "?operator=" + std::to_string(operator_records_.position) +
+                 "&registrations=" + std::to_string(registrations_.position);
   request.connect_timeout = kTimeout;
   request.timeout = kTimeout;
   client_.Send(std::move(request), [this, alive = alive_, sent = clock_.now()](
--- a/src/node/peer_view.h
+++ b/src/node/peer_view.h
@@ -57,7 +57,7 @@
   /// Without word of the store for longer a node asks its peers: a read waits
   /// a second there.
   static constexpr std::chrono::milliseconds kFresh{1'600};
-  /// Peers are asked twice a second; several of three may be gone.
+  /// Peers are asked some times a second; several of three may be gone.
   static constexpr std::chrono::milliseconds kPeerSilence{3'000};
 
  private:
@@ -93,7 +93,10 @@
   PeerRecords& operator_records() { return operator_records_; }
   PeerRecords& registrations() { return registrations_; }
 
-  static constexpr std::chrono::milliseconds kAskInterval{500};
+  static constexpr std::chrono::milliseconds kAskInterval{200};
+  /// Peers are asked once the store was silent for this long: before its
+  /// silence counts, so that what they say is known by then.
+  static constexpr std::chrono::milliseconds kAskFrom{1'200};
   static constexpr std::chrono::milliseconds kTimeout{400};
 
  private:
