Let runs of an ended batch go on for the next one

Cause: at each end of a step a tenth of its runs was cut, which closes their connections, and most of their groups come again with the next step. Runs whose output the next step may use go on; its batch takes them over, and those that it does not name are cancelled as it opens.

--- a/src/batches/item_scheduler.cc
+++ b/src/batches/item_scheduler.cc
@@ -110,6 +110,14 @@
   return &found->second.items[ref.index];
 }
 
+void ItemScheduler::Adopt(const ItemRef& ref, const UpstreamId& upstream) {
+  Item* item = FindItem(ref);
+  if (item != nullptr && item->state == State::kWaiting) {
+    item->state = State::kRunning;
+    item->last = upstream;
+  }
+}
+
 ItemStep ItemScheduler::OnRunEnd(const ItemRef& ref, const RunEnd& end,
                                  Instant now) {
   Item* item = FindItem(ref);
--- a/src/batches/item_scheduler.h
+++ b/src/batches/item_scheduler.h
@@ -103,6 +103,8 @@
   /// Places waiting items: batches by their deadlines, items in the order that
   /// OrderItems gives them.
   std::vector<StartItem> Place(Instant now, const ItemPlacer& placer);
+  /// A run of this item is already under way.
+  void Adopt(const ItemRef& item, const UpstreamId& upstream);
   /// Takes in the end of a run.
   ItemStep OnRunEnd(const ItemRef& item, const RunEnd& end, Instant now);
   /// Returns the items that may be given up as their time is over.
--- a/src/batches/part_owner.cc
+++ b/src/batches/part_owner.cc
@@ -111,10 +111,14 @@
   if (tail_ != nullptr) {
     tail_->Stop();
   }
-  for (const auto& [item, run] : runs_) {
-    run->Cancel();
+  for (const auto& [item, running] : runs_) {
+    running.run->Cancel();
   }
   runs_.clear();
+  for (const auto& [id, orphan] : orphans_) {
+    orphan.running.run->Cancel();
+  }
+  orphans_.clear();
 }
 
 void PartOwner::OnRecord(const platform::KeyedRecord& record) {
@@ -291,8 +295,14 @@
        {"items", static_cast<std::int64_t>(items.size())},
        {"listed", static_cast<std::int64_t>(batch.listed.size())},
        {"age_ms", duration_cast<milliseconds>(age).count()}});
+  const TargetId model = info.model;
   scheduler_.Open(std::move(info));
   UseLeftovers(id);
+  for (std::size_t i = 0; i < items.size(); ++i) {
+    AdoptRun({id, i}, items[i].id());
+  }
+  // The others' places are needed now.
+  CancelOrphans(model);
 }
 
 void PartOwner::UseLeftovers(const std::string& id) {
@@ -348,7 +358,7 @@
       leftover.progress = std::move(done->second);
       leftover.complete = true;
     } else if (const auto run = runs_.find({id, i}); run != runs_.end()) {
-      leftover.progress = run->second->progress();
+      leftover.progress = run->second.run->progress();
     } else if (const auto kept = progress_.find({id, i});
                kept != progress_.end()) {
       leftover.progress = std::move(kept->second);
@@ -370,13 +380,7 @@
   }
   ExpireLeftovers();
   KeepLeftovers(id);
-  std::int64_t cancelled = 0;
-  for (auto run = runs_.lower_bound({id, 0});
-       run != runs_.end() && run->first.batch == id;) {
-    run->second->Cancel();
-    run = runs_.erase(run);
-    ++cancelled;
-  }
+  OrphanRuns(id);
   const auto of_batch = [&id](const auto& entry) {
     return entry.first.batch == id;
   };
@@ -384,7 +388,68 @@
   std::erase_if(completed_, of_batch);
   items_.erase(id);
   scheduler_.Close(id);
-  context_.log.Write("batch.close", {{"batch", id}, {"cancelled", cancelled}});
+  context_.log.Write(
+      "batch.close",
+      {{"batch", id},
+       {"runs_left", static_cast<std::int64_t>(orphans_.size())}});
+}
+
+// Groups that an ended batch did not complete mostly come again with the next
+// one: their runs go on meanwhile, if the next one may use what they bring.
+void PartOwner::OrphanRuns(const std::string& id) {
+  const BatchInfo& batch = *scheduler_.find(id);
+  for (auto run = runs_.lower_bound({id, 0});
+       run != runs_.end() && run->first.batch == id;) {
+    const std::string item_id = batch.items[run->first.index].id;
+    if (run->second.run->progress().fits(batch.min_version + 1)) {
+      orphans_[item_id] = {std::move(run->second), batch.model};
+    } else {
+      run->second.run->Cancel();
+    }
+    run = runs_.erase(run);
+  }
+}
+
+void PartOwner::AdoptRun(const ItemRef& item, const std::string& item_id) {
+  const auto orphan = orphans_.find(item_id);
+  if (orphan == orphans_.end()) {
+    return;
+  }
+  const BatchInfo& batch = *scheduler_.find(item.batch);
+  const ItemRun& run = *orphan->second.running.run;
+  const serving::Registration* upstream =
+      context_.directory.find(run.upstream());
+  const bool usable = upstream != nullptr &&
+                      upstream->versions.contains(batch.model) &&
+                      upstream->versions.at(batch.model) >= batch.min_version &&
+                      run.progress().fits(batch.min_version);
+  if (!usable) {
+    return;
+  }
+  *orphan->second.running.item = item;
+  scheduler_.Adopt(item, orphan->second.running.run->upstream());
+  runs_[item] = std::move(orphan->second.running);
+  orphans_.erase(orphan);
+  context_.log.Write("item.adopted",
+                     {{"request", item_id}, {"batch", item.batch}});
+}
+
+void PartOwner::CancelOrphans(const TargetId& model) {
+  std::erase_if(orphans_, [&model](const auto& entry) {
+    const bool cancelled = entry.second.model == model;
+    if (cancelled) {
+      entry.second.running.run->Cancel();
+    }
+    return cancelled;
+  });
+}
+
+void PartOwner::OnOrphanEnd(const std::string& item_id, const RunEnd& end,
+                            ItemProgress progress) {
+  orphans_.erase(item_id);
+  leftovers_[item_id] = {std::move(progress),
+                         std::holds_alternative<RunCompleted>(end),
+                         context_.clock.now()};
 }
 
 std::vector<const serving::Registration*> PartOwner::UsableUpstreams(
@@ -457,9 +522,9 @@
   for (auto run = runs_.lower_bound({id, 0});
        run != runs_.end() && run->first.batch == id; ++run) {
     running.push_back(
-        {run->first, run->second->upstream(),
-         context_.loads.latency(run->second->upstream(), now),
-         duration_cast<milliseconds>(now - run->second->started()),
+        {run->first, run->second.run->upstream(),
+         context_.loads.latency(run->second.run->upstream(), now),
+         duration_cast<milliseconds>(now - run->second.run->started()),
          batch->items[run->first.index].expected_tokens});
   }
   const serving::Registration* any =
@@ -476,7 +541,7 @@
   }
   for (const ItemRef& item : RunsToMove(std::move(running), free)) {
     context_.metrics.Count("item_moves_total", {});
-    runs_.at(item)->Move();
+    runs_.at(item).run->Move();
   }
 }
 
@@ -495,7 +560,7 @@
   DropExpired();
   for (const ItemRef& item : scheduler_.Overdue(now)) {
     if (const auto run = runs_.find(item); run != runs_.end()) {
-      run->second->Cancel();
+      run->second.run->Cancel();
       runs_.erase(run);
     }
     List(item, v1::ITEM_STATE_TERMINATED, {});
@@ -545,26 +610,32 @@
         static_cast<std::int64_t>(context_.loads.running(start.upstream))},
        {"resume_after", static_cast<std::int64_t>(progress.last_event)},
        {"manifest", static_cast<std::int64_t>(context_.catalog.version())}});
+  const auto shared_item = std::make_shared<ItemRef>(start.item);
   auto run = std::make_shared<ItemRun>(
       context_.loop, context_.clock, context_.caller, context_.loads,
       start.upstream, std::move(progress),
       scheduler_.find(start.item.batch)->retention_end, RunTiming{},
-      [weak = weak_from_this(), item = start.item, id = start.upstream](
-          const RunEnd& end, ItemProgress brought) {
+      [weak = weak_from_this(), shared_item, item_id = item.id(),
+       id = start.upstream](const RunEnd& end, ItemProgress brought) {
         if (const auto owner = weak.lock()) {
-          owner->OnRunEnd(item, id, end, std::move(brought));
+          owner->OnRunEnd(*shared_item, item_id, id, end, std::move(brought));
         }
       });
-  runs_[start.item] = run;
+  runs_[start.item] = {run, shared_item};
   run->Start(upstream, request, expected_version);
 }
 
-void PartOwner::OnRunEnd(const ItemRef& item, const UpstreamId& upstream,
-                         const RunEnd& end, ItemProgress progress) {
-  runs_.erase(item);
+void PartOwner::OnRunEnd(const ItemRef& item, const std::string& item_id,
+                         const UpstreamId& upstream, const RunEnd& end,
+                         ItemProgress progress) {
   if (stopped_) {
     return;
   }
+  if (orphans_.contains(item_id)) {
+    OnOrphanEnd(item_id, end, std::move(progress));
+    return;
+  }
+  runs_.erase(item);
   static constexpr const char* kNames[] = {"completed", "failed", "impossible",
                                            "refused", "interrupted"};
   const v1::BatchItem* stored = FindItem(item);
--- a/src/batches/part_owner.h
+++ b/src/batches/part_owner.h
@@ -98,6 +98,24 @@
   void DropExpired();
   void OnRecord(const platform::KeyedRecord& record);
   void Refresh(const std::string& id);
+  /// A run under way and the item that it is for.
+  struct Running {
+    std::shared_ptr<ItemRun> run;
+    /// Shared with the run's callback; the item changes if a later batch
+    /// takes the run over.
+    std::shared_ptr<ItemRef> item;
+  };
+  /// A run that goes on after its batch ended.
+  struct Orphan {
+    Running running;
+    TargetId model;
+  };
+
+  void OrphanRuns(const std::string& id);
+  void AdoptRun(const ItemRef& item, const std::string& item_id);
+  void CancelOrphans(const TargetId& model);
+  void OnOrphanEnd(const std::string& item_id, const RunEnd& end,
+                   ItemProgress progress);
   void KeepLeftovers(const std::string& id);
   void UseLeftovers(const std::string& id);
   void ExpireLeftovers();
@@ -110,8 +128,9 @@
                                       const ItemRef& item,
                                       const UpstreamId& last);
   void StartRun(const StartItem& start);
-  void OnRunEnd(const ItemRef& item, const UpstreamId& upstream,
-                const RunEnd& end, ItemProgress progress);
+  void OnRunEnd(const ItemRef& item, const std::string& item_id,
+                const UpstreamId& upstream, const RunEnd& end,
+                ItemProgress progress);
   void List(const ItemRef& item, v1::ItemState state,
             const ItemProgress& progress);
   const v1::BatchItem* FindItem(const ItemRef& item) const;
@@ -128,7 +147,9 @@
   std::shared_ptr<store::KeyedTail> tail_;
   BatchTable table_;
   ItemScheduler scheduler_;
-  std::map<ItemRef, std::shared_ptr<ItemRun>> runs_;
+  std::map<ItemRef, Running> runs_;
+  /// By item id.
+  std::map<std::string, Orphan> orphans_;
   std::map<ItemRef, ItemProgress> progress_;
   /// Items of the open batches by index.
   std::map<std::string, std::vector<v1::BatchItem>> items_;
