Store the events of long runs, so that a new owner goes on behind them

Events are stored each second and when a partition is handed over; they go with the listed result. Ruled out: the take-over itself, which took 1.4 s.

--- a/src/batches/batch_host.cc
+++ b/src/batches/batch_host.cc
@@ -24,7 +24,8 @@
 
 void BatchHost::Start() {
   if (!wanted_) {
-    look_timer_ = context_.loop.Every(kLookInterval, [this] { LookForOthers(); });
+    look_timer_ =
+        context_.loop.Every(kLookInterval, [this] { LookForOthers(); });
   }
   Join();
   join_timer_ = context_.loop.Every(kJoinInterval, [this] { Join(); });
@@ -33,6 +34,11 @@
       owner->MoveStragglers();
     }
   });
+  save_timer_ = context_.loop.Every(kSaveInterval, [this] {
+    for (const auto& [partition, owner] : owners_) {
+      owner->SaveProgress();
+    }
+  });
   pump_timer_ = context_.loop.Every(kPumpInterval, [this] {
     for (const auto& [partition, owner] : owners_) {
       if (owner->waiting() > 0) {
@@ -48,6 +54,7 @@
   join_timer_.Cancel();
   pump_timer_.Cancel();
   move_timer_.Cancel();
+  save_timer_.Cancel();
   Release();
 }
 
@@ -76,7 +83,7 @@
 
 void BatchHost::Release() {
   for (const auto& [partition, owner] : owners_) {
-    owner->Stop();
+    owner->HandOver();
   }
   owners_.clear();
   context_.store.Leave(kGroup, member_, kJoinTimeout);
@@ -108,7 +115,7 @@
     if (held.contains(owner->first)) {
       ++owner;
     } else {
-      owner->second->Stop();
+      owner->second->HandOver();
       owner = owners_.erase(owner);
     }
   }
@@ -123,12 +130,13 @@
 void BatchHost::Acquire(const platform::PartitionId& partition,
                         std::uint64_t epoch) {
   used_epochs_[partition] = epoch;
-  auto owner = std::make_shared<PartOwner>(context_, partition, epoch,
-                                           [this, alive = alive_, partition] {
-                                             if (*alive) {
-                                               owners_.erase(partition);
-                                             }
-                                           });
+  auto owner = std::make_shared<PartOwner>(
+      context_, partition, epoch, [this, alive = alive_, partition, epoch] {
+        // One that hands over may learn of its loss after its successor here.
+        if (*alive && used_epochs_[partition] == epoch) {
+          owners_.erase(partition);
+        }
+      });
   owners_[partition] = owner;
   owner->Start();
 }
--- a/src/batches/batch_host.h
+++ b/src/batches/batch_host.h
@@ -42,6 +42,9 @@
   static constexpr std::chrono::milliseconds kPumpInterval{50};
   /// Runs on slow upstreams are looked at this often.
   static constexpr std::chrono::milliseconds kMoveInterval{250};
+  /// Events of long runs are stored this often: what a successor makes again at
+  /// most.
+  static constexpr std::chrono::milliseconds kSaveInterval{1'000};
 
  private:
   void Join();
@@ -65,6 +68,7 @@
   base::Timer join_timer_;
   base::Timer pump_timer_;
   base::Timer move_timer_;
+  base::Timer save_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/batches/batch_keys.cc
+++ b/src/batches/batch_keys.cc
@@ -12,10 +12,11 @@
 namespace {
 
 // A key takes at most 255 bytes.
-constexpr std::size_t kMaxIdLength = 200;
+constexpr std::size_t kMaxIdLength = 110;
 constexpr char kAccepted[] = "a";
 constexpr char kResults[] = "b";
 constexpr char kEnd[] = "e";
+constexpr char kProgress[] = "p";
 constexpr char kChunks[] = "s";
 
 // Numbers have a fixed width, so that keys sort by them.
@@ -36,6 +37,10 @@
   return Numbered(key.batch, kResults, key.position);
 }
 
+std::string Encode(const ProgressKey& key) {
+  return Numbered(key.batch + "/" + kProgress, key.item.c_str(), key.number);
+}
+
 std::string Encode(const EndKey& key) { return key.batch + "/" + kEnd; }
 
 std::string Encode(const ChunkKey& key) {
@@ -59,9 +64,18 @@
   if (second == std::string::npos) {
     return ForeignKey{};
   }
+  const std::string part = rest.substr(0, second);
+  if (part == kProgress) {
+    const std::size_t third = rest.find('/', second + 1);
+    if (third == std::string::npos) {
+      return ForeignKey{};
+    }
+    return ProgressKey{batch, rest.substr(second + 1, third - second - 1),
+                       static_cast<std::uint32_t>(std::strtoul(
+                           rest.c_str() + third + 1, nullptr, 10))};
+  }
   const auto number = static_cast<std::uint32_t>(
       std::strtoul(rest.c_str() + second + 1, nullptr, 10));
-  const std::string part = rest.substr(0, second);
   if (part == kResults) {
     return ResultKey{batch, number};
   }
--- a/src/batches/batch_keys.h
+++ b/src/batches/batch_keys.h
@@ -26,6 +26,12 @@
   std::string batch;
   std::uint32_t position = 0;
 };
+/// Part of the events of an unfinished item.
+struct ProgressKey {
+  std::string batch;
+  std::string item;
+  std::uint32_t number = 0;
+};
 struct EndKey {
   std::string batch;
 };
@@ -34,16 +40,17 @@
   std::uint32_t number = 0;
 };
 struct ForeignKey {};
-using BatchKey =
-    std::variant<AcceptedKey, ResultKey, EndKey, ChunkKey, ForeignKey>;
+using BatchKey = std::variant<AcceptedKey, ResultKey, ProgressKey, EndKey,
+                              ChunkKey, ForeignKey>;
 
 std::string Encode(const AcceptedKey& key);
 std::string Encode(const ResultKey& key);
+std::string Encode(const ProgressKey& key);
 std::string Encode(const EndKey& key);
 std::string Encode(const ChunkKey& key);
 BatchKey Decode(const std::string& key);
 
-/// Returns whether an id can be part of a key.
+/// Returns whether an id can be part of a key, with room for another beside it.
 bool IsBatchId(const std::string& id);
 /// Returns the partition that holds the batches of an organisation. A trainer
 /// has one organisation: the owner of its partition keeps connections to the
--- a/src/batches/batch_table.cc
+++ b/src/batches/batch_table.cc
@@ -48,6 +48,14 @@
   }
 }
 
+void BatchTable::Take(const ProgressKey& key,
+                      const platform::KeyedRecord& record) {
+  v1::ProgressRecord progress;
+  if (progress.ParseFromString(*record.value)) {
+    batches_[key.batch].progress[key.item][key.number] = std::move(progress);
+  }
+}
+
 void BatchTable::Take(const EndKey& key,
                       const platform::KeyedRecord& /*record*/) {
   Batch& batch = batches_[key.batch];
@@ -71,6 +79,10 @@
 // A result stays listed for those that run the batch.
 void BatchTable::Drop(const ResultKey& /*key*/) {}
 
+void BatchTable::Drop(const ProgressKey& key) {
+  batches_[key.batch].progress.erase(key.item);
+}
+
 void BatchTable::Drop(const EndKey& /*key*/) {}
 
 void BatchTable::Drop(const ChunkKey& key) {
--- a/src/batches/batch_table.h
+++ b/src/batches/batch_table.h
@@ -1,5 +1,5 @@
-// The batches of one partition, as a fold over their records. Every reader comes
-// to the same state.
+// The batches of one partition, as a fold over their records. Every reader
+// comes to the same state.
 
 #ifndef MULBERRYROAD_SRC_BATCHES_BATCH_TABLE_H_
 #define MULBERRYROAD_SRC_BATCHES_BATCH_TABLE_H_
@@ -26,6 +26,8 @@
   std::set<std::uint32_t> stored_chunks;
   /// Ids of the items with a listed result.
   std::set<std::string> listed;
+  /// Stored events of unfinished items, by item and number.
+  std::map<std::string, std::map<std::uint32_t, v1::ProgressRecord>> progress;
   /// First position without a result.
   std::uint32_t next_position = 0;
   bool ended = false;
@@ -49,11 +51,13 @@
  private:
   void Take(const AcceptedKey& key, const platform::KeyedRecord& record);
   void Take(const ResultKey& key, const platform::KeyedRecord& record);
+  void Take(const ProgressKey& key, const platform::KeyedRecord& record);
   void Take(const EndKey& key, const platform::KeyedRecord& record);
   void Take(const ChunkKey& key, const platform::KeyedRecord& record);
 
   void Drop(const AcceptedKey& key);
   void Drop(const ResultKey& key);
+  void Drop(const ProgressKey& key);
   void Drop(const EndKey& key);
   void Drop(const ChunkKey& key);
 
--- a/src/batches/item_run.cc
+++ b/src/batches/item_run.cc
@@ -32,6 +32,30 @@
   return true;
 }
 
+v1::ProgressRecord ItemProgress::Since(std::uint64_t event) const {
+  v1::ProgressRecord record;
+  record.set_first_event(event + 1);
+  for (std::uint64_t i = event; i < events.size(); ++i) {
+    record.add_events(events[i]);
+  }
+  record.set_version(version);
+  for (const std::uint64_t one : versions) {
+    record.add_versions(one);
+  }
+  return record;
+}
+
+bool ItemProgress::Take(const v1::ProgressRecord& record) {
+  if (record.first_event() != last_event + 1) {
+    return false;
+  }
+  events.insert(events.end(), record.events().begin(), record.events().end());
+  last_event = events.size();
+  version = record.version();
+  versions.insert(record.versions().begin(), record.versions().end());
+  return true;
+}
+
 std::string ItemProgress::text() const {
   std::string text;
   for (const std::string& event : events) {
--- a/src/batches/item_run.h
+++ b/src/batches/item_run.h
@@ -14,6 +14,7 @@
 #include "base/event_loop.h"
 #include "batches/item_scheduler.h"
 #include "mulberryroad/clock.h"
+#include "mulberryroad/store.pb.h"
 #include "serving/upstream_caller.h"
 #include "serving/upstreams.h"
 
@@ -32,6 +33,11 @@
   /// Takes in the next event.
   /// @return false if an event is missing before it
   bool Take(const serving::StreamEvent& event);
+  /// Makes the record of the events behind one.
+  v1::ProgressRecord Since(std::uint64_t event) const;
+  /// Takes in a record that goes on where this progress ends.
+  /// @return false if it begins elsewhere
+  bool Take(const v1::ProgressRecord& record);
   /// Returns the data of all events, separated by line feeds.
   std::string text() const;
   /// True if no event was made under a version older than this.
--- a/src/batches/part_owner.cc
+++ b/src/batches/part_owner.cc
@@ -187,7 +187,9 @@
         for (const platform::KeyedRecord& record : page->records) {
           const BatchKey key = Decode(record.key);
           const auto* result = std::get_if<ResultKey>(&key);
-          if (result == nullptr || result->batch != id) {
+          const auto* progress = std::get_if<ProgressKey>(&key);
+          if ((result == nullptr || result->batch != id) &&
+              (progress == nullptr || progress->batch != id)) {
             whole = true;
             break;
           }
@@ -297,6 +299,7 @@
        {"age_ms", duration_cast<milliseconds>(age).count()}});
   const TargetId model = info.model;
   scheduler_.Open(std::move(info));
+  UseSaved(id, batch);
   UseLeftovers(id);
   for (std::size_t i = 0; i < items.size(); ++i) {
     AdoptRun({id, i}, items[i].id());
@@ -305,6 +308,100 @@
   CancelOrphans(model);
 }
 
+// Goes on with what an earlier owner stored of unfinished items.
+void PartOwner::UseSaved(const std::string& id, const Batch& batch) {
+  const std::vector<v1::BatchItem>& items = items_[id];
+  for (std::size_t i = 0; i < items.size(); ++i) {
+    const auto stored = batch.progress.find(items[i].id());
+    if (stored == batch.progress.end() ||
+        batch.listed.contains(items[i].id())) {
+      continue;
+    }
+    const ItemRef item{id, i};
+    ItemProgress progress;
+    Saved& saved = saved_[item];
+    for (const auto& [number, record] : stored->second) {
+      saved.records = number + 1;
+      if (!progress.Take(record)) {
+        break;
+      }
+    }
+    saved.last_event = progress.last_event;
+    context_.log.Write(
+        "item.restored",
+        {{"request", items[i].id()},
+         {"batch", id},
+         {"events", static_cast<std::int64_t>(progress.last_event)}});
+    progress_[item] = std::move(progress);
+  }
+}
+
+void PartOwner::HandOver() {
+  SaveProgress(/*min_events=*/1);
+  hand_over_timer_ = context_.loop.After(
+      kHandOverTime, [self = shared_from_this()] { self->Stop(); });
+}
+
+void PartOwner::SaveProgress(std::uint64_t min_events) {
+  std::map<platform::PartitionId, std::vector<platform::KeyedRecord>> records;
+  for (const auto& [item, running] : runs_) {
+    const ItemProgress& progress = running.run->progress();
+    Saved& saved = saved_[item];
+    const v1::BatchItem* stored = FindItem(item);
+    if (progress.last_event < saved.last_event + min_events ||
+        !IsBatchId(stored->id())) {
+      continue;
+    }
+    records[ResultPartitionOf(item.batch, context_.partitions)].push_back(
+        {Encode(ProgressKey{item.batch, stored->id(), saved.records}),
+         progress.Since(saved.last_event).SerializeAsString()});
+    saved.last_event = progress.last_event;
+    ++saved.records;
+  }
+  for (auto& [partition, batch] : records) {
+    writers_.at(partition).writer->Append(std::move(batch), nullptr);
+  }
+}
+
+std::vector<platform::KeyedRecord> PartOwner::TakeSavedDrops(
+    const ItemRef& item) {
+  std::vector<platform::KeyedRecord> drops;
+  const auto saved = saved_.find(item);
+  if (saved == saved_.end()) {
+    return drops;
+  }
+  for (std::uint32_t i = 0; i < saved->second.records; ++i) {
+    drops.push_back({Encode(ProgressKey{item.batch, FindItem(item)->id(), i}),
+                     std::nullopt});
+  }
+  saved_.erase(saved);
+  return drops;
+}
+
+void PartOwner::ForgetSaved(const ItemRef& item) {
+  std::vector<platform::KeyedRecord> drops = TakeSavedDrops(item);
+  if (!drops.empty()) {
+    WriterFor(item.batch).writer->Append(std::move(drops), nullptr);
+  }
+}
+
+void PartOwner::DropSaved(const std::string& id) {
+  std::vector<platform::KeyedRecord> drops;
+  while (true) {
+    const auto saved = saved_.lower_bound({id, 0});
+    if (saved == saved_.end() || saved->first.batch != id) {
+      break;
+    }
+    const ItemRef item = saved->first;
+    for (platform::KeyedRecord& drop : TakeSavedDrops(item)) {
+      drops.push_back(std::move(drop));
+    }
+  }
+  if (!drops.empty()) {
+    WriterFor(id).writer->Append(std::move(drops), nullptr);
+  }
+}
+
 void PartOwner::UseLeftovers(const std::string& id) {
   const std::uint64_t min_version = scheduler_.find(id)->min_version;
   const v1::BatchRecord& record = *table_.find(id)->accepted;
@@ -385,6 +482,7 @@
     return entry.first.batch == id;
   };
   std::erase_if(progress_, of_batch);
+  DropSaved(id);
   std::erase_if(completed_, of_batch);
   items_.erase(id);
   scheduler_.Close(id);
@@ -567,7 +665,7 @@
   }
   scheduler_.Place(now, [this](const BatchInfo& batch, const ItemRef& item,
                                const UpstreamId& last) {
-    const auto upstream = Placement(batch, item, last);
+    std::optional<UpstreamId> upstream = Placement(batch, item, last);
     if (upstream.has_value()) {
       StartRun({item, *upstream});
     }
@@ -599,6 +697,7 @@
     if (progress.last_event > 0 && progress.version != expected_version) {
       // A sample of one version starts anew under another.
       progress = {};
+      ForgetSaved(start.item);
     }
   }
   context_.log.Write(
@@ -661,7 +760,9 @@
     completed_[item] = std::move(progress);
   } else if (std::holds_alternative<ListTerminated>(step)) {
     List(item, v1::ITEM_STATE_TERMINATED, {});
-  } else if (!stale) {
+  } else if (stale) {
+    ForgetSaved(item);
+  } else {
     progress_[item] = std::move(progress);
   }
   // From the loop: the run is still on the stack.
@@ -683,20 +784,21 @@
     result.add_versions(version);
   }
   const std::uint32_t position = next_position_[item.batch]++;
+  std::vector<platform::KeyedRecord> records = TakeSavedDrops(item);
+  records.insert(records.begin(), {Encode(ResultKey{item.batch, position}),
+                                   result.SerializeAsString()});
   WriterFor(item.batch)
-      .writer->Append(
-          {{Encode(ResultKey{item.batch, position}),
-            result.SerializeAsString()}},
-          [this, weak = weak_from_this(), batch = item.batch, position,
-           id = stored->id()] {
-            if (const auto owner = weak.lock()) {
-              context_.log.Write(
-                  "item.listed",
-                  {{"request", id},
-                   {"batch", batch},
-                   {"position", static_cast<std::int64_t>(position)}});
-            }
-          });
+      .writer->Append(std::move(records), [this, weak = weak_from_this(),
+                                           batch = item.batch, position,
+                                           id = stored->id()] {
+        if (const auto owner = weak.lock()) {
+          context_.log.Write(
+              "item.listed",
+              {{"request", id},
+               {"batch", batch},
+               {"position", static_cast<std::int64_t>(position)}});
+        }
+      });
 }
 
 }  // namespace mulberryroad::batches
--- a/src/batches/part_owner.h
+++ b/src/batches/part_owner.h
@@ -73,7 +73,17 @@
 
   /// A read of the store that takes longer is tried again.
   static constexpr std::chrono::milliseconds kReadTimeout{1'000};
-
+  /// Ten times what an append takes.
+  static constexpr std::chrono::milliseconds kHandOverTime{100};
+  /// Fewer new events of an item are not worth a record: they are made again in
+  /// about a third of a second.
+  static constexpr std::uint64_t kSaveEvents = 8;
+
+  /// Stores the events of items that run for long, for a successor.
+  /// @param min_events items with fewer new events are left out
+  void SaveProgress(std::uint64_t min_events = kSaveEvents);
+  /// Stores all events, then stops.
+  void HandOver();
   /// Moves runs from slow upstreams to faster ones with places free.
   void MoveStragglers();
 
@@ -116,8 +126,12 @@
   void CancelOrphans(const TargetId& model);
   void OnOrphanEnd(const std::string& item_id, const RunEnd& end,
                    ItemProgress progress);
+  void ForgetSaved(const ItemRef& item);
+  void DropSaved(const std::string& id);
   void KeepLeftovers(const std::string& id);
   void UseLeftovers(const std::string& id);
+  void UseSaved(const std::string& id, const Batch& batch);
+  std::vector<platform::KeyedRecord> TakeSavedDrops(const ItemRef& item);
   void ExpireLeftovers();
   void OpenBatch(const std::string& id, const Batch& batch);
   void CloseBatch(const std::string& id);
@@ -148,6 +162,12 @@
   BatchTable table_;
   ItemScheduler scheduler_;
   std::map<ItemRef, Running> runs_;
+  /// What the store holds of an unfinished item.
+  struct Saved {
+    std::uint64_t last_event = 0;
+    std::uint32_t records = 0;
+  };
+  std::map<ItemRef, Saved> saved_;
   /// By item id.
   std::map<std::string, Orphan> orphans_;
   std::map<ItemRef, ItemProgress> progress_;
@@ -164,6 +184,7 @@
     Instant since;
   };
   std::map<std::string, Leftover> leftovers_;
+  base::Timer hand_over_timer_;
   bool stopped_ = false;
 };
 
--- a/test/part_owner_test.cc
+++ b/test/part_owner_test.cc
@@ -290,6 +290,38 @@
   owner->Stop();
 }
 
+Test(part_owner, successor_goes_on_behind_the_stored_events) {
+  Fixture fixture;
+  fixture.upstreams.script = [](ReceivedRequest& received) {
+    FakeUpstreams::SendEvents(received, 20, 5);
+  };
+  const auto first = fixture.Own(1);
+  fixture.Submit("b1", {"long"}, 4);
+  cr_assert(fakes::RunUntil(
+      fixture.loop, [&] { return fixture.upstreams.requests.size() == 1; }));
+  fakes::RunFor(fixture.loop, milliseconds(20));
+  first->SaveProgress();
+  fakes::RunFor(fixture.loop, milliseconds(20));
+  for (int id = 21; id <= 30; ++id) {
+    fixture.upstreams.requests[0]->options.stream->on_event(
+        {"", std::to_string(id), "e" + std::to_string(id), 6});
+  }
+  fixture.upstreams.script = nullptr;
+  first->HandOver();
+  fakes::RunFor(fixture.loop, milliseconds(20));
+  fixture.AnswerAll(32, 6);
+  const auto second = fixture.Own(2);
+  cr_assert(fixture.WaitForResults("b1", 1));
+  cr_assert_str_eq(fixture.upstreams.requests[1]->options.resume_after.c_str(),
+                   "30");
+  const v1::ResultRecord result = fixture.Results("b1").front();
+  cr_assert(result.text().ends_with("e29\ne30\ne31\ne32"));
+  cr_assert_eq(result.versions_size(), 2);
+  cr_assert_eq(fixture.store.keys(ResultPartitionOf("b1", kPartitions)).size(),
+               1, "the stored events go once the result is listed");
+  second->Stop();
+}
+
 Test(part_owner, items_of_an_ended_batch_are_dropped_from_the_store) {
   Fixture fixture;
   fixture.AnswerAll(1, 5);
