Answer or refuse what comes over kept connections as a node stops

Drain (now in src/base, used by both programs) refuses from then on and waits again until all is answered: drain::request_that_comes_as_it_stops_is_answered_first. Ruled out: the listening socket, closed 75 ms before.

--- a/src/daemon/drain.cc
+++ b/src/base/drain.cc
@@ -1,11 +1,11 @@
-#include "daemon/drain.h"
+#include "base/drain.h"
 
 #include <string>
 #include <utility>
 
 #include "base/decision_log.h"
 
-namespace mulberryroad::daemon {
+namespace mulberryroad::base {
 
 namespace {
 
@@ -14,7 +14,7 @@
 
 }  // namespace
 
-Drain::Drain(base::EventLoop& loop, const Clock& clock, DrainTiming timing,
+Drain::Drain(EventLoop& loop, const Clock& clock, DrainTiming timing,
              DrainSteps steps)
     : loop_(loop), clock_(clock), timing_(timing), steps_(std::move(steps)) {}
 
@@ -24,7 +24,7 @@
   }
   begun_ = true;
   limit_ = clock_.now() + timing_.limit;
-  base::LogInfo("drain", "leaving");
+  LogInfo("drain", "leaving");
   steps_.announce();
   timer_ = loop_.After(timing_.leave_delay, [this] {
     steps_.stop_accepting();
@@ -35,28 +35,44 @@
 void Drain::AwaitOpenRequests() {
   const std::size_t open = steps_.open_requests();
   if (open == 0) {
-    HandOver();
+    Refuse();
     return;
   }
   if (clock_.now() >= limit_) {
-    base::LogWarning("drain", std::to_string(open) +
-                                  " requests are cut at the drain timeout");
+    LogWarning("drain",
+               std::to_string(open) + " requests are cut at the drain timeout");
     HandOver();
     return;
   }
   timer_ = loop_.After(kPollInterval, [this] { AwaitOpenRequests(); });
 }
 
+void Drain::Refuse() {
+  if (steps_.refuse) {
+    steps_.refuse();
+  }
+  timer_ = loop_.After(timing_.quiet, [this] { AwaitQuiet(); });
+}
+
+// A request that came just before the first refusal is still answered.
+void Drain::AwaitQuiet() {
+  if (steps_.open_requests() > 0 && clock_.now() < limit_) {
+    timer_ = loop_.After(kPollInterval, [this] { AwaitQuiet(); });
+    return;
+  }
+  HandOver();
+}
+
 void Drain::HandOver() {
   const auto finish = [this] {
     if (std::exchange(handed_over_, true)) {
       return;
     }
-    base::LogInfo("drain", "complete");
+    LogInfo("drain", "complete");
     steps_.stop();
   };
   timer_ = loop_.After(kHandOverLimit, finish);
   steps_.hand_over(finish);
 }
 
-}  // namespace mulberryroad::daemon
+}  // namespace mulberryroad::base
--- a/src/daemon/drain.h
+++ b/src/base/drain.h
@@ -1,7 +1,7 @@
 // Graceful shutdown: leave, let the balancer notice, finish what is open, stop.
 
-#ifndef MULBERRYROAD_SRC_DAEMON_DRAIN_H_
-#define MULBERRYROAD_SRC_DAEMON_DRAIN_H_
+#ifndef MULBERRYROAD_SRC_BASE_DRAIN_H_
+#define MULBERRYROAD_SRC_BASE_DRAIN_H_
 
 #include <chrono>
 #include <cstddef>
@@ -10,7 +10,7 @@
 #include "base/event_loop.h"
 #include "mulberryroad/clock.h"
 
-namespace mulberryroad::daemon {
+namespace mulberryroad::base {
 
 /// What a drain does at each step.
 struct DrainSteps {
@@ -20,6 +20,9 @@
   std::function<void()> stop_accepting;
   /// Number of requests without a complete answer.
   std::function<std::size_t()> open_requests;
+  /// From here on requests are refused: the last ones come over connections
+  /// that their callers keep open. May be empty.
+  std::function<void()> refuse;
   /// Hands over roles and state; calls back when that is done.
   std::function<void(std::function<void()> done)> hand_over;
   /// Ends the process's loop.
@@ -31,11 +34,14 @@
   std::chrono::milliseconds leave_delay{0};
   /// Open requests are cut after this time.
   std::chrono::milliseconds limit{0};
+  /// Time between the first refusal and the hand-over, in which answers reach
+  /// their callers.
+  std::chrono::milliseconds quiet{0};
 };
 
 class Drain {
  public:
-  Drain(base::EventLoop& loop, const Clock& clock, DrainTiming timing,
+  Drain(EventLoop& loop, const Clock& clock, DrainTiming timing,
         DrainSteps steps);
 
   /// Begins the drain; further calls change nothing.
@@ -44,18 +50,20 @@
 
  private:
   void AwaitOpenRequests();
+  void Refuse();
+  void AwaitQuiet();
   void HandOver();
 
-  base::EventLoop& loop_;
+  EventLoop& loop_;
   const Clock& clock_;
   DrainTiming timing_;
   DrainSteps steps_;
   bool begun_ = false;
   bool handed_over_ = false;
   Instant limit_{};
-  base::Timer timer_;
+  Timer timer_;
 };
 
-}  // namespace mulberryroad::daemon
+}  // namespace mulberryroad::base
 
-#endif  // MULBERRYROAD_SRC_DAEMON_DRAIN_H_
+#endif  // MULBERRYROAD_SRC_BASE_DRAIN_H_
--- a/src/batches/part_owner.cc
+++ b/src/batches/part_owner.cc
@@ -242,7 +242,7 @@
       results.push_back({Encode(ResultKey{id, i}), std::nullopt});
     }
     WriterFor(id).writer->Append(
-        std::move(results), [weak = weak_from_this(), id] {
+        std::move(results), [weak = weak_from_this(), id = id] {
           if (const auto owner = weak.lock()) {
             owner->context_.store.Append(
                 owner->partition_,
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/decision_log.h"
+#include "base/drain.h"
 #include "base/event_loop.h"
 #include "base/metrics.h"
 #include "billing/reporter.h"
@@ -14,7 +15,6 @@
 #include "config/config_store.h"
 #include "control/controller.h"
 #include "daemon/admin_api.h"
-#include "daemon/drain.h"
 #include "daemon/measured.h"
 #include "dispatch/dispatcher_host.h"
 #include "dispatch/engine_generator.h"
@@ -108,7 +108,7 @@
 
  private:
   AdminSources Sources();
-  DrainSteps Steps();
+  base::DrainSteps Steps();
   std::size_t OpenWork() const;
   void HandOver(std::function<void()> done);
   void RegisterGauges();
@@ -164,7 +164,7 @@
   entry::Gateway gateway_;
   rollout::TrainerApi trainer_api_;
   AdminApi admin_api_;
-  Drain drain_;
+  base::Drain drain_;
   std::function<void()> hand_over_done_;
   base::Timer hand_over_poll_;
 };
@@ -232,7 +232,7 @@
           .leaving = [this] { return drain_.begun(); }};
 }
 
-DrainSteps Node::Parts::Steps() {
+base::DrainSteps Node::Parts::Steps() {
   return {.announce =
               [this] {
                 caller_server_.BeginDrain();
@@ -240,6 +240,7 @@
               },
           .stop_accepting = [this] { caller_server_.StopAccepting(); },
           .open_requests = [this] { return OpenWork(); },
+          .refuse = {},
           .hand_over =
               [this](std::function<void()> done) { HandOver(std::move(done)); },
           .stop = [this] { loop_.Stop(); }};
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "base/digest.h"
+#include "base/drain.h"
 #include "base/event_loop.h"
 #include "base/metrics.h"
 #include "base/structured_log.h"
@@ -45,7 +46,8 @@
 // When a trainer may come back, to another node, while this one alone does not
 // reach the store.
 constexpr milliseconds kElsewhereRetry{50};
-constexpr milliseconds kDrainTick{50};
+// In which the last answers and counts leave the node.
+constexpr milliseconds kQuietTime{150};
 constexpr milliseconds kExpireTick{100};
 // Gathers the heartbeats of upstreams into one read; far below the time in
 // which a leaving one must be noticed.
@@ -99,8 +101,7 @@
   bool store_unstable() const;
   bool store_silent() const;
   bool ready() const;
-  void BeginDrain();
-  void Drain();
+  base::DrainSteps StepsToStop();
   void CountUsage(const OrganisationId& organisation);
   void RegisterReadiness();
 
@@ -136,9 +137,8 @@
   std::optional<http::Server> metrics_server_;
   platform_adapter::Ingress ingress_;
   bool registrations_known_ = false;
-  std::optional<Instant> draining_since_;
-  bool accepting_ = true;
-  base::Timer drain_timer_;
+  bool stopping_ = false;
+  base::Drain drain_;
   base::Timer expire_timer_;
 };
 
@@ -222,7 +222,12 @@
               return std::nullopt;
             }
             return kElsewhereRetry;
-          }) {}
+          }),
+      drain_(loop_, clock_,
+             {.leave_delay = kLeaveDelay,
+              .limit = settings_.grace - kStopMargin,
+              .quiet = kQuietTime},
+             StepsToStop()) {}
 
 store::TailHandler Node::Parts::OperatorHandler() {
   store::TailHandler handler;
@@ -337,12 +342,15 @@
 // While nobody reaches the store, callers are as well off here as elsewhere.
 bool Node::Parts::ready() const {
   const bool store_failing = store_silent() && peers_.reach() != Reach::kOutage;
-  return !draining_since_.has_value() && catalog_.manifest() != nullptr &&
+  return !drain_.begun() && catalog_.manifest() != nullptr &&
          registrations_known_ && !store_failing;
 }
 
 // A node that hears of nobody cannot know which keys were withdrawn.
 std::optional<std::string> Node::Parts::Refusal() const {
+  if (stopping_) {
+    return "the node is stopping";
+  }
   const auto contact = operator_tail_->last_contact();
   const bool late = contact.has_value() &&
                     clock_.now() >= *contact + settings_.key_withdrawal;
@@ -403,7 +411,7 @@
     *reason = "cannot listen on " + ToString(*settings_.metrics);
     return false;
   }
-  loop_.OnSignal(SIGTERM, [this] { BeginDrain(); });
+  loop_.OnSignal(SIGTERM, [this] { drain_.Begin(); });
   loop_.OnSignal(SIGHUP, [this] { log_.Write("reload", {}); });
   log_.Write("start", {{"process", process_},
                        {"failure_domain", settings_.failure_domain.value()},
@@ -420,35 +428,30 @@
   return true;
 }
 
-void Node::Parts::BeginDrain() {
-  if (draining_since_.has_value()) {
-    return;
-  }
-  draining_since_ = clock_.now();
-  log_.Write("drain.begin",
-             {{"open_requests",
-               static_cast<std::int64_t>(callers_.open_exchanges())}});
-  lease_.Release();
-  batch_host_.Leave();
-  usage_.Flush();
-  callers_.BeginDrain();
-  drain_timer_ = loop_.Every(kDrainTick, [this] { Drain(); });
-}
-
-void Node::Parts::Drain() {
-  const auto since = clock_.now() - *draining_since_;
-  if (since >= kLeaveDelay && std::exchange(accepting_, false)) {
-    callers_.StopAccepting();
-  }
-  const bool idle = callers_.open_exchanges() == 0;
-  if ((!accepting_ && idle) || since >= settings_.grace - kStopMargin) {
+base::DrainSteps Node::Parts::StepsToStop() {
+  base::DrainSteps steps;
+  steps.announce = [this] {
+    log_.Write("drain.begin",
+               {{"open_requests",
+                 static_cast<std::int64_t>(callers_.open_exchanges())}});
+    lease_.Release();
+    batch_host_.Leave();
+    usage_.Flush();
+    callers_.BeginDrain();
+  };
+  steps.stop_accepting = [this] { callers_.StopAccepting(); };
+  steps.open_requests = [this] { return callers_.open_exchanges(); };
+  steps.refuse = [this] {
+    stopping_ = true;
     usage_.Flush();
+  };
+  steps.hand_over = [](const std::function<void()>& done) { done(); };
+  steps.stop = [this] {
     log_.Write("stop", {{"open_requests", static_cast<std::int64_t>(
                                               callers_.open_exchanges())}});
-    drain_timer_.Cancel();
-    // Leaves the last counts time to reach the store.
-    drain_timer_ = loop_.After(kDrainTick * 2, [this] { loop_.Stop(); });
-  }
+    loop_.Stop();
+  };
+  return steps;
 }
 
 Node::Node(Settings settings)
--- a/test/drain_test.cc
+++ b/test/drain_test.cc
@@ -1,20 +1,20 @@
 // Drain: a graceful shutdown waits for open requests and stops once.
 
-#include "daemon/drain.h"
+#include "base/drain.h"
 
 #include <criterion/criterion.h>
 
 #include <string>
 #include <vector>
 
-namespace mulberryroad::daemon {
+namespace mulberryroad::base {
 namespace {
 
 using std::chrono::milliseconds;
 
 /// Records the steps of a drain in order.
 struct Recorder {
-  base::EventLoop loop;
+  EventLoop loop;
   SystemClock clock;
   std::vector<std::string> steps;
   std::size_t open_requests = 0;
@@ -23,6 +23,7 @@
     return {.announce = [this] { steps.emplace_back("announce"); },
             .stop_accepting = [this] { steps.emplace_back("stop accepting"); },
             .open_requests = [this] { return open_requests; },
+            .refuse = {},
             .hand_over =
                 [this](const std::function<void()>& done) {
                   steps.emplace_back("hand over");
@@ -71,7 +72,7 @@
               recorder.Steps());
   drain.Begin();
   std::string before;
-  const base::Timer answer = recorder.loop.After(milliseconds(80), [&] {
+  const Timer answer = recorder.loop.After(milliseconds(80), [&] {
     before = Join(recorder.steps);
     recorder.open_requests = 0;
   });
@@ -82,6 +83,31 @@
   ExpectSteps(recorder);
 }
 
+// A caller sends over its kept connection just as the node turns idle.
+Test(drain, request_that_comes_as_it_stops_is_answered_first) {
+  Recorder recorder;
+  DrainSteps steps = recorder.Steps();
+  steps.refuse = [&recorder] {
+    recorder.steps.emplace_back("refuse");
+    recorder.open_requests = 1;
+  };
+  Drain drain(recorder.loop, recorder.clock,
+              {.leave_delay = milliseconds(1),
+               .limit = milliseconds(10'000),
+               .quiet = milliseconds(5)},
+              std::move(steps));
+  drain.Begin();
+  std::string before;
+  const Timer answer = recorder.loop.After(milliseconds(120), [&] {
+    before = Join(recorder.steps);
+    recorder.open_requests = 0;
+  });
+  recorder.loop.Run();
+  cr_assert_str_eq(before.c_str(), "announce, stop accepting, refuse");
+  cr_assert_str_eq(Join(recorder.steps).c_str(),
+                   "announce, stop accepting, refuse, hand over, stop");
+}
+
 Test(drain, request_that_never_ends_is_cut_at_the_limit) {
   Recorder recorder;
   recorder.open_requests = 1;
@@ -94,4 +120,4 @@
 }
 
 }  // namespace
-}  // namespace mulberryroad::daemon
+}  // namespace mulberryroad::base
