--- a/test/contract/platform_adapter_test.cc
+++ b/test/contract/platform_adapter_test.cc
@@ -75,9 +75,8 @@
   cr_assert_eq(entry->versions.at(TargetId("m")), 3);
   cr_assert_eq(entry->started.count(), 1700000000123);
   cr_assert(!entry->draining);
-  cr_assert(
-      DecodeRegistration("i-1", Replaced(kEntry, "ready", "draining"))
-          ->draining);
+  cr_assert(DecodeRegistration("i-1", Replaced(kEntry, "ready", "draining"))
+                ->draining);
 }
 
 Test(registration_codec, foreign_entries_name_no_upstream) {
@@ -85,8 +84,7 @@
   cr_assert(!DecodeRegistration("i", "\xff\xfe").has_value());
   cr_assert(!DecodeRegistration("i", "{}").has_value());
   cr_assert(!DecodeRegistration("", entry).has_value());
-  cr_assert(
-      !DecodeRegistration("i", Replaced(entry, "\"ready\"", "\"new\"")));
+  cr_assert(!DecodeRegistration("i", Replaced(entry, "\"ready\"", "\"new\"")));
   cr_assert(!DecodeRegistration("i", Replaced(entry, "12", "\"12\"")));
   cr_assert(!DecodeRegistration("i", Replaced(entry, "10.1.0.9:8080", "x")));
   cr_assert(!DecodeRegistration("i", Replaced(entry, "\"s\"", "5")));
@@ -119,9 +117,9 @@
 }
 
 Test(base64, padding_and_faults) {
-  cr_assert_str_eq(DecodeBase64("YQ==")->c_str(), "a");
-  cr_assert_str_eq(DecodeBase64("YWI=")->c_str(), "ab");
-  cr_assert_str_eq(DecodeBase64("YWJj")->c_str(), "abc");
+  cr_assert(DecodeBase64("YQ==") == "a");
+  cr_assert(DecodeBase64("YWI=") == "ab");
+  cr_assert(DecodeBase64("YWJj") == "abc");
   cr_assert(DecodeBase64("")->empty());
   cr_assert(!DecodeBase64("YWJ").has_value());
   cr_assert(!DecodeBase64("Y!Jj").has_value());
@@ -204,7 +202,7 @@
   const auto body = ParseJson(EncodeResults(page, 12));
   cr_assert_eq(Unsigned(body, "total").value_or(0), 40);
   cr_assert_eq(Unsigned(body, "nextToken").value_or(0), 13);
-  cr_assert_str_eq(Text(body["results"][0], "state")->c_str(), "completed");
+  cr_assert(Text(body["results"][0], "state") == "completed");
   cr_assert_eq(body["results"][0]["versions"].size(), 2);
 }
 
--- a/test/drain_test.cc
+++ b/test/drain_test.cc
@@ -103,9 +103,11 @@
     recorder.open_requests = 0;
   });
   recorder.loop.Run();
-  cr_assert_str_eq(before.c_str(), "announce, stop accepting, refuse");
-  cr_assert_str_eq(Join(recorder.steps).c_str(),
-                   "announce, stop accepting, refuse, hand over, stop");
+  const std::string all = Join(recorder.steps);
+  cr_assert_eq(before, "announce, stop accepting, refuse", "found \"%s\"",
+               before.c_str());
+  cr_assert_eq(all, "announce, stop accepting, refuse, hand over, stop",
+               "found \"%s\"", all.c_str());
 }
 
 Test(drain, request_that_never_ends_is_cut_at_the_limit) {
--- a/test/item_scheduler_test.cc
+++ b/test/item_scheduler_test.cc
@@ -62,6 +62,7 @@
     whole = std::max(whole, end);
   }
   std::vector<double> ends;
+  ends.reserve(whole_at.size());
   for (const auto& [group, end] : whole_at) {
     ends.push_back(end);
   }
@@ -110,8 +111,7 @@
   Instant now{};
   for (int attempt = 1; attempt <= 3; ++attempt) {
     cr_assert_eq(PlaceAll(scheduler, now).size(), 1);
-    const ItemStep step =
-        scheduler.OnRunEnd({"batch", 0}, RunFailed{}, now);
+    const ItemStep step = scheduler.OnRunEnd({"batch", 0}, RunFailed{}, now);
     cr_assert_eq(std::holds_alternative<ListTerminated>(step), attempt == 3);
     now += ItemScheduler::kRetryDelay;
   }
--- a/test/straggler_policy_test.cc
+++ b/test/straggler_policy_test.cc
@@ -60,6 +60,7 @@
   const int paces_ms[] = {40, 40, 40, 160};
   const auto step_time = [&](bool moving) {
     std::vector<Item> items;
+    items.reserve(48);
     for (int i = 0; i < 48; ++i) {
       items.push_back({i % 12 == 3 ? 120.0 : 20.0, i % 4, 0});
     }
--- a/test/weight_plan_test.cc
+++ b/test/weight_plan_test.cc
@@ -32,6 +32,7 @@
 std::vector<const serving::Registration*> Pointers(
     const std::map<UpstreamId, serving::Registration>& upstreams) {
   std::vector<const serving::Registration*> pointers;
+  pointers.reserve(upstreams.size());
   for (const auto& [id, upstream] : upstreams) {
     pointers.push_back(&upstream);
   }
