--- /dev/null
+++ b/src/batches/part_owner_storage.cc
@@ -0,0 +1,327 @@
+// What an owner keeps in the store: results, events of unfinished items, and
+// what is dropped again.
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "batches/part_owner.h"
+
+namespace mulberryroad::batches {
+
+PartOwner::ResultWriter& PartOwner::WriterFor(const std::string& batch) {
+  const platform::PartitionId partition =
+      ResultPartitionOf(batch, context_.partitions);
+  ResultWriter& entry = writers_[partition];
+  if (entry.writer != nullptr) {
+    return entry;
+  }
+  // Owners of one partition compare their epochs under its name.
+  entry.writer = std::make_shared<store::FencedWriter>(
+      context_.loop, context_.log, context_.store, partition,
+      "part-" + std::to_string(partition_.number), epoch_,
+      [weak = weak_from_this(), partition] {
+        const auto owner = weak.lock();
+        if (owner == nullptr) {
+          return;
+        }
+        ResultWriter& ready = owner->writers_[partition];
+        ready.ready_at = owner->context_.clock.now();
+        for (const auto& step : std::exchange(ready.waiting, {})) {
+          step();
+        }
+      },
+      [weak = weak_from_this()] {
+        const auto owner = weak.lock();
+        if (owner != nullptr && !owner->stopped_) {
+          owner->Stop();
+          owner->on_lost_();
+        }
+      });
+  entry.writer->Start();
+  return entry;
+}
+
+// Only once earlier owners can list nothing more is what is read complete.
+void PartOwner::LoadResults(const std::string& id, const std::string& after) {
+  context_.store.ReadNewest(
+      ResultPartitionOf(id, context_.partitions), after, kReadTimeout,
+      [weak = weak_from_this(), id,
+       after](const platform::NewestOutcome& outcome) {
+        const auto owner = weak.lock();
+        if (owner == nullptr || owner->stopped_) {
+          return;
+        }
+        const auto* page = std::get_if<platform::NewestPage>(&outcome);
+        if (page == nullptr) {
+          owner->LoadResults(id, after);
+          return;
+        }
+        bool whole = !page->has_more || page->records.empty();
+        for (const platform::KeyedRecord& record : page->records) {
+          const BatchKey key = Decode(record.key);
+          const auto* result = std::get_if<ResultKey>(&key);
+          const auto* progress = std::get_if<ProgressKey>(&key);
+          if ((result == nullptr || result->batch != id) &&
+              (progress == nullptr || progress->batch != id)) {
+            whole = true;
+            break;
+          }
+          owner->table_.Apply(record);
+        }
+        if (!whole) {
+          owner->LoadResults(id, page->records.back().key);
+          return;
+        }
+        owner->loading_.erase(id);
+        const Batch* batch = owner->table_.find(id);
+        if (batch != nullptr && !batch->ended && !owner->scheduler_.knows(id)) {
+          owner->OpenBatch(id, *batch);
+          owner->Pump();
+        }
+      });
+}
+
+// A read that was sent once earlier owners were shut out ends behind all
+// batches for which they may have listed results.
+void PartOwner::NoteCleanPartitions() {
+  for (auto& [partition, entry] : writers_) {
+    if (!entry.clean_from.has_value() && entry.ready_at.has_value() &&
+        tail_->last_contact() > entry.ready_at) {
+      entry.clean_from = tail_->position();
+    }
+  }
+}
+
+// The items of an ended batch are of no use any more.
+void PartOwner::DropChunks(const std::string& id, const Batch& batch) {
+  if (!dropping_.insert(id).second) {
+    return;
+  }
+  std::vector<platform::KeyedRecord> drops;
+  for (const std::uint32_t number : batch.stored_chunks) {
+    drops.push_back({Encode(ChunkKey{id, number}), std::nullopt});
+  }
+  context_.store.Append(
+      partition_, std::move(drops), {}, kReadTimeout,
+      [weak = weak_from_this(), id](const platform::AppendOutcome& outcome) {
+        const auto owner = weak.lock();
+        if (owner != nullptr &&
+            !std::holds_alternative<platform::Appended>(outcome)) {
+          owner->dropping_.erase(id);
+        }
+      });
+}
+
+void PartOwner::DropExpired() {
+  const std::int64_t now_ms = UnixTime(context_.clock.wall_now()).count();
+  for (const auto& [id, batch] : table_.all()) {
+    const bool expired =
+        batch.ended && batch.accepted.has_value() &&
+        batch.accepted->accepted_ms() + context_.results_kept.count() < now_ms;
+    if (!expired || !dropping_.insert(id + "/").second) {
+      continue;
+    }
+    std::vector<platform::KeyedRecord> results;
+    for (std::uint32_t i = 0; i < batch.accepted->items(); ++i) {
+      results.push_back({Encode(ResultKey{id, i}), std::nullopt});
+    }
+    WriterFor(id).writer->Append(
+        std::move(results), [weak = weak_from_this(), id = id] {
+          if (const auto owner = weak.lock()) {
+            owner->context_.store.Append(
+                owner->partition_,
+                {{Encode(EndKey{id}), std::nullopt},
+                 {Encode(AcceptedKey{id}), std::nullopt}},
+                {}, kReadTimeout, [](const platform::AppendOutcome&) {});
+          }
+        });
+  }
+}
+
+// Goes on with what an earlier owner stored of unfinished items.
+void PartOwner::UseSaved(const std::string& id, const Batch& batch) {
+  const std::vector<v1::BatchItem>& items = items_[id];
+  for (std::size_t i = 0; i < items.size(); ++i) {
+    const auto stored = batch.progress.find(items[i].id());
+    if (stored == batch.progress.end() ||
+        batch.listed.contains(items[i].id())) {
+      continue;
+    }
+    const ItemRef item{id, i};
+    ItemProgress progress;
+    Saved& saved = saved_[item];
+    for (const auto& [number, record] : stored->second) {
+      saved.records = number + 1;
+      if (!progress.Take(record)) {
+        break;
+      }
+    }
+    saved.last_event = progress.last_event;
+    context_.log.Write(
+        "item.restored",
+        {{"request", items[i].id()},
+         {"batch", id},
+         {"events", static_cast<std::int64_t>(progress.last_event)}});
+    progress_[item] = std::move(progress);
+  }
+}
+
+void PartOwner::SaveProgress(std::uint64_t min_events) {
+  std::map<platform::PartitionId, std::vector<platform::KeyedRecord>> records;
+  for (const auto& [item, running] : runs_) {
+    const ItemProgress& progress = running.run->progress();
+    Saved& saved = saved_[item];
+    const v1::BatchItem* stored = FindItem(item);
+    if (progress.last_event < saved.last_event + min_events ||
+        !IsBatchId(stored->id())) {
+      continue;
+    }
+    records[ResultPartitionOf(item.batch, context_.partitions)].push_back(
+        {Encode(ProgressKey{item.batch, stored->id(), saved.records}),
+         progress.Since(saved.last_event).SerializeAsString()});
+    saved.last_event = progress.last_event;
+    ++saved.records;
+  }
+  for (auto& [partition, batch] : records) {
+    writers_.at(partition).writer->Append(std::move(batch), nullptr);
+  }
+}
+
+std::vector<platform::KeyedRecord> PartOwner::TakeSavedDrops(
+    const ItemRef& item) {
+  std::vector<platform::KeyedRecord> drops;
+  const auto saved = saved_.find(item);
+  if (saved == saved_.end()) {
+    return drops;
+  }
+  for (std::uint32_t i = 0; i < saved->second.records; ++i) {
+    drops.push_back({Encode(ProgressKey{item.batch, FindItem(item)->id(), i}),
+                     std::nullopt});
+  }
+  saved_.erase(saved);
+  return drops;
+}
+
+void PartOwner::ForgetSaved(const ItemRef& item) {
+  std::vector<platform::KeyedRecord> drops = TakeSavedDrops(item);
+  if (!drops.empty()) {
+    WriterFor(item.batch).writer->Append(std::move(drops), nullptr);
+  }
+}
+
+void PartOwner::DropSaved(const std::string& id) {
+  std::vector<platform::KeyedRecord> drops;
+  while (true) {
+    const auto saved = saved_.lower_bound({id, 0});
+    if (saved == saved_.end() || saved->first.batch != id) {
+      break;
+    }
+    const ItemRef item = saved->first;
+    for (platform::KeyedRecord& drop : TakeSavedDrops(item)) {
+      drops.push_back(std::move(drop));
+    }
+  }
+  if (!drops.empty()) {
+    WriterFor(id).writer->Append(std::move(drops), nullptr);
+  }
+}
+
+void PartOwner::UseLeftovers(const std::string& id) {
+  const std::uint64_t min_version = scheduler_.find(id)->min_version;
+  const v1::BatchRecord& record = *table_.find(id)->accepted;
+  const std::vector<v1::BatchItem>& items = items_[id];
+  for (std::size_t i = 0; i < items.size(); ++i) {
+    const auto found = leftovers_.find(items[i].id());
+    if (found == leftovers_.end()) {
+      continue;
+    }
+    Leftover leftover = std::move(found->second);
+    leftovers_.erase(found);
+    const serving::Route* route =
+        context_.catalog.Match(record.host(), items[i].path());
+    const bool one_version = route != nullptr && route->single_version;
+    if (!leftover.progress.fits(min_version) ||
+        (one_version && leftover.progress.versions.size() > 1)) {
+      continue;
+    }
+    context_.log.Write(
+        "item.reused",
+        {{"request", items[i].id()},
+         {"batch", id},
+         {"complete", leftover.complete},
+         {"events", static_cast<std::int64_t>(leftover.progress.last_event)}});
+    const ItemRef item{id, i};
+    if (!leftover.complete) {
+      progress_[item] = std::move(leftover.progress);
+    } else if (std::holds_alternative<ListCompleted>(scheduler_.OnRunEnd(
+                   item, RunCompleted{}, context_.clock.now()))) {
+      List(item, v1::ITEM_STATE_COMPLETED, leftover.progress);
+      completed_[item] = std::move(leftover.progress);
+    }
+  }
+}
+
+void PartOwner::KeepLeftovers(const std::string& id) {
+  const std::vector<v1::BatchItem>& items = items_[id];
+  std::map<std::string, bool> whole;
+  for (std::size_t i = 0; i < items.size(); ++i) {
+    const bool done = completed_.contains({id, i});
+    const auto [group, added] = whole.try_emplace(items[i].group(), done);
+    group->second = group->second && done;
+  }
+  const Instant now = context_.clock.now();
+  for (std::size_t i = 0; i < items.size(); ++i) {
+    if (whole[items[i].group()]) {
+      continue;
+    }
+    Leftover leftover{{}, false, now};
+    if (const auto done = completed_.find({id, i}); done != completed_.end()) {
+      leftover.progress = std::move(done->second);
+      leftover.complete = true;
+    } else if (const auto run = runs_.find({id, i}); run != runs_.end()) {
+      leftover.progress = run->second.run->progress();
+    } else if (const auto kept = progress_.find({id, i});
+               kept != progress_.end()) {
+      leftover.progress = std::move(kept->second);
+    }
+    leftovers_[items[i].id()] = std::move(leftover);
+  }
+}
+
+void PartOwner::ExpireLeftovers() {
+  const Instant now = context_.clock.now();
+  std::erase_if(leftovers_, [now](const auto& entry) {
+    return now >= entry.second.since + kLeftoverTime;
+  });
+}
+
+void PartOwner::List(const ItemRef& item, v1::ItemState state,
+                     const ItemProgress& progress) {
+  const v1::BatchItem* stored = FindItem(item);
+  v1::ResultRecord result;
+  result.set_item(stored->id());
+  result.set_state(state);
+  result.set_text(progress.text());
+  for (const std::uint64_t version : progress.versions) {
+    result.add_versions(version);
+  }
+  const std::uint32_t position = next_position_[item.batch]++;
+  std::vector<platform::KeyedRecord> records = TakeSavedDrops(item);
+  records.insert(records.begin(), {Encode(ResultKey{item.batch, position}),
+                                   result.SerializeAsString()});
+  WriterFor(item.batch)
+      .writer->Append(std::move(records), [this, weak = weak_from_this(),
+                                           batch = item.batch, position,
+                                           id = stored->id()] {
+        if (const auto owner = weak.lock()) {
+          context_.log.Write(
+              "item.listed",
+              {{"request", id},
+               {"batch", batch},
+               {"position", static_cast<std::int64_t>(position)}});
+        }
+      });
+}
+
+}  // namespace mulberryroad::batches
