--- a/src/store/fenced_writer.h
+++ b/src/store/fenced_writer.h
@@ -30,8 +30,7 @@
   FencedWriter(base::EventLoop& loop, base::StructuredLog& log,
                platform::PartitionStore& store, platform::PartitionId partition,
                std::string writer, std::uint64_t epoch,
-               std::function<void()> on_ready,
-               std::function<void()> on_fenced);
+               std::function<void()> on_ready, std::function<void()> on_fenced);
 
   void Start();
   void Stop();
--- a/test/keyed_tail_test.cc
+++ b/test/keyed_tail_test.cc
@@ -26,13 +26,14 @@
 
   Fixture() {
     TailHandler handler;
-    handler.on_snapshot = [this](const std::vector<platform::KeyedRecord>& all) {
-      ++snapshots;
-      seen.clear();
-      for (const platform::KeyedRecord& record : all) {
-        seen[record.key] = *record.value;
-      }
-    };
+    handler.on_snapshot =
+        [this](const std::vector<platform::KeyedRecord>& all) {
+          ++snapshots;
+          seen.clear();
+          for (const platform::KeyedRecord& record : all) {
+            seen[record.key] = *record.value;
+          }
+        };
     handler.on_record = [this](const platform::KeyedRecord& record) {
       if (record.value.has_value()) {
         seen[record.key] = *record.value;
@@ -59,8 +60,8 @@
     fixture.Put(key, key);
   }
   fixture.tail->Start();
-  cr_assert(fakes::RunUntil(fixture.loop,
-                            [&] { return fixture.seen.size() == 5; }));
+  cr_assert(
+      fakes::RunUntil(fixture.loop, [&] { return fixture.seen.size() == 5; }));
   fixture.Put("b", std::nullopt);
   fixture.Put("f", "f");
   cr_assert(fakes::RunUntil(fixture.loop, [&] {
@@ -72,8 +73,8 @@
   Fixture fixture;
   fixture.Put("a", "1");
   fixture.tail->Start();
-  cr_assert(fakes::RunUntil(fixture.loop,
-                            [&] { return fixture.seen.size() == 1; }));
+  cr_assert(
+      fakes::RunUntil(fixture.loop, [&] { return fixture.seen.size() == 1; }));
   fixture.store.away = true;
   fakes::RunFor(fixture.loop, std::chrono::milliseconds(50));
   cr_assert(fixture.tail->last_failure().has_value());
--- a/test/usage_reporter_test.cc
+++ b/test/usage_reporter_test.cc
@@ -41,16 +41,9 @@
   FakeDutyServices services;
   UsageCounts counts{"node-1/1", std::chrono::seconds(5)};
   std::optional<std::uint64_t> epoch = 1;
-  UsageReporter reporter{loop,
-                         clock,
-                         log,
-                         store,
-                         services,
-                         4,
-                         {},
-                         "node-1",
-                         counts,
-                         [this] { return epoch; }};
+  UsageReporter reporter{
+      loop, clock, log,      store,  services,
+      4,    {},    "node-1", counts, [this] { return epoch; }};
 };
 
 Test(usage_reporter, lease_regained_under_its_epoch_reports_the_same_figures) {
@@ -66,9 +59,8 @@
   fakes::RunFor(fixture.loop, milliseconds(400));
   fixture.epoch = 1;
   fixture.clock.Advance(std::chrono::seconds(9));
-  cr_assert(fakes::RunUntil(fixture.loop, [&] {
-    return fixture.services.reports.contains(window);
-  }));
+  cr_assert(fakes::RunUntil(
+      fixture.loop, [&] { return fixture.services.reports.contains(window); }));
   // A later holder reports the window again from the store.
   fixture.epoch = 2;
   cr_assert(fakes::RunUntil(fixture.loop, [&] {
