--- a/src/batches/part_owner.cc
+++ b/src/batches/part_owner.cc
@@ -311,7 +311,6 @@
   if (chosen == nullptr) {
     return std::nullopt;
   }
-  // Counted at once, so that the next placement sees it.
   return chosen->id;
 }
 
@@ -380,6 +379,7 @@
                                const UpstreamId& last) {
     std::optional<UpstreamId> upstream = Placement(batch, item, last);
     if (upstream.has_value()) {
+      // Started at once, so that the next placement counts it.
       StartRun({item, *upstream});
     }
     return upstream;
--- a/src/batches/part_owner.h
+++ b/src/batches/part_owner.h
@@ -158,6 +158,8 @@
   std::set<std::string> loading_;
   /// Ended batches whose items are being dropped from the store.
   std::set<std::string> dropping_;
+  /// Batches whose results are being dropped as their time is over.
+  std::set<std::string> expiring_;
   std::shared_ptr<store::KeyedTail> tail_;
   BatchTable table_;
   ItemScheduler scheduler_;
--- a/src/batches/part_owner_storage.cc
+++ b/src/batches/part_owner_storage.cc
@@ -119,7 +119,7 @@
     const bool expired =
         batch.ended && batch.accepted.has_value() &&
         batch.accepted->accepted_ms() + context_.results_kept.count() < now_ms;
-    if (!expired || !dropping_.insert(id + "/").second) {
+    if (!expired || !expiring_.insert(id).second) {
       continue;
     }
     std::vector<platform::KeyedRecord> results;
--- a/src/store/fenced_writer.h
+++ b/src/store/fenced_writer.h
@@ -39,11 +39,8 @@
   void Append(std::vector<platform::KeyedRecord> records,
               std::function<void()> on_appended);
 
-  std::uint64_t epoch() const { return epoch_; }
   /// True once no writer with a lower epoch can append.
   bool ready() const { return ready_; }
-  /// True while no record waits for its append.
-  bool idle() const { return queued_.empty() && in_flight_.empty(); }
 
   /// An answer usually takes 4 ms; a store that is fifty times slower is
   /// waited for.
