Load weights first where a step can run nowhere; a restarted holder claims its lease at once

Cause: after outages and kills trainers name versions faster than the weight store serves (2 loads of 0.9 s at a time, 12 upstreams). The lease's holder, restarted after a kill, waited 1.7 s for the term of its own earlier process.

Ruled out: slow starts of items (all start within 30 ms of a usable upstream), submissions and reads (5 to 40 ms).

--- a/src/duties/duty_lease.cc
+++ b/src/duties/duty_lease.cc
@@ -19,6 +19,11 @@
          std::find(earlier.begin(), earlier.end(), node_) != earlier.end();
 }
 
+// A VM runs one process at a time: the one that held the lease is gone.
+bool DutyLease::held_by_predecessor() const {
+  return state_.node() == node_ && state_.holder() != process_;
+}
+
 void DutyLease::OnRecord(const v1::DutyRecord& record, Instant now) {
   const bool was_mine = mine();
   state_ = record;
@@ -50,7 +55,7 @@
     *next.mutable_earlier_nodes() = state_.earlier_nodes();
   } else {
     const bool free =
-        !read_at_.has_value() || state_.released() ||
+        !read_at_.has_value() || state_.released() || held_by_predecessor() ||
         now >= *read_at_ + timing_.term + timing_.margin + timing_.deference;
     const bool too_soon =
         held_before_present_holder() && now < started_ + timing_.quiet;
--- a/src/duties/duty_lease.h
+++ b/src/duties/duty_lease.h
@@ -70,6 +70,7 @@
     return state_.holder() == process_ && !state_.released();
   }
   bool held_before_present_holder() const;
+  bool held_by_predecessor() const;
 
   std::string node_;
   std::string process_;
--- a/src/duties/weight_plan.cc
+++ b/src/duties/weight_plan.cc
@@ -72,6 +72,38 @@
   }
 }
 
+void WeightPlan::AddLagging(
+    const TargetId& model, const std::vector<UpstreamId>& share,
+    const std::map<UpstreamId, serving::Registration>& upstreams,
+    std::vector<Candidate>* candidates) const {
+  const std::uint64_t newest_version = newest(model);
+  std::size_t usable = 0;
+  std::size_t fresh = 0;
+  std::vector<Candidate> lagging;
+  for (const UpstreamId& id : share) {
+    const auto load = under_way_.find(id);
+    const bool loading = load != under_way_.end() &&
+                         load->second.model == model &&
+                         load->second.version == newest_version;
+    const std::uint64_t version =
+        loading ? newest_version : upstreams.at(id).versions.at(model);
+    usable += version + kAllowedLag >= newest_version ? 1 : 0;
+    fresh += version >= newest_version ? 1 : 0;
+    if (version < newest_version && load == under_way_.end()) {
+      lagging.push_back({0, 0, newest_version - version, id, model});
+    }
+  }
+  std::stable_sort(
+      lagging.begin(), lagging.end(),
+      [](const Candidate& a, const Candidate& b) { return a.lag > b.lag; });
+  for (Candidate& candidate : lagging) {
+    candidate.usable = usable;
+    candidate.fresh = fresh++;
+    usable += candidate.lag > kAllowedLag ? 1 : 0;
+    candidates->push_back(std::move(candidate));
+  }
+}
+
 std::vector<LoadWeights> WeightPlan::Next(
     const std::map<UpstreamId, serving::Registration>& upstreams, Instant now) {
   Settle(upstreams, now);
@@ -81,33 +113,29 @@
       services[upstream.service].push_back(&upstream);
     }
   }
-  // Those that lag most come first: they take no items of the current step.
-  std::vector<std::tuple<std::uint64_t, UpstreamId, TargetId>> lagging;
+  std::vector<Candidate> lagging;
   for (const auto& [service, members] : services) {
     for (const auto& [model, share] : ShareUpstreams(members)) {
-      for (const UpstreamId& id : share) {
-        const std::uint64_t version = upstreams.at(id).versions.at(model);
-        if (version < newest(model) && !under_way_.contains(id)) {
-          lagging.emplace_back(newest(model) - version, id, model);
-        }
-      }
+      AddLagging(model, share, upstreams, &lagging);
     }
   }
   std::stable_sort(lagging.begin(), lagging.end(),
-                   [](const auto& a, const auto& b) {
-                     return std::get<0>(a) > std::get<0>(b);
+                   [](const Candidate& a, const Candidate& b) {
+                     return std::tie(a.usable, a.fresh, b.lag) <
+                            std::tie(b.usable, b.fresh, a.lag);
                    });
   std::size_t engines = 0;
   for (const auto& [service, members] : services) {
     engines += members.size();
   }
   std::vector<LoadWeights> loads;
-  for (const auto& [lag, id, model] : lagging) {
+  for (const Candidate& candidate : lagging) {
     if (under_way_.size() >= at_once(engines)) {
       break;
     }
-    under_way_[id] = {model, newest(model), now};
-    loads.push_back({id, model, newest(model)});
+    const TargetId& model = candidate.model;
+    under_way_[candidate.upstream] = {model, newest(model), now};
+    loads.push_back({candidate.upstream, model, newest(model)});
   }
   return loads;
 }
--- a/src/duties/weight_plan.h
+++ b/src/duties/weight_plan.h
@@ -59,6 +59,9 @@
   void Ended(const UpstreamId& upstream) { under_way_.erase(upstream); }
   std::size_t under_way() const { return under_way_.size(); }
 
+  /// Versions behind the newest under which trainers let a step run.
+  static constexpr std::uint64_t kAllowedLag = 1;
+
  private:
   struct Load {
     TargetId model;
@@ -66,7 +69,24 @@
     Instant since;
   };
 
+  /// An upstream that could load a model's newest version, with what the model
+  /// would have without this load.
+  struct Candidate {
+    /// Upstreams that a step of the newest version may run on.
+    std::size_t usable = 0;
+    /// Upstreams that have the newest version.
+    std::size_t fresh = 0;
+    /// Versions that this upstream is behind.
+    std::uint64_t lag = 0;
+    UpstreamId upstream;
+    TargetId model;
+  };
+
   std::size_t at_once(std::size_t upstreams) const;
+  /// Adds the upstreams of a model's share that lag, most useful first.
+  void AddLagging(const TargetId& model, const std::vector<UpstreamId>& share,
+                  const std::map<UpstreamId, serving::Registration>& upstreams,
+                  std::vector<Candidate>* candidates) const;
   void Settle(const std::map<UpstreamId, serving::Registration>& upstreams,
               Instant now);
 
--- a/test/duty_lease_test.cc
+++ b/test/duty_lease_test.cc
@@ -75,6 +75,27 @@
   cr_assert_eq(Write(lease, At(20)).epoch(), 8);
 }
 
+v1::DutyRecord HeldBy(const char* node) {
+  v1::DutyRecord held = ReleasedBy(node, nullptr);
+  held.set_released(false);
+  return held;
+}
+
+// Its earlier process, which held the lease, is gone.
+Test(duty_lease, restarted_vm_that_holds_it_claims_at_once) {
+  DutyLease lease("a", "a/2", {}, At(0));
+  lease.OnRecord(HeldBy("a"), At(10));
+  cr_assert(!lease.epoch(At(15)).has_value());
+  cr_assert_eq(Write(lease, At(20)).epoch(), 8);
+}
+
+Test(duty_lease, restarted_vm_waits_for_the_term_of_another) {
+  DutyLease lease("a", "a/2", {}, At(0));
+  lease.OnRecord(HeldBy("b"), At(10));
+  cr_assert_eq(Write(lease, At(1'600)).epoch(), 0);
+  cr_assert_eq(Write(lease, At(1'710)).epoch(), 8);
+}
+
 Test(duty_lease, restarted_vm_that_never_held_it_claims_at_once) {
   DutyLease lease("a", "a/2", {}, At(0));
   lease.OnRecord(ReleasedBy("b", "c"), At(10));
--- a/test/weight_plan_test.cc
+++ b/test/weight_plan_test.cc
@@ -88,6 +88,65 @@
   cr_assert(loads[0].upstream == shares.at(TargetId("m1")).front());
 }
 
+Test(weight_plan, models_take_turns_while_none_has_an_upstream) {
+  const auto upstreams = MakeUpstreams(30);
+  WeightPlan plan;
+  for (const char* model : {"m0", "m1", "m2"}) {
+    plan.Named(TargetId(model), 3);
+  }
+  std::map<TargetId, int> loads;
+  for (const LoadWeights& load : plan.Next(upstreams, At(0))) {
+    ++loads[load.model];
+  }
+  cr_assert_eq(loads.size(), 3, "each model gets its first upstreams");
+  for (const auto& [model, count] : loads) {
+    cr_assert_eq(count, 2);
+  }
+}
+
+Test(weight_plan, model_whose_step_can_run_waits_for_one_whose_step_cannot) {
+  auto upstreams = MakeUpstreams(12);
+  const auto shares = ShareUpstreams(Pointers(upstreams));
+  for (const UpstreamId& id : shares.at(TargetId("m0"))) {
+    upstreams[id].versions[TargetId("m0")] = 2;
+  }
+  WeightPlan plan;
+  plan.Named(TargetId("m0"), 3);
+  plan.Named(TargetId("m1"), 3);
+  for (const LoadWeights& load : plan.Next(upstreams, At(0))) {
+    cr_assert_str_eq(load.model.value().c_str(), "m1");
+  }
+}
+
+// Three trainers that fell behind name a version each while their upstreams
+// are two versions old, and the weight store serves two loads at a time. Each
+// step's longest items start when its model has a first upstream.
+Test(weight_plan, load_of_three_late_trainers_starts_all_steps_early) {
+  auto upstreams = MakeUpstreams(12);
+  WeightPlan plan;
+  for (const char* model : {"m0", "m1", "m2"}) {
+    plan.Named(TargetId(model), 3);
+  }
+  constexpr int kLoadMillis = 900;
+  std::map<TargetId, int> first_ready;
+  std::vector<std::pair<int, LoadWeights>> loading;
+  for (int now = 0; now < 10'000; now += 50) {
+    for (const auto& [end, load] : loading) {
+      if (end <= now) {
+        upstreams[load.upstream].versions[load.model] = load.version;
+        first_ready.try_emplace(load.model, end);
+      }
+    }
+    for (const LoadWeights& load : plan.Next(upstreams, At(now))) {
+      loading.emplace_back(now + kLoadMillis, load);
+    }
+  }
+  for (const auto& [model, ready] : first_ready) {
+    cr_assert_leq(ready, 2 * kLoadMillis, "%s could first run at %d ms",
+                  model.value().c_str(), ready);
+  }
+}
+
 Test(weight_plan, load_without_effect_is_ordered_again) {
   auto upstreams = MakeUpstreams(3);
   WeightPlan plan;
