--- a/test/contract/platform_adapter_test.cc
+++ b/test/contract/platform_adapter_test.cc
@@ -189,6 +189,17 @@
   cr_assert(!DecodeSubmission(R"({"items":[]})").has_value());
 }
 
+// An item runs in the name of its submitter's organisation, whatever it says.
+Test(batch_codec, item_cannot_set_what_the_system_sets) {
+  const auto submission = DecodeSubmission(
+      R"({"items":[{"id":"i1","path":"/a/1","body":"","headers":{
+          "Tenant":"other","Credential":"secret","Deadline-Ms":"9",
+          "expect-instance":"i9","Request-Id":"r9","Model":"m"}}]})");
+  cr_assert(submission.has_value());
+  cr_assert_eq(submission->items[0].headers_size(), 1);
+  cr_assert_str_eq(submission->items[0].headers(0).name().c_str(), "Model");
+}
+
 Test(batch_codec, results_carry_their_versions_and_the_next_position) {
   batches::ResultPage page;
   page.total = 40;
