Take partitions over from an earlier process at once, notice the store's return sooner

Cause: after a kill of all nodes partitions waited 0.9 s for the lifetime of processes that their own nodes had replaced; after a silent outage appends and tails followed its return by up to 1.1 s and 1.9 s, their time-outs; among equal models the one first in the alphabet got weights first. Now: a started node gives up what its earlier process held; tails probe with 400 ms while the store fails, appends wait 450 ms; ties between models go to the one named first; events of runs are stored each 300 ms, and readers of results look each 100 ms.

--- a/src/batches/batch_client.h
+++ b/src/batches/batch_client.h
@@ -89,12 +89,14 @@
 
   /// A page of results stays under the platform's 1 MB.
   static constexpr std::size_t kMaxPageBytes = 900'000;
-  static constexpr std::chrono::milliseconds kReadTimeout{900};
-  /// A waiting reader looks again this often; a step's results are read about
-  /// twice a second.
-  static constexpr std::chrono::milliseconds kPollInterval{250};
-  /// An append usually takes 4 ms; a store fifty times slower is waited for.
-  static constexpr std::chrono::milliseconds kAppendTimeout{600};
+  /// A page of 1 MB takes 130 ms on the slowest link, and a store that is sixty
+  /// times slower than usual 240 ms.
+  static constexpr std::chrono::milliseconds kReadTimeout{500};
+  /// A waiting reader looks again this often: the trainer's next step waits for
+  /// the last result of this one.
+  static constexpr std::chrono::milliseconds kPollInterval{100};
+  /// As that of results: see store::FencedWriter.
+  static constexpr std::chrono::milliseconds kAppendTimeout{450};
   static constexpr std::chrono::milliseconds kRetry{50};
   /// What was accepted of this many batches is remembered.
   static constexpr std::size_t kMaxKnown = 512;
--- a/src/batches/batch_host.cc
+++ b/src/batches/batch_host.cc
@@ -27,6 +27,8 @@
     look_timer_ =
         context_.loop.Every(kLookInterval, [this] { LookForOthers(); });
   }
+  predecessor_timer_ =
+      context_.loop.After(kPredecessorDelay, [this] { ReleasePredecessor(); });
   Join();
   join_timer_ = context_.loop.Every(kJoinInterval, [this] { Join(); });
   move_timer_ = context_.loop.Every(kMoveInterval, [this] {
@@ -51,6 +53,7 @@
 void BatchHost::Leave() {
   left_ = true;
   look_timer_.Cancel();
+  predecessor_timer_.Cancel();
   join_timer_.Cancel();
   pump_timer_.Cancel();
   move_timer_.Cancel();
@@ -81,6 +84,34 @@
       });
 }
 
+// A node runs one process at a time: what an earlier one holds is free, though
+// the store does not know so until its lifetime is over.
+void BatchHost::ReleasePredecessor() {
+  context_.store.ListOwners(
+      kGroup, kJoinTimeout,
+      [this, alive = alive_](const platform::OwnersOutcome& outcome) {
+        const auto* owners = std::get_if<platform::GroupOwners>(&outcome);
+        if (!*alive || left_ || owners == nullptr) {
+          return;
+        }
+        const std::string own_node =
+            member_.substr(0, member_.find_last_of('/') + 1);
+        std::set<std::string> gone;
+        for (const auto& [partition, member] : owners->owners) {
+          if (member.starts_with(own_node) && member != member_) {
+            gone.insert(member);
+          }
+        }
+        for (const std::string& member : gone) {
+          context_.log.Write("batches.predecessor_left", {{"member", member}});
+          context_.store.Leave(kGroup, member, kJoinTimeout);
+        }
+        if (!gone.empty()) {
+          Join();
+        }
+      });
+}
+
 void BatchHost::Release() {
   for (const auto& [partition, owner] : owners_) {
     owner->HandOver();
--- a/src/batches/batch_host.h
+++ b/src/batches/batch_host.h
@@ -15,7 +15,9 @@
 
 class BatchHost {
  public:
-  /// @param process name of this process; never that of an earlier one
+  /// @param process name of this process: that of its node, a slash, and what
+  /// no
+  ///     earlier process of the node had
   /// @param spare runs batches only while no other kind of node does: it has
   ///     too little processor time to keep up with a trainer
   BatchHost(BatchContext& context, const std::string& process, bool spare);
@@ -36,6 +38,10 @@
   static constexpr std::chrono::milliseconds kLifetime{1'500};
   static constexpr std::chrono::milliseconds kJoinInterval{300};
   static constexpr std::chrono::milliseconds kJoinTimeout{800};
+  /// After a start the partitions of the node's earlier process are given up
+  /// after this time, in which the other nodes have joined too if all were
+  /// started at once.
+  static constexpr std::chrono::milliseconds kPredecessorDelay{150};
   /// A spare node looks this often whether others run the batches.
   static constexpr std::chrono::milliseconds kLookInterval{2'000};
   /// Items that wait for a place are looked at this often.
@@ -44,11 +50,12 @@
   static constexpr std::chrono::milliseconds kMoveInterval{250};
   /// Events of long runs are stored this often: what a successor makes again at
   /// most.
-  static constexpr std::chrono::milliseconds kSaveInterval{1'000};
+  static constexpr std::chrono::milliseconds kSaveInterval{300};
 
  private:
   void Join();
   void LookForOthers();
+  void ReleasePredecessor();
   void Release();
   void OnShare(const platform::GroupShare& share);
   void Acquire(const platform::PartitionId& partition, std::uint64_t epoch);
@@ -65,6 +72,7 @@
   /// twice, as the appends of both owners would have the same numbers.
   std::map<platform::PartitionId, std::uint64_t> used_epochs_;
   base::Timer look_timer_;
+  base::Timer predecessor_timer_;
   base::Timer join_timer_;
   base::Timer pump_timer_;
   base::Timer move_timer_;
--- a/src/batches/part_owner.h
+++ b/src/batches/part_owner.h
@@ -72,12 +72,12 @@
   static constexpr std::chrono::milliseconds kLeftoverTime{30'000};
 
   /// A read of the store that takes longer is tried again.
-  static constexpr std::chrono::milliseconds kReadTimeout{1'000};
+  static constexpr std::chrono::milliseconds kReadTimeout{500};
   /// Ten times what an append takes.
   static constexpr std::chrono::milliseconds kHandOverTime{100};
   /// Fewer new events of an item are not worth a record: they are made again in
-  /// about a third of a second.
-  static constexpr std::uint64_t kSaveEvents = 8;
+  /// about a sixth of a second.
+  static constexpr std::uint64_t kSaveEvents = 4;
 
   /// Stores the events of items that run for long, for a successor.
   /// @param min_events items with fewer new events are left out
--- a/src/duties/weight_plan.cc
+++ b/src/duties/weight_plan.cc
@@ -42,13 +42,15 @@
 }
 
 void WeightPlan::Named(const TargetId& model, std::uint64_t version) {
-  std::uint64_t& newest = newest_[model];
-  newest = std::max(newest, version);
+  Naming& newest = newest_[model];
+  if (version > newest.version) {
+    newest = {version, ++namings_};
+  }
 }
 
-std::uint64_t WeightPlan::newest(const TargetId& model) const {
+WeightPlan::Naming WeightPlan::newest_naming(const TargetId& model) const {
   const auto found = newest_.find(model);
-  return found == newest_.end() ? 1 : found->second;
+  return found == newest_.end() ? Naming() : found->second;
 }
 
 std::size_t WeightPlan::at_once(std::size_t upstreams) const {
@@ -76,7 +78,7 @@
     const TargetId& model, const std::vector<UpstreamId>& share,
     const std::map<UpstreamId, serving::Registration>& upstreams,
     std::vector<Candidate>* candidates) const {
-  const std::uint64_t newest_version = newest(model);
+  const auto [newest_version, naming] = newest_naming(model);
   std::size_t usable = 0;
   std::size_t fresh = 0;
   std::vector<Candidate> lagging;
@@ -90,7 +92,7 @@
     usable += version + kAllowedLag >= newest_version ? 1 : 0;
     fresh += version >= newest_version ? 1 : 0;
     if (version < newest_version && load == under_way_.end()) {
-      lagging.push_back({0, 0, newest_version - version, id, model});
+      lagging.push_back({0, 0, naming, newest_version - version, id, model});
     }
   }
   std::stable_sort(
@@ -121,8 +123,8 @@
   }
   std::stable_sort(lagging.begin(), lagging.end(),
                    [](const Candidate& a, const Candidate& b) {
-                     return std::tie(a.usable, a.fresh, b.lag) <
-                            std::tie(b.usable, b.fresh, a.lag);
+                     return std::tie(a.usable, a.fresh, a.named, b.lag) <
+                            std::tie(b.usable, b.fresh, b.named, a.lag);
                    });
   std::size_t engines = 0;
   for (const auto& [service, members] : services) {
--- a/src/duties/weight_plan.h
+++ b/src/duties/weight_plan.h
@@ -48,7 +48,9 @@
   /// A trainer named a version.
   void Named(const TargetId& model, std::uint64_t version);
   /// Returns the newest version named; 1, the one at the start, if none was.
-  std::uint64_t newest(const TargetId& model) const;
+  std::uint64_t newest(const TargetId& model) const {
+    return newest_naming(model).version;
+  }
 
   /// Returns the loads to order now. Each counts as under way until its version
   /// shows among the registrations, Ended is called, or its patience is over.
@@ -69,6 +71,12 @@
     Instant since;
   };
 
+  /// The newest version of a model.
+  struct Naming {
+    std::uint64_t version = 1;
+    /// Number of the naming among those of all models.
+    std::uint64_t order = 0;
+  };
   /// An upstream that could load a model's newest version, with what the model
   /// would have without this load.
   struct Candidate {
@@ -76,12 +84,16 @@
     std::size_t usable = 0;
     /// Upstreams that have the newest version.
     std::size_t fresh = 0;
+    /// Order in which the models' newest versions were named: the next version
+    /// of the one named first is due first.
+    std::uint64_t named = 0;
     /// Versions that this upstream is behind.
     std::uint64_t lag = 0;
     UpstreamId upstream;
     TargetId model;
   };
 
+  Naming newest_naming(const TargetId& model) const;
   std::size_t at_once(std::size_t upstreams) const;
   /// Adds the upstreams of a model's share that lag, most useful first.
   void AddLagging(const TargetId& model, const std::vector<UpstreamId>& share,
@@ -91,7 +103,8 @@
               Instant now);
 
   WeightPlanRules rules_;
-  std::map<TargetId, std::uint64_t> newest_;
+  std::map<TargetId, Naming> newest_;
+  std::uint64_t namings_ = 0;
   std::map<UpstreamId, Load> under_way_;
 };
 
--- a/src/serving/request_session.cc
+++ b/src/serving/request_session.cc
@@ -190,7 +190,11 @@
       session.Refuse("all upstreams refused", kRetryWhenFull);
     }
     void operator()(const FailUnknown&) const {
-      session.Fail(kBadGateway, "the request may have run without an answer");
+      if (session.left() <= milliseconds(0)) {
+        session.OnDeadline();
+      } else {
+        session.Fail(kBadGateway, "the request may have run without an answer");
+      }
     }
   };
   std::visit(Visitor{*this, outcome}, step);
--- a/src/store/fenced_writer.h
+++ b/src/store/fenced_writer.h
@@ -42,10 +42,10 @@
   /// True once no writer with a lower epoch can append.
   bool ready() const { return ready_; }
 
-  /// An answer usually takes 4 ms; a store that is fifty times slower is
-  /// waited for.
-  static constexpr std::chrono::milliseconds kTimeout{1'000};
-  static constexpr std::chrono::milliseconds kRetry{100};
+  /// An answer usually takes 4 ms; a store that is sixty times slower is
+  /// waited for. A longer wait would go on after a silent store's return.
+  static constexpr std::chrono::milliseconds kTimeout{450};
+  static constexpr std::chrono::milliseconds kRetry{50};
   /// Bytes and records of one append, under the store's limit of 2 MB a call.
   static constexpr std::size_t kMaxBytes = 1'000'000;
 
--- a/src/store/keyed_tail.cc
+++ b/src/store/keyed_tail.cc
@@ -41,7 +41,7 @@
     loaded_.clear();
     load_end_.reset();
   }
-  store_.ReadNewest(partition_, after, timing_.wait + timing_.patience,
+  store_.ReadNewest(partition_, after, ReadTimeout(timing_.wait),
                     [self = shared_from_this(),
                      sent = clock_.now()](platform::NewestOutcome outcome) {
                       self->OnNewest(sent, std::move(outcome));
@@ -78,9 +78,14 @@
   }
 }
 
+std::chrono::milliseconds KeyedTail::ReadTimeout(
+    std::chrono::milliseconds wait) const {
+  return failing_ ? timing_.probe_timeout : wait + timing_.patience;
+}
+
 void KeyedTail::Follow() {
-  store_.Read(partition_, position_, timing_.wait,
-              timing_.wait + timing_.patience,
+  const auto wait = failing_ ? std::chrono::milliseconds(0) : timing_.wait;
+  store_.Read(partition_, position_, wait, ReadTimeout(wait),
               [self = shared_from_this(),
                sent = clock_.now()](const platform::ReadOutcome& outcome) {
                 self->OnRead(sent, outcome);
--- a/src/store/keyed_tail.h
+++ b/src/store/keyed_tail.h
@@ -28,7 +28,11 @@
   /// Pause between two reads that brought records, which gathers them.
   std::chrono::milliseconds pace{0};
   /// Pause after a failed read.
-  std::chrono::milliseconds retry{150};
+  std::chrono::milliseconds retry{100};
+  /// After a failure reads do not wait at the store and are given up after this
+  /// time, so that its return is noticed soon; a store that is sixty times
+  /// slower than usual answers in 240 ms.
+  std::chrono::milliseconds probe_timeout{400};
 };
 
 /// Receives what a tail reads.
@@ -67,6 +71,7 @@
  private:
   void LoadPage(const std::string& after);
   void OnNewest(Instant sent, platform::NewestOutcome outcome);
+  std::chrono::milliseconds ReadTimeout(std::chrono::milliseconds wait) const;
   void Follow();
   void OnRead(Instant sent, const platform::ReadOutcome& outcome);
   void Answered(Instant sent);
--- /dev/null
+++ b/test/batch_owners_test.cc
@@ -0,0 +1,60 @@
+// Which node runs which partitions of batches.
+
+#include <criterion/criterion.h>
+
+#include <random>
+
+#include "base/metrics.h"
+#include "base/structured_log.h"
+#include "batches/batch_host.h"
+#include "fakes/fake_upstreams.h"
+#include "fakes/loop_wait.h"
+#include "fakes/memory_store.h"
+
+namespace mulberryroad::batches {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct Cluster {
+  base::EventLoop loop;
+  SystemClock clock;
+  base::StructuredLog log{clock, NodeId("n1")};
+  base::Metrics metrics;
+  fakes::MemoryStore store{loop};
+  fakes::FakeUpstreams upstreams{loop};
+  serving::Catalog catalog;
+  serving::UpstreamDirectory directory;
+  serving::UpstreamLoads loads;
+  std::mt19937_64 random{1};
+  BatchContext context{
+      loop,      clock,
+      log,       metrics,
+      store,     catalog,
+      directory, loads,
+      upstreams, FailureDomainId("d1"),
+      random,    [](const v1::BatchItem&) { return ItemHeaders{}; }};
+};
+
+platform::GroupShare Share(std::uint64_t generation) {
+  return {generation, {{kBatchTopic, 0}}};
+}
+
+Test(batch_owners, restarted_node_gives_up_what_its_earlier_process_held) {
+  Cluster cluster;
+  cluster.store.shares["n1/1000-1"] = Share(3);
+  cluster.store.shares["n11/1000-1"] = Share(3);
+  BatchHost host(cluster.context, "n1/2000-2", /*spare=*/false);
+  host.Start();
+  fakes::RunUntil(
+      cluster.loop,
+      [&cluster] { return !cluster.store.shares.contains("n1/1000-1"); },
+      milliseconds(3'000));
+  cr_assert(!cluster.store.shares.contains("n1/1000-1"));
+  cr_assert(cluster.store.shares.contains("n11/1000-1"),
+            "another node's partitions are its own");
+  cr_assert(cluster.store.shares.contains("n1/2000-2"));
+}
+
+}  // namespace
+}  // namespace mulberryroad::batches
--- a/test/fakes/memory_store.h
+++ b/test/fakes/memory_store.h
@@ -25,6 +25,10 @@
 
   /// Refuses all calls while it is away.
   bool away = false;
+  /// Takes calls and answers none of them; callers see their time-outs.
+  bool silent = false;
+  /// Calls that were taken while it was silent.
+  int unanswered = 0;
   /// Carries out this many appends without an answer that the caller gets.
   int lost_appends = 0;
   /// Runs once before an append that has no records is carried out.
@@ -35,10 +39,9 @@
   void Append(const platform::PartitionId& id,
               std::vector<platform::KeyedRecord> records,
               platform::AppendCondition condition,
-              std::chrono::milliseconds /*timeout*/,
+              std::chrono::milliseconds timeout,
               platform::OnOutcome<platform::AppendOutcome> done) override {
-    if (away) {
-      Answer(done, platform::AppendOutcome(Away()));
+    if (Refuses<platform::AppendOutcome>(timeout, done)) {
       return;
     }
     if (records.empty() && before_fence) {
@@ -54,10 +57,9 @@
 
   void Read(const platform::PartitionId& id, platform::Offset from,
             std::chrono::milliseconds /*wait*/,
-            std::chrono::milliseconds /*timeout*/,
+            std::chrono::milliseconds timeout,
             platform::OnOutcome<platform::ReadOutcome> done) override {
-    if (away) {
-      Answer(done, platform::ReadOutcome(Away()));
+    if (Refuses<platform::ReadOutcome>(timeout, done)) {
       return;
     }
     const Partition& partition = partitions_[id];
@@ -83,10 +85,9 @@
   }
 
   void ReadNewest(const platform::PartitionId& id, const std::string& after,
-                  std::chrono::milliseconds /*timeout*/,
+                  std::chrono::milliseconds timeout,
                   platform::OnOutcome<platform::NewestOutcome> done) override {
-    if (away) {
-      Answer(done, platform::NewestOutcome(Away()));
+    if (Refuses<platform::NewestOutcome>(timeout, done)) {
       return;
     }
     const Partition& partition = partitions_[id];
@@ -108,10 +109,9 @@
   void Join(const std::string& /*group*/, const std::string& member,
             const std::string& /*topic*/,
             std::chrono::milliseconds /*lifetime*/,
-            std::uint64_t /*generation*/, std::chrono::milliseconds /*timeout*/,
+            std::uint64_t /*generation*/, std::chrono::milliseconds timeout,
             platform::OnOutcome<platform::JoinOutcome> done) override {
-    if (away) {
-      Answer(done, platform::JoinOutcome(Away()));
+    if (Refuses<platform::JoinOutcome>(timeout, done)) {
       return;
     }
     Answer(done, platform::JoinOutcome(shares[member]));
@@ -184,6 +184,25 @@
     return {Verdict::kNotRun, "the store is away"};
   }
 
+  template <typename Outcome>
+  bool Refuses(std::chrono::milliseconds timeout,
+               const platform::OnOutcome<Outcome>& done) {
+    if (silent) {
+      ++unanswered;
+      const auto timer = std::make_shared<base::Timer>();
+      *timer = loop_.After(timeout, [timer, done] {
+        done(platform::PlatformFailure{Verdict::kMayHaveRun, "silent"});
+      });
+      timers_.push_back(timer);
+      return true;
+    }
+    if (away) {
+      Answer(done, Outcome(Away()));
+      return true;
+    }
+    return false;
+  }
+
   template <typename Outcome>
   void Answer(const platform::OnOutcome<Outcome>& done, Outcome outcome) {
     loop_.Post([done, outcome] { done(outcome); });
--- a/test/fenced_writer_test.cc
+++ b/test/fenced_writer_test.cc
@@ -74,5 +74,23 @@
   cr_assert(fakes::RunUntil(fixture.loop, [&] { return fixture.ready; }));
 }
 
+// An append that met a silent store follows its return within half a second.
+Test(fenced_writer, append_follows_the_return_of_a_silent_store) {
+  Fixture fixture;
+  const auto writer = fixture.Make(3);
+  writer->Start();
+  cr_assert(fakes::RunUntil(fixture.loop, [&] { return fixture.ready; }));
+  fixture.store.silent = true;
+  bool appended = false;
+  writer->Append({{"k", "v"}}, [&] { appended = true; });
+  cr_assert(fakes::RunUntil(fixture.loop,
+                            [&] { return fixture.store.unanswered == 1; }));
+  fixture.store.silent = false;
+  const Instant back = fixture.clock.now();
+  cr_assert(fakes::RunUntil(fixture.loop, [&] { return appended; }));
+  cr_assert_lt((fixture.clock.now() - back) / std::chrono::milliseconds(1),
+               600);
+}
+
 }  // namespace
 }  // namespace mulberryroad::store
--- a/test/keyed_tail_test.cc
+++ b/test/keyed_tail_test.cc
@@ -88,5 +88,25 @@
   cr_assert_eq(fixture.snapshots, 2);
 }
 
+// However the calls fall, the store's return is noticed within half a second.
+Test(keyed_tail, return_of_a_silent_store_is_noticed_soon) {
+  Fixture fixture;
+  fixture.tail->Start();
+  cr_assert(
+      fakes::RunUntil(fixture.loop, [&] { return fixture.snapshots > 0; }));
+  fixture.store.silent = true;
+  cr_assert(
+      fakes::RunUntil(fixture.loop, [&] { return fixture.tail->failing(); }));
+  const int taken = fixture.store.unanswered;
+  cr_assert(fakes::RunUntil(fixture.loop,
+                            [&] { return fixture.store.unanswered > taken; }));
+  fixture.store.silent = false;
+  const Instant back = fixture.clock.now();
+  cr_assert(
+      fakes::RunUntil(fixture.loop, [&] { return !fixture.tail->failing(); }));
+  cr_assert_lt((fixture.clock.now() - back) / std::chrono::milliseconds(1),
+               600);
+}
+
 }  // namespace
 }  // namespace mulberryroad::store
--- a/test/weight_plan_test.cc
+++ b/test/weight_plan_test.cc
@@ -118,6 +118,17 @@
   }
 }
 
+Test(weight_plan, model_named_first_comes_first_among_equals) {
+  const auto upstreams = MakeUpstreams(12);
+  WeightPlan plan;
+  plan.Named(TargetId("m2"), 2);
+  plan.Named(TargetId("m0"), 2);
+  plan.Named(TargetId("m1"), 2);
+  const auto loads = plan.Next(upstreams, At(0));
+  cr_assert_str_eq(loads[0].model.value().c_str(), "m2");
+  cr_assert_str_eq(loads[1].model.value().c_str(), "m0");
+}
+
 // Three trainers that fell behind name a version each while their upstreams
 // are two versions old, and the weight store serves two loads at a time. Each
 // step's longest items start when its model has a first upstream.
