Reach the store through a peer while a node alone is cut off; stand-ins over HTTP and a fault soak

Now a node without an answer for 400 ms sends its calls through a seed, and goes back to the direct way once a probe is answered. Appends keep their writer, epoch and sequence, so that one done twice is taken once.

With it: stand-ins of the store, of upstreams and of the duty calls over HTTP (test/fakes/platform), contract tests of the store client on them, and mulberry-soak, which plays seeded faults on real processes and judges by what callers and upstreams saw; seeds read again on SIGHUP and each 10 s.

--- /dev/null
+++ b/src/http/sender.h
@@ -0,0 +1,33 @@
+// Sends HTTP requests by a way of its own choice.
+
+#ifndef MULBERRYROAD_SRC_HTTP_SENDER_H_
+#define MULBERRYROAD_SRC_HTTP_SENDER_H_
+
+#include <utility>
+
+#include "http/client.h"
+
+namespace mulberryroad::http {
+
+class Sender {
+ public:
+  virtual ~Sender() = default;
+  /// Sends a request. Never calls back inside Send.
+  virtual void Send(ClientRequest request, OnDone on_done) = 0;
+};
+
+/// Sends each request to its endpoint.
+class DirectSender final : public Sender {
+ public:
+  explicit DirectSender(Client& client) : client_(client) {}
+  void Send(ClientRequest request, OnDone on_done) override {
+    client_.Send(std::move(request), std::move(on_done));
+  }
+
+ private:
+  Client& client_;
+};
+
+}  // namespace mulberryroad::http
+
+#endif  // MULBERRYROAD_SRC_HTTP_SENDER_H_
--- a/src/node/main.cc
+++ b/src/node/main.cc
@@ -60,9 +60,31 @@
   return options;
 }
 
-int Serve(mulberryroad::node::Settings settings) {
+// Reads the settings file.
+std::variant<mulberryroad::node::Settings, adapter::SettingsErrors>
+ReadSettings(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    return adapter::SettingsErrors{{"the file cannot be read"}};
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return adapter::DecodeSettings(text.str());
+}
+
+// Reads the settings file anew; the first error stands for all.
+mulberryroad::node::SettingsRead ReadAgain(const std::string& path) {
+  auto read = ReadSettings(path);
+  if (const auto* errors = std::get_if<adapter::SettingsErrors>(&read)) {
+    return errors->messages.front();
+  }
+  return std::get<mulberryroad::node::Settings>(std::move(read));
+}
+
+int Serve(mulberryroad::node::Settings settings, const std::string& path) {
   mulberryroad::base::SetUpAsyncLogging("info");
-  mulberryroad::node::Node node(std::move(settings));
+  mulberryroad::node::Node node(std::move(settings),
+                                [path] { return ReadAgain(path); });
   std::string reason;
   if (!node.Start(&reason)) {
     std::fprintf(stderr, "mulberry-node: %s\n", reason.c_str());
@@ -79,15 +101,7 @@
   // A caller that goes away shows as a failed write, not as a signal.
   std::signal(SIGPIPE, SIG_IGN);
   const Options options = ReadOptions(argc, argv);
-  std::ifstream file(options.settings_path);
-  if (!file) {
-    std::fprintf(stderr, "mulberry-node: settings file \"%s\" cannot be read\n",
-                 options.settings_path.c_str());
-    return kExitBadSettings;
-  }
-  std::ostringstream text;
-  text << file.rdbuf();
-  auto decoded = adapter::DecodeSettings(text.str());
+  auto decoded = ReadSettings(options.settings_path);
   if (const auto* errors = std::get_if<adapter::SettingsErrors>(&decoded)) {
     for (const std::string& message : errors->messages) {
       std::fprintf(stderr, "mulberry-node: %s: %s\n",
@@ -98,5 +112,6 @@
   if (options.check_only) {
     return kExitOk;
   }
-  return Serve(std::get<mulberryroad::node::Settings>(std::move(decoded)));
+  return Serve(std::get<mulberryroad::node::Settings>(std::move(decoded)),
+               options.settings_path);
 }
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -18,6 +18,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "node/peer_view.h"
+#include "node/store_relay.h"
 #include "platform/batch_codec.h"
 #include "platform/duty_client.h"
 #include "platform/ingress.h"
@@ -49,6 +50,9 @@
 // In which the last answers and counts leave the node.
 constexpr milliseconds kQuietTime{150};
 constexpr milliseconds kExpireTick{100};
+// The settings file may change without a signal; seeds are needed only while
+// the store is away.
+constexpr milliseconds kReloadInterval{10'000};
 // Gathers the heartbeats of upstreams into one read; far below the time in
 // which a leaving one must be noticed.
 constexpr milliseconds kRegistrationPace{150};
@@ -86,7 +90,7 @@
 
 class Node::Parts {
  public:
-  explicit Parts(Settings settings);
+  Parts(Settings settings, std::function<SettingsRead()> read_again);
 
   bool Start(std::string* reason);
   void Run() { loop_.Run(); }
@@ -104,8 +108,11 @@
   base::DrainSteps StepsToStop();
   void CountUsage(const OrganisationId& organisation);
   void RegisterReadiness();
+  enum class ReloadCause { kSignal, kTimer };
+  void Reload(ReloadCause cause);
 
   Settings settings_;
+  std::function<SettingsRead()> read_again_;
   SystemClock clock_;
   base::EventLoop loop_;
   base::Metrics metrics_;
@@ -113,6 +120,7 @@
   std::string process_;
   std::mt19937_64 random_;
   http::Client client_;
+  StoreRelay store_relay_;
   platform_adapter::StoreClient store_;
   platform_adapter::UpstreamClient upstream_client_;
   platform_adapter::DutyClient duty_client_;
@@ -140,15 +148,19 @@
   bool stopping_ = false;
   base::Drain drain_;
   base::Timer expire_timer_;
+  base::Timer reload_timer_;
 };
 
-Node::Parts::Parts(Settings settings)
+Node::Parts::Parts(Settings settings, std::function<SettingsRead()> read_again)
     : settings_(std::move(settings)),
+      read_again_(std::move(read_again)),
       log_(clock_, settings_.node),
       process_(ProcessName(settings_, clock_)),
       random_(base::StableHash(process_)),
       client_(loop_),
-      store_(client_, settings_.store),
+      store_relay_(loop_, clock_, log_, metrics_, client_, random_,
+                   settings_.store, PeersOf(settings_)),
+      store_(store_relay_, settings_.store),
       upstream_client_(client_),
       duty_client_(client_, settings_.duty_services),
       serving_{loop_,
@@ -401,6 +413,7 @@
   if (settings_.peers.has_value()) {
     peer_server_.emplace(loop_, http::ServerLimits{});
     peers_.Register(*peer_server_);
+    store_relay_.Register(*peer_server_);
     if (!peer_server_->Listen(*settings_.peers)) {
       *reason = "cannot listen on " + ToString(*settings_.peers);
       return false;
@@ -412,7 +425,9 @@
     return false;
   }
   loop_.OnSignal(SIGTERM, [this] { drain_.Begin(); });
-  loop_.OnSignal(SIGHUP, [this] { log_.Write("reload", {}); });
+  loop_.OnSignal(SIGHUP, [this] { Reload(ReloadCause::kSignal); });
+  reload_timer_ =
+      loop_.Every(kReloadInterval, [this] { Reload(ReloadCause::kTimer); });
   log_.Write("start", {{"process", process_},
                        {"failure_domain", settings_.failure_domain.value()},
                        {"first_start", settings_.first_start}});
@@ -428,6 +443,25 @@
   return true;
 }
 
+void Node::Parts::Reload(ReloadCause cause) {
+  const bool asked = cause == ReloadCause::kSignal;
+  const SettingsRead read = read_again_();
+  if (const auto* reason = std::get_if<std::string>(&read)) {
+    log_.Write("reload.failed", {{"by_signal", asked}, {"reason", *reason}});
+    return;
+  }
+  const auto& settings = std::get<Settings>(read);
+  const bool changed = settings.seeds != settings_.seeds;
+  if (changed) {
+    settings_.seeds = settings.seeds;
+    peers_.Follow(PeersOf(settings_));
+    store_relay_.Follow(PeersOf(settings_));
+  }
+  if (changed || asked) {
+    log_.Write("reload", {{"by_signal", asked}, {"seeds_changed", changed}});
+  }
+}
+
 base::DrainSteps Node::Parts::StepsToStop() {
   base::DrainSteps steps;
   steps.announce = [this] {
@@ -454,8 +488,9 @@
   return steps;
 }
 
-Node::Node(Settings settings)
-    : parts_(std::make_unique<Parts>(std::move(settings))) {}
+Node::Node(Settings settings, std::function<SettingsRead()> read_again)
+    : parts_(std::make_unique<Parts>(std::move(settings),
+                                     std::move(read_again))) {}
 
 Node::~Node() = default;
 
--- a/src/node/peer_view.h
+++ b/src/node/peer_view.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/event_loop.h"
@@ -83,6 +84,8 @@
   /// Answers peers on this server.
   void Register(http::Server& server);
   void Start();
+  /// Asks these peers from now on.
+  void Follow(std::vector<Endpoint> peers) { peers_ = std::move(peers); }
   /// Tells when the last answered call to the store was sent.
   void OnStore(Instant sent) {
     judge_.OnStore(sent);
--- /dev/null
+++ b/src/node/store_relay.cc
@@ -0,0 +1,181 @@
+#include "node/store_relay.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace mulberryroad::node {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char kPath[] = "/peer/store";
+// Header names as sent and, in lower case, as read.
+constexpr char kMethodHeader[] = "relay-method";
+constexpr char kTargetHeader[] = "relay-target";
+constexpr char kTimeoutHeader[] = "relay-timeout-ms";
+constexpr char kRefusedHeader[] = "relay-refused";
+constexpr int kTooManyRequests = 429;
+constexpr int kServiceUnavailable = 503;
+
+const char* NameOf(http::Method method) {
+  return method == http::Method::kGet ? "GET" : "POST";
+}
+
+bool IsAnswer(const http::Result& result) {
+  const auto* response = std::get_if<http::Response>(&result);
+  return response != nullptr && response->status != kServiceUnavailable &&
+         response->status != kTooManyRequests;
+}
+
+}  // namespace
+
+void RelayPolicy::OnDirect(bool answered, Instant now) {
+  failing_ = !answered;
+  if (answered) {
+    answered_ = now;
+  }
+}
+
+bool RelayPolicy::relays(Instant now) const {
+  return failing_ && now >= answered_ + kClosedAfter;
+}
+
+bool RelayPolicy::TakeProbe(Instant now) {
+  if (now < probed_ + kProbeInterval) {
+    return false;
+  }
+  probed_ = now;
+  return true;
+}
+
+StoreRelay::StoreRelay(base::EventLoop& loop, const Clock& clock,
+                       base::StructuredLog& log, base::Metrics& metrics,
+                       http::Client& client, std::mt19937_64& random,
+                       Endpoint store, std::vector<Endpoint> peers)
+    : loop_(loop),
+      clock_(clock),
+      log_(log),
+      metrics_(metrics),
+      client_(client),
+      random_(random),
+      store_(std::move(store)),
+      policy_(clock.now()) {
+  Follow(std::move(peers));
+}
+
+StoreRelay::~StoreRelay() { *alive_ = false; }
+
+void StoreRelay::Follow(std::vector<Endpoint> peers) {
+  peers_ = std::move(peers);
+  // Nodes that lose the store together must not all turn to one peer.
+  std::shuffle(peers_.begin(), peers_.end(), random_);
+  peer_ = 0;
+}
+
+void StoreRelay::Send(http::ClientRequest request, http::OnDone on_done) {
+  const Instant now = clock_.now();
+  const bool relaying = policy_.relays(now) && !peers_.empty();
+  Tell(relaying);
+  if (!relaying) {
+    SendDirect(std::move(request), std::move(on_done));
+    return;
+  }
+  if (request.method == http::Method::kGet && policy_.TakeProbe(now)) {
+    SendDirect(request, [](const http::Result&) {});
+  }
+  SendToPeer(std::move(request), std::move(on_done));
+}
+
+void StoreRelay::Tell(bool relaying) {
+  if (std::exchange(told_, relaying) != relaying) {
+    log_.Write("store.relay",
+               {{"active", relaying},
+                {"peer", relaying ? ToString(peers_[peer_]) : ""}});
+  }
+}
+
+void StoreRelay::OnDirect(const http::Result& result) {
+  policy_.OnDirect(IsAnswer(result), clock_.now());
+}
+
+void StoreRelay::SendDirect(http::ClientRequest request, http::OnDone on_done) {
+  client_.Send(std::move(request),
+               [this, alive = alive_,
+                on_done = std::move(on_done)](http::Result result) {
+                 if (*alive) {
+                   OnDirect(result);
+                 }
+                 on_done(std::move(result));
+               });
+}
+
+void StoreRelay::SendToPeer(http::ClientRequest request, http::OnDone on_done) {
+  http::ClientRequest relay;
+  relay.endpoint = peers_[peer_];
+  relay.method = http::Method::kPost;
+  relay.path = kPath;
+  relay.headers = {{kMethodHeader, NameOf(request.method)},
+                   {kTargetHeader, request.path},
+                   {kTimeoutHeader, std::to_string(request.timeout.count())}};
+  relay.body = std::move(request.body);
+  relay.connect_timeout = std::min(kPeerConnectTimeout, request.timeout);
+  relay.timeout = request.timeout;
+  metrics_.Count("store_calls_relayed_total", {});
+  client_.Send(
+      std::move(relay), [this, alive = alive_, peer = peer_,
+                         on_done = std::move(on_done)](http::Result result) {
+        const auto* response = std::get_if<http::Response>(&result);
+        const bool relayed =
+            response != nullptr && !response->headers.contains(kRefusedHeader);
+        if (*alive && !relayed && peer == peer_) {
+          peer_ = peers_.empty() ? 0 : (peer_ + 1) % peers_.size();
+        }
+        on_done(std::move(result));
+      });
+}
+
+void StoreRelay::Register(http::Server& server) {
+  server.Route(http::Method::kPost, kPath,
+               [this](const std::shared_ptr<http::Exchange>& exchange) {
+                 Relay(exchange);
+               });
+}
+
+void StoreRelay::Relay(const std::shared_ptr<http::Exchange>& exchange) {
+  const http::Request& in = exchange->request();
+  const std::optional<std::string> target = in.header(kTargetHeader);
+  const milliseconds timeout(std::strtol(
+      in.header(kTimeoutHeader).value_or("0").c_str(), nullptr, 10));
+  // One that does not reach the store itself says so at once.
+  if (!target.has_value() || timeout <= milliseconds(0) ||
+      policy_.relays(clock_.now())) {
+    exchange->Reply(kServiceUnavailable, "", {{kRefusedHeader, "1"}});
+    return;
+  }
+  http::ClientRequest request;
+  request.endpoint = store_;
+  request.method = in.header(kMethodHeader) == NameOf(http::Method::kGet)
+                       ? http::Method::kGet
+                       : http::Method::kPost;
+  request.path = *target;
+  request.body = in.body;
+  request.connect_timeout = timeout;
+  request.timeout = timeout;
+  SendDirect(std::move(request), [exchange](const http::Result& result) {
+    if (const auto* response = std::get_if<http::Response>(&result)) {
+      exchange->Reply(response->status, response->body);
+    } else if (std::get<http::Failure>(result).verdict == Verdict::kNotRun) {
+      exchange->Reply(kServiceUnavailable, "", {{kRefusedHeader, "1"}});
+    } else {
+      // Whether the store did it is not known: no answer says so.
+      exchange->Abort();
+    }
+  });
+}
+
+}  // namespace mulberryroad::node
--- /dev/null
+++ b/test/contract/store_client_test.cc
@@ -0,0 +1,181 @@
+// The adapter's client of the platform's store, over HTTP against the stand-in.
+
+#include "platform/store_client.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fakes/faulty_server.h"
+#include "fakes/loop_wait.h"
+#include "fakes/platform/fake_platform.h"
+
+namespace mulberryroad::platform_adapter {
+namespace {
+
+using platform::KeyedRecord;
+using platform::PartitionId;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTimeout{500};
+
+class Store {
+ public:
+  Store() { cr_assert(fake_.Listen(endpoint_)); }
+
+  platform::AppendOutcome Append(const PartitionId& partition,
+                                 std::vector<KeyedRecord> records,
+                                 const platform::AppendCondition& condition) {
+    return Wait<platform::AppendOutcome>([&](auto done) {
+      store_.Append(partition, std::move(records), condition, kTimeout, done);
+    });
+  }
+  platform::ReadOutcome Read(const PartitionId& partition,
+                             platform::Offset from, milliseconds wait) {
+    return Wait<platform::ReadOutcome>([&](auto done) {
+      store_.Read(partition, from, wait, wait + kTimeout, done);
+    });
+  }
+  platform::NewestOutcome Newest(const PartitionId& partition) {
+    return Wait<platform::NewestOutcome>(
+        [&](auto done) { store_.ReadNewest(partition, "", kTimeout, done); });
+  }
+  platform::GroupShare Join(const std::string& member,
+                            std::uint64_t generation) {
+    return std::get<platform::GroupShare>(
+        Wait<platform::JoinOutcome>([&](auto done) {
+          store_.Join("g", member, "t", milliseconds(2'000), generation,
+                      kTimeout, done);
+        }));
+  }
+  platform::GroupOwners Owners() {
+    return std::get<platform::GroupOwners>(Wait<platform::OwnersOutcome>(
+        [&](auto done) { store_.ListOwners("g", kTimeout, done); }));
+  }
+  void Leave(const std::string& member) {
+    store_.Leave("g", member, kTimeout);
+    fakes::RunFor(loop_, milliseconds(50));
+  }
+  void Control(const std::string& change) {
+    http::ClientRequest request;
+    request.endpoint = endpoint_;
+    request.method = http::Method::kPost;
+    request.path = "/control";
+    request.body = change;
+    Wait<http::Result>(
+        [&](auto done) { client_.Send(std::move(request), done); });
+  }
+
+ private:
+  template <typename Outcome, typename Start>
+  Outcome Wait(const Start& start) {
+    std::optional<Outcome> result;
+    start([&result](const Outcome& outcome) { result = outcome; });
+    cr_assert(fakes::RunUntil(loop_, [&result] { return result.has_value(); }));
+    return *std::move(result);
+  }
+
+  base::EventLoop loop_;
+  Endpoint endpoint_{"127.0.0.1", fakes::FreePort()};
+  fakes::FakePlatform fake_{loop_, 1};
+  http::Client client_{loop_};
+  http::DirectSender sender_{client_};
+  StoreClient store_{sender_, endpoint_};
+};
+
+const PartitionId kPart{"keyed.t", 0};
+
+Test(store_client, records_come_back_in_order_and_newest_by_key) {
+  Store store;
+  const auto first = std::get<platform::Appended>(
+      store.Append(kPart, {{"k1", "a"}, {"k2", "b"}}, {}));
+  cr_assert_eq(first.first, 0);
+  cr_assert_eq(first.end, 2);
+  store.Append(kPart, {{"k1", "c"}, {"k2", std::nullopt}}, {});
+  const auto page =
+      std::get<platform::RecordPage>(store.Read(kPart, 1, milliseconds(0)));
+  cr_assert_eq(page.records.size(), 3);
+  cr_assert_str_eq(page.records[0].value->c_str(), "b");
+  cr_assert_eq(page.next, 4);
+  const auto newest = std::get<platform::NewestPage>(store.Newest(kPart));
+  cr_assert_eq(newest.records.size(), 1);
+  cr_assert_str_eq(newest.records[0].value->c_str(), "c");
+  cr_assert_eq(newest.records[0].offset, 2);
+}
+
+Test(store_client, read_waits_for_the_next_record) {
+  Store store;
+  const auto page =
+      std::get<platform::RecordPage>(store.Read(kPart, 0, milliseconds(80)));
+  cr_assert(page.records.empty());
+  cr_assert_eq(page.next, 0);
+}
+
+Test(store_client, append_on_a_condition_is_taken_once) {
+  Store store;
+  cr_assert(std::holds_alternative<platform::Appended>(
+      store.Append(kPart, {{"k", "a"}}, platform::ExpectedEnd{0})));
+  const auto moved = std::get<platform::EndMoved>(
+      store.Append(kPart, {{"k", "b"}}, platform::ExpectedEnd{0}));
+  cr_assert_eq(moved.end, 1);
+}
+
+Test(store_client, earlier_epoch_is_fenced_and_a_repeat_is_not_appended) {
+  Store store;
+  const platform::FencedWriter writer{"w", 7, 1};
+  store.Append(kPart, {{"k", "a"}}, writer);
+  const auto repeat =
+      std::get<platform::Appended>(store.Append(kPart, {{"k", "a"}}, writer));
+  cr_assert_eq(repeat.end, 1);
+  cr_assert(std::holds_alternative<platform::OutOfSequence>(
+      store.Append(kPart, {{"k", "b"}}, platform::FencedWriter{"w", 7, 5})));
+  store.Append(kPart, {}, platform::FencedWriter{"w", 8, 0});
+  cr_assert(std::holds_alternative<platform::Fenced>(
+      store.Append(kPart, {{"k", "b"}}, platform::FencedWriter{"w", 7, 2})));
+}
+
+Test(store_client, refusal_means_nothing_was_done_and_silence_does_not) {
+  Store store;
+  store.Control(R"({"refuse_ms":300})");
+  const auto refused = std::get<platform::PlatformFailure>(
+      store.Append(kPart, {{"k", "a"}}, {}));
+  cr_assert(refused.verdict == Verdict::kNotRun);
+  store.Control(R"({"heal":true,"silent_ms":2000})");
+  const auto silent = std::get<platform::PlatformFailure>(
+      store.Append(kPart, {{"k", "a"}}, {}));
+  cr_assert(silent.verdict == Verdict::kMayHaveRun);
+}
+
+Test(store_client, dropped_history_is_told) {
+  Store store;
+  store.Append(kPart, {{"k", "a"}}, {});
+  store.Control(R"({"drop_history":true})");
+  const auto lost =
+      std::get<platform::HistoryLost>(store.Read(kPart, 0, milliseconds(0)));
+  cr_assert_eq(lost.first_retained, 1);
+  cr_assert_eq(
+      std::get<platform::NewestPage>(store.Newest(kPart)).records.size(), 1);
+}
+
+Test(store_client, partitions_move_when_their_holder_has_heard_of_it) {
+  Store store;
+  const auto alone = store.Join("a", 0);
+  cr_assert_eq(alone.partitions.size(), fakes::LogStore::kPartitions);
+  const auto second = store.Join("b", 0);
+  cr_assert_gt(second.generation, alone.generation);
+  cr_assert(second.partitions.empty(), "a still holds them");
+  const auto less = store.Join("a", alone.generation);
+  cr_assert_eq(less.partitions.size(), 2);
+  store.Join("a", less.generation);
+  cr_assert_eq(store.Join("b", second.generation).partitions.size(), 2);
+  store.Leave("a");
+  cr_assert_eq(store.Join("b", second.generation).partitions.size(), 4);
+  for (const auto& [partition, member] : store.Owners().owners) {
+    cr_assert_str_eq(member.c_str(), "b");
+  }
+}
+
+}  // namespace
+}  // namespace mulberryroad::platform_adapter
--- a/test/reach_test.cc
+++ b/test/reach_test.cc
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include "fakes/faulty_server.h"
 #include "fakes/loop_wait.h"
 #include "node/peer_view.h"
 
@@ -71,5 +72,32 @@
   cr_assert(cut_off.reach() == Reach::kCurrent);
 }
 
+// The seeds that a node started with are gone; its settings name others now.
+Test(peer_view, seeds_that_changed_are_asked) {
+  base::EventLoop loop;
+  SystemClock clock;
+  base::StructuredLog log(clock, NodeId("n"));
+  http::Client client(loop);
+  std::mt19937_64 random(1);
+  const Endpoint gone{"127.0.0.1", fakes::FreePort()};
+  const Endpoint present{"127.0.0.1", fakes::FreePort()};
+  const auto ignore = [](const std::vector<platform::KeyedRecord>&) {};
+  PeerView reader(loop, clock, log, client, random, {}, ignore, ignore);
+  http::Server server(loop, {});
+  reader.Register(server);
+  cr_assert(server.Listen(present));
+  reader.operator_records().Take({"config", "manifest 7", 41});
+  bool learnt = false;
+  PeerView cut_off(
+      loop, clock, log, client, random, {gone},
+      [&learnt](const std::vector<platform::KeyedRecord>&) { learnt = true; },
+      ignore);
+  cut_off.Start();
+  fakes::RunFor(loop, milliseconds(500));
+  cr_assert(!learnt);
+  cut_off.Follow({present});
+  cr_assert(fakes::RunUntil(loop, [&learnt] { return learnt; }));
+}
+
 }  // namespace
 }  // namespace mulberryroad::node
--- /dev/null
+++ b/test/soak/proxy.h
@@ -0,0 +1,76 @@
+// A TCP proxy on the loopback address that delays, holds, cuts one way or
+// resets what passes through it.
+
+#ifndef MULBERRYROAD_TEST_SOAK_PROXY_H_
+#define MULBERRYROAD_TEST_SOAK_PROXY_H_
+
+#include <chrono>
+#include <deque>
+#include <list>
+#include <memory>
+#include <string>
+
+#include "base/event_loop.h"
+#include "mulberryroad/endpoint.h"
+
+struct bufferevent;
+struct evconnlistener;
+
+namespace mulberryroad::soak {
+
+enum class LinkState {
+  kPass,
+  /// Each piece comes 200 ms late.
+  kDelay,
+  /// Nothing passes in either direction; what was sent is held.
+  kSilent,
+  /// Requests pass, answers are held.
+  kOneWay,
+  /// Connections are reset at once.
+  kReset,
+};
+
+class Proxy {
+ public:
+  Proxy(base::EventLoop& loop, Endpoint listen, Endpoint target);
+  ~Proxy();
+  Proxy(const Proxy&) = delete;
+  Proxy& operator=(const Proxy&) = delete;
+
+  bool Listen();
+  void Set(LinkState state);
+  const Endpoint& endpoint() const { return listen_; }
+
+  static constexpr std::chrono::milliseconds kDelayTime{200};
+
+ private:
+  struct Piece {
+    std::chrono::steady_clock::time_point due;
+    std::string bytes;
+  };
+  struct Link {
+    Proxy* proxy = nullptr;
+    bufferevent* caller = nullptr;
+    bufferevent* target = nullptr;
+    std::deque<Piece> to_target;
+    std::deque<Piece> to_caller;
+  };
+
+  void Accept(int handle);
+  void Take(Link* link, bool from_caller);
+  void Close(Link* link, bool reset);
+  void Flush();
+  bool passes(bool from_caller) const;
+
+  base::EventLoop& loop_;
+  Endpoint listen_;
+  Endpoint target_;
+  LinkState state_ = LinkState::kPass;
+  evconnlistener* listener_ = nullptr;
+  std::list<std::unique_ptr<Link>> links_;
+  base::Timer flush_timer_;
+};
+
+}  // namespace mulberryroad::soak
+
+#endif  // MULBERRYROAD_TEST_SOAK_PROXY_H_
--- /dev/null
+++ b/test/store_relay_test.cc
@@ -0,0 +1,114 @@
+// The way to the store through a peer.
+
+#include "node/store_relay.h"
+
+#include <criterion/criterion.h>
+
+#include <optional>
+
+#include "fakes/faulty_server.h"
+#include "fakes/loop_wait.h"
+#include "fakes/platform/fake_platform.h"
+#include "platform/store_client.h"
+#include "soak/proxy.h"
+
+namespace mulberryroad::node {
+namespace {
+
+using std::chrono::milliseconds;
+
+Instant At(int millis) { return Instant{} + milliseconds(millis); }
+
+Test(relay_policy, one_lost_answer_changes_nothing) {
+  RelayPolicy policy(At(0));
+  policy.OnDirect(true, At(1'000));
+  policy.OnDirect(false, At(1'300));
+  cr_assert(!policy.relays(At(1'399)));
+  policy.OnDirect(true, At(1'399));
+  cr_assert(!policy.relays(At(5'000)));
+}
+
+Test(relay_policy, silence_closes_the_direct_way_until_a_probe_is_answered) {
+  RelayPolicy policy(At(0));
+  policy.OnDirect(true, At(1'000));
+  policy.OnDirect(false, At(1'300));
+  cr_assert(policy.relays(At(1'400)));
+  cr_assert(policy.TakeProbe(At(1'400)));
+  cr_assert(!policy.TakeProbe(At(1'500)));
+  policy.OnDirect(true, At(1'500));
+  cr_assert(!policy.relays(At(1'500)));
+}
+
+// A node whose own link to the store is cut, beside one that reaches it.
+struct TwoNodes {
+  base::EventLoop loop;
+  SystemClock clock;
+  base::StructuredLog log{clock, NodeId("n")};
+  base::Metrics metrics;
+  std::mt19937_64 random{1};
+  const Endpoint store{"127.0.0.1", fakes::FreePort()};
+  const Endpoint peer{"127.0.0.1", fakes::FreePort()};
+  fakes::FakePlatform platform{loop, 1};
+  soak::Proxy link{loop, {"127.0.0.1", fakes::FreePort()}, store};
+  http::Client client{loop};
+  http::Server server{loop, {}};
+  StoreRelay reaches{loop, clock, log, metrics, client, random, store, {}};
+  StoreRelay cut_off{loop,   clock,           log,   metrics, client,
+                     random, link.endpoint(), {peer}};
+  platform_adapter::StoreClient calls{cut_off, link.endpoint()};
+
+  TwoNodes() {
+    reaches.Register(server);
+    cr_assert(platform.Listen(store) && link.Listen() && server.Listen(peer));
+  }
+
+  // Repeats an append until it is taken, as its callers do.
+  bool Append(milliseconds limit) {
+    bool appended = false;
+    std::function<void()> attempt = [&] {
+      calls.Append({"t", 0}, {{"k", "v"}}, {}, milliseconds(300),
+                   [&](const platform::AppendOutcome& outcome) {
+                     appended =
+                         std::holds_alternative<platform::Appended>(outcome);
+                   });
+    };
+    const base::Timer retry = loop.Every(milliseconds(100), attempt);
+    return fakes::RunUntil(
+        loop, [&appended] { return appended; }, limit);
+  }
+};
+
+Test(store_relay, node_that_the_store_turns_away_stores_through_a_peer) {
+  for (const soak::LinkState state :
+       {soak::LinkState::kReset, soak::LinkState::kSilent}) {
+    TwoNodes nodes;
+    cr_assert(nodes.Append(milliseconds(1'000)), "the link is sound at first");
+    nodes.link.Set(state);
+    cr_assert(nodes.Append(milliseconds(2'000)));
+  }
+}
+
+Test(store_relay, peer_without_the_store_refuses_at_once) {
+  TwoNodes nodes;
+  nodes.link.Set(soak::LinkState::kReset);
+  nodes.server.StopAccepting();
+  cr_assert(!nodes.Append(milliseconds(1'000)));
+  nodes.link.Set(soak::LinkState::kPass);
+  std::optional<platform::ReadOutcome> read;
+  const base::Timer reader = nodes.loop.Every(milliseconds(100), [&] {
+    nodes.calls.Read(
+        {"t", 0}, 0, milliseconds(0), milliseconds(300),
+        [&](const platform::ReadOutcome& outcome) {
+          if (std::holds_alternative<platform::RecordPage>(outcome)) {
+            read = outcome;
+          }
+        });
+  });
+  cr_assert(
+      fakes::RunUntil(
+          nodes.loop, [&] { return read.has_value(); }, milliseconds(2'000)),
+      "the direct way is found again by probes");
+}
+
+}  // namespace
+}  // namespace mulberryroad::node
