--- a/test/fakes/platform/fake_platform.cc
+++ b/test/fakes/platform/fake_platform.cc
@@ -79,8 +79,9 @@
   const auto timer = std::make_shared<base::Timer>();
   timers_.push_back(timer);
   *timer = loop_.After(delay, [this, timer, step = std::move(step)] {
-    const std::shared_ptr<base::Timer> fired = timer;
-    timers_.remove(fired);
+    timers_.remove(timer);
+    // The timer holds this callback, and with it itself.
+    const base::Timer fired = std::move(*timer);
     step();
   });
 }
--- a/test/fakes/platform/fake_replica.cc
+++ b/test/fakes/platform/fake_replica.cc
@@ -92,8 +92,9 @@
   const auto timer = std::make_shared<base::Timer>();
   timers_.push_back(timer);
   *timer = loop_.After(delay, [this, timer, step = std::move(step)] {
-    const std::shared_ptr<base::Timer> fired = timer;
-    timers_.remove(fired);
+    timers_.remove(timer);
+    // The timer holds this callback, and with it itself.
+    const base::Timer fired = std::move(*timer);
     step();
   });
 }
@@ -229,15 +230,12 @@
       loop_.Every(kEventTime, [this, stream] { NextEvent(stream); });
 }
 
-void FakeReplica::NextEvent(const std::shared_ptr<Stream>& stream) {
-  const std::shared_ptr<Stream> keep = stream;
+// Holds the stream, which its own timer calls from here.
+void FakeReplica::NextEvent(std::shared_ptr<Stream> stream) {
   if (stream->exchange->closed() || stream->next > stream->last) {
     --running_;
     stream->exchange->Finish();
-    // Dropped from the loop: this runs in the timer that holds the stream.
-    loop_.Post([keep] { keep->timer.Cancel(); });
-    stream->next = stream->last + 1;
-    keep->timer.Cancel();
+    stream->timer.Cancel();
     return;
   }
   std::string event;
--- a/test/fakes/platform/fake_replica.h
+++ b/test/fakes/platform/fake_replica.h
@@ -74,7 +74,7 @@
   void Refuse(const Exchange& exchange, int status);
   void RunPlain(const Exchange& exchange, const std::string& id);
   void RunStream(const Exchange& exchange, const std::string& id);
-  void NextEvent(const std::shared_ptr<Stream>& stream);
+  void NextEvent(std::shared_ptr<Stream> stream);
   void Order(const Exchange& exchange);
   void Report(const Exchange& exchange) const;
   void Note(const nlohmann::json& line) const;
--- a/test/fakes/platform/log_store.cc
+++ b/test/fakes/platform/log_store.cc
@@ -111,7 +111,7 @@
   for (const std::string& record : *records) {
     Take(part, partition, record);
   }
-  const StoreAnswer answer{
+  StoreAnswer answer{
       kOk, json{{"offset", first}, {"endOffset", partition.end()}}.dump()};
   if (producer != nullptr) {
     producer->sequence = query.sequence;
@@ -132,9 +132,9 @@
 
 StoreAnswer LogStore::Read(const PartKey& part, std::uint64_t from) const {
   const auto found = partitions_.find(part);
-  static const Partition kEmpty;
+  static const Partition nothing;
   const Partition& partition =
-      found == partitions_.end() ? kEmpty : found->second;
+      found == partitions_.end() ? nothing : found->second;
   if (from < partition.first) {
     return {kGone, json{{"first", partition.first}}.dump()};
   }
--- a/test/fakes/programs/fake_replica.cc
+++ b/test/fakes/programs/fake_replica.cc
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <exception>
 #include <nlohmann/json.hpp>
 
 namespace {
@@ -22,9 +23,7 @@
   return *endpoint;
 }
 
-}  // namespace
-
-int main(int argc, const char** argv) {
+int Run(int argc, const char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
   const auto json = argc == 2 ? nlohmann::json::parse(argv[1], nullptr, false)
                               : nlohmann::json();
@@ -52,3 +51,14 @@
   loop.Run();
   std::_Exit(0);
 }
+
+}  // namespace
+
+int main(int argc, const char** argv) {
+  try {
+    return Run(argc, argv);
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "fake_replica: %s\n", error.what());
+    return kBadArguments;
+  }
+}
--- a/test/soak/deployment.cc
+++ b/test/soak/deployment.cc
@@ -21,8 +21,24 @@
 constexpr milliseconds kRestartDelay{50};
 constexpr int kOk = 200;
 constexpr int kMissesOut = 2;
+// Share of plain answers that are lost after the run.
+constexpr double kFaultyAnswers = 0.02;
 constexpr const char* kDomains[] = {"d1", "d2", "d3"};
 
+// As the program of the stand-in reads them.
+std::string ToJson(const fakes::ReplicaOptions& options) {
+  return json{{"id", options.id},
+              {"service", options.service},
+              {"failure_domain", options.failure_domain},
+              {"listen", ToString(options.listen)},
+              {"advertised", ToString(options.advertised)},
+              {"platform", ToString(options.platform)},
+              {"slots", options.slots},
+              {"models", options.models},
+              {"fault_share", options.fault_share}}
+      .dump();
+}
+
 }  // namespace
 
 Deployment::Deployment(base::EventLoop& loop, http::Client& client,
@@ -48,15 +64,16 @@
     const bool engine = i < options_.engines;
     const Endpoint listen = NewEndpoint();
     const Endpoint advertised = NewEndpoint();
-    upstream.options = {{"id", "u" + std::to_string(i)},
-                        {"service", engine ? "engines" : "desk"},
-                        {"failure_domain", kDomains[i % 3]},
-                        {"listen", ToString(listen)},
-                        {"advertised", ToString(advertised)},
-                        {"platform", ToString(platform_address_)},
-                        {"fault_share", engine ? 0.0 : 0.02}};
+    upstream.options.id = "u" + std::to_string(i);
+    upstream.options.service = engine ? "engines" : "desk";
+    upstream.options.failure_domain = kDomains[i % 3];
+    upstream.options.listen = listen;
+    upstream.options.advertised = advertised;
+    upstream.options.platform = platform_address_;
     if (engine) {
-      upstream.options["models"] = {"m0", "m1"};
+      upstream.options.models = {"m0", "m1"};
+    } else {
+      upstream.options.fault_share = kFaultyAnswers;
     }
     upstream.link = std::make_unique<Proxy>(loop_, advertised, listen);
     if (!upstream.link->Listen()) {
@@ -125,14 +142,14 @@
 void Deployment::StartUpstream(std::size_t index, bool new_id) {
   Upstream& upstream = upstreams_[index];
   if (new_id) {
-    upstream.options["id"] =
+    upstream.options.id =
         "u" + std::to_string(index) + "-" + std::to_string(upstream.starts);
   }
   ++upstream.starts;
   upstream.expected_down = false;
   upstream.process = std::make_unique<process::ChildProcess>(
       options_.bin_dir + "/test/fake_replica",
-      std::vector<std::string>{upstream.options.dump()},
+      std::vector<std::string>{ToJson(upstream.options)},
       options_.work_dir + "/upstream-" + std::to_string(index) + ".log");
 }
 
--- a/test/soak/deployment.h
+++ b/test/soak/deployment.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "base/event_loop.h"
+#include "fakes/platform/fake_replica.h"
 #include "http/client.h"
 #include "process/child_process.h"
 #include "soak/faults.h"
@@ -81,7 +82,7 @@
 
  private:
   struct Upstream {
-    nlohmann::json options;
+    fakes::ReplicaOptions options;
     int starts = 0;
     std::unique_ptr<Proxy> link;
     std::unique_ptr<process::ChildProcess> process;
--- a/test/soak/mulberry_soak.cc
+++ b/test/soak/mulberry_soak.cc
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <exception>
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -70,9 +71,7 @@
   return arguments;
 }
 
-}  // namespace
-
-int main(int argc, const char** argv) {
+int Run(int argc, const char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
   const Arguments arguments = ReadArguments(argc, argv);
   int failed = 0;
@@ -109,3 +108,14 @@
   std::printf("%d seeds, %d failed\n", arguments.seeds, failed);
   return failed == 0 ? 0 : kExitViolation;
 }
+
+}  // namespace
+
+int main(int argc, const char** argv) {
+  try {
+    return Run(argc, argv);
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "mulberry-soak: %s\n", error.what());
+    return kExitBadArguments;
+  }
+}
--- a/test/soak/proxy.cc
+++ b/test/soak/proxy.cc
@@ -91,6 +91,7 @@
       bufferevent_socket_new(loop_.base(), handle, BEV_OPT_CLOSE_ON_FREE);
   link->target =
       bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+  // NOLINTNEXTLINE(google-runtime-int): libevent's signature
   const auto on_end = [](bufferevent* end, short events, void* argument) {
     auto* ended = static_cast<Link*>(argument);
     if ((events & BEV_EVENT_CONNECTED) != 0) {
