Try an upstream that refuses with one request at a time, less and less often

A refusal now holds for 100, 200 and then 400 ms, refusals of one burst count once, and after the hold one request is sent to see.

--- a/src/batches/item_run.cc
+++ b/src/batches/item_run.cc
@@ -84,8 +84,8 @@
 void ItemRun::Start(const serving::Registration& upstream,
                     const serving::OutgoingRequest& request,
                     std::uint64_t expected_version) {
-  loads_.Started(upstream_);
   started_ = clock_.now();
+  loads_.Started(upstream_, started_);
   serving::CallOptions options;
   options.deadline = duration_cast<milliseconds>(deadline_ - clock_.now());
   options.version = expected_version;
@@ -128,6 +128,7 @@
 }
 
 void ItemRun::OnStart(const serving::StreamStart& start) {
+  loads_.Accepted(upstream_);
   if (start.version != 0) {
     progress_.version = start.version;
   }
--- a/src/serving/request_session.cc
+++ b/src/serving/request_session.cc
@@ -109,7 +109,7 @@
   const int number = next_number_++;
   tried_.insert(upstream->id);
   policy_.Sent();
-  context_.loads.Started(upstream->id);
+  context_.loads.Started(upstream->id, context_.clock.now());
   Try& attempt = tries_[number];
   attempt.upstream = upstream->id;
   attempt.sent = context_.clock.now();
@@ -141,6 +141,9 @@
 void RequestSession::Record(const Try& ended, const UpstreamOutcome& outcome) {
   const Instant now = context_.clock.now();
   context_.loads.Ended(ended.upstream);
+  if (std::holds_alternative<Whole>(outcome)) {
+    context_.loads.Accepted(ended.upstream);
+  }
   if (const auto* refused = std::get_if<NotRun>(&outcome)) {
     if (refused->full) {
       context_.loads.Refused(ended.upstream, now);
--- a/src/serving/upstreams.cc
+++ b/src/serving/upstreams.cc
@@ -11,6 +11,9 @@
 
 // A refusal as full holds for about one plain request's work.
 constexpr std::chrono::milliseconds kFullTime{100};
+// The hold doubles up to 400 ms: half of the time in which an upstream changes
+// its weights and refuses all.
+constexpr std::uint32_t kMostDoublings = 2;
 // Weight of the newest latency in the average: about the last five count.
 constexpr double kLatencyWeight = 0.2;
 // A request to another failure domain counts as this share of a slot more, so
@@ -92,8 +95,29 @@
   load.running -= std::min<std::uint32_t>(load.running, 1);
 }
 
+void UpstreamLoads::Started(const UpstreamId& id, Instant now) {
+  Load& load = loads_[id];
+  ++load.running;
+  if (load.refusals > 0) {
+    load.probing = true;
+    load.full_until = std::max(load.full_until, now + kFullTime);
+  }
+}
+
 void UpstreamLoads::Refused(const UpstreamId& id, Instant now) {
-  loads_[id].refused = now;
+  Load& load = loads_[id];
+  if (load.refusals == 0 || std::exchange(load.probing, false)) {
+    load.full_until =
+        now + kFullTime * (1U << std::min(load.refusals, kMostDoublings));
+    ++load.refusals;
+  }
+}
+
+void UpstreamLoads::Accepted(const UpstreamId& id) {
+  Load& load = loads_[id];
+  load.refusals = 0;
+  load.probing = false;
+  load.full_until = {};
 }
 
 void UpstreamLoads::Failed(const UpstreamId& id, Instant now) {
@@ -125,8 +149,7 @@
 
 bool UpstreamLoads::full(const UpstreamId& id, Instant now) const {
   const auto found = loads_.find(id);
-  return found != loads_.end() && found->second.refused.has_value() &&
-         now < *found->second.refused + kFullTime;
+  return found != loads_.end() && now < found->second.full_until;
 }
 
 std::optional<std::chrono::microseconds> UpstreamLoads::latency(
--- a/src/serving/upstreams.h
+++ b/src/serving/upstreams.h
@@ -77,10 +77,13 @@
 /// requests.
 class UpstreamLoads {
  public:
-  void Started(const UpstreamId& id) { ++loads_[id].running; }
+  void Started(const UpstreamId& id, Instant now);
   void Ended(const UpstreamId& id);
-  /// It refused a request as full.
+  /// It refused a request as full. It is taken to be full for some time, which
+  /// doubles with each refusal in a row, and then gets one request to see.
   void Refused(const UpstreamId& id, Instant now);
+  /// It began to run a request.
+  void Accepted(const UpstreamId& id);
   /// It failed, or did not answer in time.
   void Failed(const UpstreamId& id, Instant now);
   /// It did a unit of work, such as a request or an event, in this time.
@@ -89,7 +92,8 @@
 
   std::uint32_t running(const UpstreamId& id) const;
   bool avoided(const UpstreamId& id, Instant now) const;
-  /// True for a short time after a refusal.
+  /// True for some time after a refusal, and while a request is under way that
+  /// was sent there to see.
   bool full(const UpstreamId& id, Instant now) const;
   /// Smoothed time of a unit of work; nullopt if there was none lately.
   std::optional<std::chrono::microseconds> latency(const UpstreamId& id,
@@ -98,7 +102,11 @@
  private:
   struct Load {
     std::uint32_t running = 0;
-    std::optional<Instant> refused;
+    /// Refusals in a row. Those of requests that were sent before the first
+    /// was known count as one.
+    std::uint32_t refusals = 0;
+    bool probing = false;
+    Instant full_until{};
     std::optional<Instant> failed;
     std::optional<double> latency_us;
     Instant worked{};
--- a/test/part_owner_test.cc
+++ b/test/part_owner_test.cc
@@ -5,6 +5,8 @@
 
 #include <criterion/criterion.h>
 
+#include <list>
+
 #include "batches/batch_client.h"
 #include "fakes/fake_upstreams.h"
 #include "fakes/loop_wait.h"
@@ -214,6 +216,38 @@
   owner->Stop();
 }
 
+// One of two upstreams changes its weights for 0.9 s and refuses all meanwhile;
+// it has no runs, so that each item would go there first.
+Test(part_owner, load_beside_a_loading_upstream_is_rarely_refused) {
+  Fixture fixture;
+  const Instant loaded = fixture.clock.now() + milliseconds(900);
+  int refusals = 0;
+  std::list<base::Timer> work;
+  fixture.upstreams.script = [&](ReceivedRequest& received) {
+    if (received.upstream.value() == "u1" && fixture.clock.now() < loaded) {
+      ++refusals;
+      received.done(serving::NotRun{"loading", /*full=*/true});
+      return;
+    }
+    work.push_back(fixture.loop.After(milliseconds(40), [&received] {
+      FakeUpstreams::SendEvents(received, 3, 5);
+      received.done(serving::Whole{200, {}, {}});
+    }));
+  };
+  const auto owner = fixture.Own(1);
+  std::vector<std::string> items;
+  for (int i = 0; i < 60; ++i) {
+    items.push_back("i" + std::to_string(i));
+  }
+  const base::Timer pump =
+      fixture.loop.Every(milliseconds(50), [&owner] { owner->Pump(); });
+  fixture.Submit("b1", items, 5);
+  cr_assert(fixture.WaitForResults("b1", items.size()));
+  // The first burst of four, and one each time that it is tried again.
+  cr_assert_leq(refusals, 8, "%d refusals", refusals);
+  owner->Stop();
+}
+
 Test(part_owner, successor_lists_only_what_is_missing) {
   Fixture fixture;
   fixture.upstreams.script = [](ReceivedRequest& received) {
--- a/test/serving_test.cc
+++ b/test/serving_test.cc
@@ -113,7 +113,7 @@
   };
   cr_assert_str_eq(choose({}, 0).c_str(), "u1");
   cr_assert_str_eq(choose({UpstreamId("u1")}, 0).c_str(), "u2");
-  loads.Started(near.id);
+  loads.Started(near.id, At(0));
   cr_assert_str_eq(choose({}, 0).c_str(), "u2");
   loads.Ended(near.id);
   loads.Failed(near.id, At(0));
@@ -132,12 +132,34 @@
   for (int i = 0; i < 6; ++i) {
     const Registration* chosen = ChooseUpstream(
         {&slow, &fast}, loads, {}, FailureDomainId("d1"), At(0), 0.5);
-    loads.Started(chosen->id);
+    loads.Started(chosen->id, At(0));
     to_fast += chosen == &fast ? 1 : 0;
   }
   cr_assert_geq(to_fast, 4);
 }
 
+Test(upstream_loads,
+     refusals_in_a_row_hold_longer_and_then_one_request_is_sent) {
+  const UpstreamId id("u");
+  UpstreamLoads loads;
+  for (int i = 0; i < 5; ++i) {
+    loads.Started(id, At(0));
+  }
+  for (int i = 0; i < 5; ++i) {
+    loads.Refused(id, At(5));
+  }
+  cr_assert(loads.full(id, At(104)), "five refusals of one burst count once");
+  cr_assert(!loads.full(id, At(105)));
+  loads.Started(id, At(110));
+  cr_assert(loads.full(id, At(111)), "one request is enough to see");
+  loads.Refused(id, At(115));
+  cr_assert(loads.full(id, At(314)));
+  cr_assert(!loads.full(id, At(315)));
+  loads.Started(id, At(320));
+  loads.Accepted(id);
+  cr_assert(!loads.full(id, At(321)));
+}
+
 Test(upstream_loads, latency_is_forgotten_without_work) {
   UpstreamLoads loads;
   const UpstreamId id("u1");
