--- a/test/part_owner_test.cc
+++ b/test/part_owner_test.cc
@@ -235,8 +235,10 @@
     }));
   };
   const auto owner = fixture.Own(1);
+  constexpr int kItems = 60;
   std::vector<std::string> items;
-  for (int i = 0; i < 60; ++i) {
+  items.reserve(kItems);
+  for (int i = 0; i < kItems; ++i) {
     items.push_back("i" + std::to_string(i));
   }
   const base::Timer pump =
