--- a/src/batches/batch_host.h
+++ b/src/batches/batch_host.h
@@ -15,9 +15,8 @@
 
 class BatchHost {
  public:
-  /// @param process name of this process: that of its node, a slash, and what
-  /// no
-  ///     earlier process of the node had
+  /// @param process name of the node, a slash, and what no earlier process of
+  ///     the node had
   /// @param spare runs batches only while no other kind of node does: it has
   ///     too little processor time to keep up with a trainer
   BatchHost(BatchContext& context, const std::string& process, bool spare);
--- a/src/duties/weight_plan.cc
+++ b/src/duties/weight_plan.cc
@@ -121,6 +121,7 @@
       AddLagging(model, share, upstreams, &lagging);
     }
   }
+  // The models worst off come first.
   std::stable_sort(lagging.begin(), lagging.end(),
                    [](const Candidate& a, const Candidate& b) {
                      return std::tie(a.usable, a.fresh, a.named, b.lag) <
