Check in calm soak runs that no item starts after its batch's end

The time in which an item may still start was noted and not judged. In runs with faults a node that stood still may start one late, which is allowed, and the notes do not tell who sent it: judged in calm runs only.

--- a/test/soak/checks.cc
+++ b/test/soak/checks.cc
@@ -139,9 +139,12 @@
 }
 
 void CheckSteps(const std::vector<Step>& steps, const std::string& organisation,
-                const UpstreamNotes& notes, Verdicts* verdicts) {
+                const UpstreamNotes& notes, bool calm, Verdicts* verdicts) {
   for (const Step& step : steps) {
     std::set<std::string> listed;
+    const auto last_start =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            (step.ended_at + kCancelTime).time_since_epoch());
     for (const ReadItem& item : step.results) {
       verdicts->Check("listed once", listed.insert(item.id).second,
                       step.id + " lists " + item.id + " twice");
@@ -158,6 +161,11 @@
       for (const UpstreamNotes::Run& run : runs->second) {
         verdicts->Check("organisation", run.organisation == organisation,
                         id + " ran for \"" + run.organisation + "\"");
+        if (calm && step.ended) {
+          verdicts->Check("ended batches start nothing",
+                          run.at_ms <= last_start.count(),
+                          id + " started after its batch's end");
+        }
         verdicts->Check("no key at an upstream", !run.key_seen,
                         "an upstream got the key of " + id);
       }
--- a/test/soak/checks.h
+++ b/test/soak/checks.h
@@ -51,8 +51,9 @@
 void CheckRequests(const std::vector<Attempt>& attempts,
                    const UpstreamNotes& notes, Verdicts* verdicts);
 /// Texts, versions and runs of a trainer's steps.
+/// @param calm the run had no faults, so that no node may start items late
 void CheckSteps(const std::vector<Step>& steps, const std::string& organisation,
-                const UpstreamNotes& notes, Verdicts* verdicts);
+                const UpstreamNotes& notes, bool calm, Verdicts* verdicts);
 /// Holders and fencing tokens of orders.
 void CheckOrders(const UpstreamNotes& notes, Verdicts* verdicts);
 
--- a/test/soak/soak_run.cc
+++ b/test/soak/soak_run.cc
@@ -125,12 +125,13 @@
     faults_ = DrawFaults(options_.deployment.seed, options_.limits);
     const milliseconds withdrawal = options_.limits.traffic / 2;
     std::size_t next = 0;
+    bool withdrawn = false;
     Wait(options_.limits.traffic, [&, withdrawal] {
       while (next < faults_.size() && faults_[next].at <= elapsed()) {
         deployment_.Strike(faults_[next++]);
       }
-      if (!withdrawn_at_.has_value() && elapsed() >= withdrawal) {
-        withdrawn_at_ = steady_clock::now();
+      if (!withdrawn && elapsed() >= withdrawal) {
+        withdrawn = true;
         deployment_.Put("config", Manifest(3, /*with_withdrawn_key=*/false));
       }
       return false;
@@ -238,8 +239,8 @@
       notes.Read(log);
     }
     CheckRequests(traffic_.attempts(), notes, &verdicts_);
-    CheckSteps(trainer_a_.steps(), "org-a", notes, &verdicts_);
-    CheckSteps(trainer_b_.steps(), "org-b", notes, &verdicts_);
+    CheckSteps(trainer_a_.steps(), "org-a", notes, faults_.empty(), &verdicts_);
+    CheckSteps(trainer_b_.steps(), "org-b", notes, faults_.empty(), &verdicts_);
     CheckOrders(notes, &verdicts_);
     for (const auto* list :
          {&deployment_.violations(), &trainer_a_.violations(),
@@ -304,7 +305,6 @@
   Trainer trainer_b_;
   Verdicts verdicts_;
   std::vector<Fault> faults_;
-  std::optional<steady_clock::time_point> withdrawn_at_;
   steady_clock::time_point began_;
   milliseconds healed_{0};
   json stats_ = json::object();
--- a/test/soak_checks_test.cc
+++ b/test/soak_checks_test.cc
@@ -79,8 +79,10 @@
   Verdicts verdicts;
   CheckSteps({step}, "org-a",
              Notes("{\"event\":\"i\",\"number\":1,\"version\":2}\n"
-                   "{\"event\":\"i\",\"number\":2,\"version\":2}\n"),
-             &verdicts);
+                   "{\"event\":\"i\",\"number\":2,\"version\":2}\n"
+                   "{\"run\":\"i\",\"at_ms\":9000,"
+                   "\"organisation\":\"org-a\"}\n"),
+             /*calm=*/true, &verdicts);
   return verdicts.violations.size();
 }
 
@@ -96,6 +98,16 @@
   cr_assert_eq(StepViolations(twice), 1);
 }
 
+Test(soak_checks, item_that_starts_after_its_batchs_end_is_found) {
+  Step step = OneItemStep("i-1\ni-2", 2);
+  step.ended = true;
+  step.ended_at = std::chrono::system_clock::time_point(
+      std::chrono::milliseconds(9'000) - kCancelTime);
+  cr_assert_eq(StepViolations(step), 0);
+  step.ended_at -= std::chrono::milliseconds(1);
+  cr_assert_eq(StepViolations(step), 1);
+}
+
 Test(soak_checks, two_holders_of_one_token_are_found) {
   Verdicts verdicts;
   CheckOrders(Notes("{\"order\":\"u1\",\"holder\":\"a\",\"fence\":3}\n"
