Reserve the ports that tests use across processes

Cause: FreePort knew only the ports that its own process had given out. Ruled out: outgoing connections (they use ports from 32,768 up); a server left over from an earlier test (no program was still running).

--- a/test/contract/log_contract_test.cc
+++ b/test/contract/log_contract_test.cc
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "fakes/fake_log.h"
-#include "fakes/faulty_server.h"
+#include "fakes/free_port.h"
 #include "fakes/loop_wait.h"
 #include "fakes/memory_log.h"
 #include "log/log_journal.h"
--- a/test/contract/store_client_test.cc
+++ b/test/contract/store_client_test.cc
@@ -8,7 +8,7 @@
 #include <utility>
 #include <vector>
 
-#include "fakes/faulty_server.h"
+#include "fakes/free_port.h"
 #include "fakes/loop_wait.h"
 #include "fakes/platform/fake_platform.h"
 
--- a/test/fakes/entry_node.h
+++ b/test/fakes/entry_node.h
@@ -14,7 +14,7 @@
 #include "dispatch/engine_generator.h"
 #include "dispatch/peer_broker.h"
 #include "entry/gateway.h"
-#include "fakes/faulty_server.h"
+#include "fakes/free_port.h"
 #include "fakes/memory_log.h"
 #include "fakes/memory_seams.h"
 #include "fakes/memory_transport.h"
--- a/test/fakes/faulty_server.cc
+++ b/test/fakes/faulty_server.cc
@@ -1,11 +1,5 @@
 #include "fakes/faulty_server.h"
 
-#include <arpa/inet.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
-#include <random>
-#include <set>
 #include <utility>
 
 #include "base/json.h"
@@ -161,28 +155,4 @@
   }
 }
 
-// Ports below those that the system gives to outgoing connections, which would
-// otherwise take a port between its choice and its use.
-std::uint16_t FreePort() {
-  constexpr std::uint16_t kLowest = 10'000;
-  constexpr std::uint16_t kHighest = 32'000;
-  static std::mt19937 random(std::random_device{}());
-  static std::set<std::uint16_t> given;
-  std::uniform_int_distribution<std::uint16_t> ports(kLowest, kHighest);
-  while (true) {
-    const std::uint16_t port = ports(random);
-    const int handle = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    const int bound =
-        bind(handle, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-    close(handle);
-    if (bound == 0 && given.insert(port).second) {
-      return port;
-    }
-  }
-}
-
 }  // namespace mulberryroad::fakes
--- a/test/fakes/faulty_server.h
+++ b/test/fakes/faulty_server.h
@@ -81,9 +81,6 @@
   std::list<base::Timer> delayed_;
 };
 
-/// Finds a free TCP port of the loopback address.
-std::uint16_t FreePort();
-
 }  // namespace mulberryroad::fakes
 
 #endif  // MULBERRYROAD_TEST_FAKES_FAULTY_SERVER_H_
--- a/test/grpc_transport_test.cc
+++ b/test/grpc_transport_test.cc
@@ -2,13 +2,12 @@
 
 #include "peer/grpc_transport.h"
 
-#include <arpa/inet.h>
 #include <criterion/criterion.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <vector>
 
+#include "fakes/free_port.h"
+
 namespace mulberryroad::peer {
 namespace {
 
@@ -16,18 +15,7 @@
 
 constexpr milliseconds kTimeout{2'000};
 
-Endpoint FreeEndpoint() {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  cr_assert_eq(bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)),
-               0);
-  socklen_t length = sizeof(address);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
-  close(fd);
-  return {"127.0.0.1", ntohs(address.sin_port)};
-}
+Endpoint FreeEndpoint() { return {"127.0.0.1", fakes::FreePort()}; }
 
 /// Two nodes on one loop.
 struct Pair {
--- a/test/http_server_test.cc
+++ b/test/http_server_test.cc
@@ -10,7 +10,7 @@
 #include <string>
 
 #include "base/event_loop.h"
-#include "fakes/faulty_server.h"
+#include "fakes/free_port.h"
 #include "http/server.h"
 
 using mulberryroad::Endpoint;
--- a/test/process/cluster.cc
+++ b/test/process/cluster.cc
@@ -6,7 +6,7 @@
 #include <sstream>
 #include <utility>
 
-#include "fakes/faulty_server.h"
+#include "fakes/free_port.h"
 #include "mulberryroad/platform.pb.h"
 
 namespace mulberryroad::process {
--- a/test/reach_test.cc
+++ b/test/reach_test.cc
@@ -2,7 +2,7 @@
 
 #include <criterion/criterion.h>
 
-#include "fakes/faulty_server.h"
+#include "fakes/free_port.h"
 #include "fakes/loop_wait.h"
 #include "node/peer_view.h"
 
--- a/test/soak/deployment.cc
+++ b/test/soak/deployment.cc
@@ -6,7 +6,7 @@
 #include <random>
 #include <utility>
 
-#include "fakes/faulty_server.h"
+#include "fakes/free_port.h"
 
 namespace mulberryroad::soak {
 
--- a/test/store_relay_test.cc
+++ b/test/store_relay_test.cc
@@ -6,7 +6,7 @@
 
 #include <optional>
 
-#include "fakes/faulty_server.h"
+#include "fakes/free_port.h"
 #include "fakes/loop_wait.h"
 #include "fakes/platform/fake_platform.h"
 #include "platform/store_client.h"
