Take upstreams that fail out of use, and back after trials

Cause: one failure made an upstream the last choice for 2 s, and any answer made it good again. (1) An answer with status 500 counted as work done, and done fast: an upstream that failed in 1 ms looked 25 times as fast as the others and drew all requests. (2) Items of a step were placed on an upstream that cut each run as soon as the sound ones were full, 17 times a second and place, instead of waiting for a sound place. (3) What an upstream had done before a restart under the same id was held against the new process. Now UpstreamHealth judges by failures in a row (3) and by the share of recent requests (30% of 8 or more); ejections last 2, 4, 8 s, three trials one at a time end them, and at most half of a service is out of use.

--- a/src/batches/item_run.cc
+++ b/src/batches/item_run.cc
@@ -89,6 +89,7 @@
   serving::CallOptions options;
   options.deadline = duration_cast<milliseconds>(deadline_ - clock_.now());
   options.version = expected_version;
+  version_bound_ = expected_version != 0;
   if (progress_.last_event > 0) {
     options.resume_after = std::to_string(progress_.last_event);
   }
@@ -143,7 +144,9 @@
     return;
   }
   const Instant now = clock_.now();
-  if (last_event_at_.has_value()) {
+  if (!last_event_at_.has_value()) {
+    loads_.health().Served(upstream_, now);
+  } else {
     loads_.Worked(upstream_, duration_cast<microseconds>(now - *last_event_at_),
                   now);
   }
@@ -155,7 +158,7 @@
   if (ended_) {
     return;
   }
-  loads_.Failed(upstream_, clock_.now());
+  loads_.health().Failed(upstream_, clock_.now());
   call_->Cancel();
   End(RunInterrupted{});
 }
@@ -165,23 +168,27 @@
     return;
   }
   if (const auto* refused = std::get_if<serving::NotRun>(&outcome)) {
-    if (refused->full) {
+    // One that changed its version meanwhile refuses in the same words as one
+    // that took over another's address.
+    if (refused->full || version_bound_) {
       loads_.Refused(upstream_, clock_.now());
     } else {
-      loads_.Failed(upstream_, clock_.now());
+      loads_.health().Failed(upstream_, clock_.now());
     }
     End(RunRefused{});
     return;
   }
   const auto* whole = std::get_if<serving::Whole>(&outcome);
   if (whole == nullptr) {
-    loads_.Failed(upstream_, clock_.now());
+    loads_.health().Failed(upstream_, clock_.now());
     End(RunInterrupted{});
   } else if (whole->status == kOk) {
+    loads_.health().Completed(upstream_, clock_.now());
     End(RunCompleted{});
   } else if (whole->status == kUnprocessable) {
     End(RunImpossible{});
   } else if (whole->status == kServerError) {
+    loads_.health().Failed(upstream_, clock_.now());
     End(RunFailed{});
   } else {
     End(RunInterrupted{});
--- a/src/batches/item_run.h
+++ b/src/batches/item_run.h
@@ -98,6 +98,8 @@
   std::shared_ptr<http::Call> call_;
   Instant started_{};
   std::optional<Instant> last_event_at_;
+  /// The upstream was to refuse under any other version.
+  bool version_bound_ = false;
   bool ended_ = false;
   base::Timer silence_timer_;
 };
--- a/src/batches/part_owner.cc
+++ b/src/batches/part_owner.cc
@@ -265,19 +265,20 @@
 
 std::vector<const serving::Registration*> PartOwner::UsableUpstreams(
     const BatchInfo& batch, const TargetId& service) const {
-  std::vector<const serving::Registration*> usable;
   const Instant now = context_.clock.now();
-  for (const serving::Registration* upstream :
-       context_.directory.Ready(service)) {
+  std::vector<const serving::Registration*> usable =
+      context_.directory.Ready(service);
+  std::erase_if(usable, [&batch](const serving::Registration* upstream) {
     const auto version = upstream->versions.find(batch.model);
-    const bool fresh = version != upstream->versions.end() &&
-                       version->second >= batch.min_version;
-    const bool room = context_.loads.running(upstream->id) < upstream->slots &&
-                      !context_.loads.full(upstream->id, now);
-    if (fresh && room) {
-      usable.push_back(upstream);
-    }
-  }
+    return version == upstream->versions.end() ||
+           version->second < batch.min_version;
+  });
+  // An item does better to wait for a place than to go where runs fail.
+  usable = serving::InUse(usable, context_.loads, now);
+  std::erase_if(usable, [this, now](const serving::Registration* upstream) {
+    return context_.loads.running(upstream->id) >= upstream->slots ||
+           context_.loads.full(upstream->id, now);
+  });
   return usable;
 }
 
@@ -344,7 +345,8 @@
   }
   for (const serving::Registration* upstream :
        UsableUpstreams(*batch, any->service)) {
-    if (!context_.loads.avoided(upstream->id, now)) {
+    if (context_.loads.health().standing(upstream->id, now) ==
+        serving::Standing::kSound) {
       free.push_back({upstream->id, context_.loads.latency(upstream->id, now),
                       upstream->slots - context_.loads.running(upstream->id)});
     }
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -101,12 +101,14 @@
   void TakeOperatorRecord(const platform::KeyedRecord& record);
   void TakeRegistration(const platform::KeyedRecord& record);
   void TakeRegistrations(const std::vector<platform::KeyedRecord>& records);
+  bool ForgetIfRestarted(const serving::Registration& registration);
   std::optional<std::string> Refusal() const;
   bool store_unstable() const;
   bool store_silent() const;
   bool ready() const;
   base::DrainSteps StepsToStop();
   void CountUsage(const OrganisationId& organisation);
+  void WatchHealth(serving::UpstreamLoads& loads, const std::string& work);
   void RegisterReadiness();
   enum class ReloadCause { kSignal, kTimer };
   void Reload(ReloadCause cause);
@@ -290,6 +292,7 @@
   for (const platform::KeyedRecord& record : records) {
     if (auto registration = platform_adapter::DecodeRegistration(
             record.key, record.value.value_or(""))) {
+      ForgetIfRestarted(*registration);
       all.push_back(*std::move(registration));
     }
   }
@@ -299,6 +302,17 @@
   registrations_known_ = true;
 }
 
+// What the process before did at this node says nothing of the new one.
+bool Node::Parts::ForgetIfRestarted(const serving::Registration& registration) {
+  const serving::Registration* known = directory_.find(registration.id);
+  if (known == nullptr || known->started == registration.started) {
+    return false;
+  }
+  request_loads_.Forget(registration.id);
+  item_loads_.Forget(registration.id);
+  return true;
+}
+
 store::TailHandler Node::Parts::RegistrationHandler() {
   store::TailHandler handler;
   handler.on_contact = [this](Instant sent) { peers_.OnStore(sent); };
@@ -330,8 +344,8 @@
     return;
   }
   const serving::Registration* known = directory_.find(id);
-  if (known == nullptr || known->draining != registration->draining ||
-      known->started != registration->started) {
+  if (ForgetIfRestarted(*registration) || known == nullptr ||
+      known->draining != registration->draining) {
     log_.Write("upstream", {{"upstream", id.value()},
                             {"service", registration->service.value()},
                             {"draining", registration->draining}});
@@ -339,6 +353,24 @@
   directory_.Put(*std::move(registration));
 }
 
+void Node::Parts::WatchHealth(serving::UpstreamLoads& loads,
+                              const std::string& work) {
+  loads.health().on_ejected().connect(
+      [this, work](const serving::Ejection& ejection) {
+        metrics_.Count("upstream_ejections_total", {{"work", work}});
+        log_.Write("upstream.ejected",
+                   {{"upstream", ejection.upstream.value()},
+                    {"work", work},
+                    {"failures_in_a_row",
+                     static_cast<std::int64_t>(ejection.failures_in_a_row)},
+                    {"failure_share", ejection.failure_share},
+                    {"time_ms", ejection.time.count()}});
+      });
+  loads.health().on_returned().connect([this, work](const UpstreamId& id) {
+    log_.Write("upstream.returned", {{"upstream", id.value()}, {"work", work}});
+  });
+}
+
 void Node::Parts::CountUsage(const OrganisationId& organisation) {
   usage_counts_.Count(organisation, clock_.wall_now());
 }
@@ -400,6 +432,8 @@
 }
 
 bool Node::Parts::Start(std::string* reason) {
+  WatchHealth(request_loads_, "requests");
+  WatchHealth(item_loads_, "items");
   RegisterReadiness();
   ingress_.Register(callers_);
   if (!callers_.Listen(settings_.callers)) {
--- a/src/serving/request_session.cc
+++ b/src/serving/request_session.cc
@@ -11,6 +11,7 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
+constexpr int kFirstServerError = 500;
 constexpr int kBadGateway = 502;
 constexpr int kServiceUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
@@ -130,7 +131,7 @@
   hedge_timer_ = context_.loop.After(delay, [this] {
     if (!finished_ && policy_.may_hedge() && Choose() != nullptr) {
       for (const auto& [number, attempt] : tries_) {
-        context_.loads.Failed(attempt.upstream, context_.clock.now());
+        context_.loads.health().Late(attempt.upstream, context_.clock.now());
       }
       context_.metrics.Count("request_hedges_total", {});
       SendNext();
@@ -140,21 +141,26 @@
 
 void RequestSession::Record(const Try& ended, const UpstreamOutcome& outcome) {
   const Instant now = context_.clock.now();
-  context_.loads.Ended(ended.upstream);
-  if (std::holds_alternative<Whole>(outcome)) {
-    context_.loads.Accepted(ended.upstream);
-  }
-  if (const auto* refused = std::get_if<NotRun>(&outcome)) {
-    if (refused->full) {
-      context_.loads.Refused(ended.upstream, now);
-    } else {
-      context_.loads.Failed(ended.upstream, now);
+  UpstreamLoads& loads = context_.loads;
+  loads.Ended(ended.upstream);
+  if (const auto* whole = std::get_if<Whole>(&outcome)) {
+    loads.Accepted(ended.upstream);
+    if (whole->status < kFirstServerError) {
+      if (!streaming()) {
+        loads.health().Served(ended.upstream, now);
+        loads.Worked(ended.upstream,
+                     duration_cast<microseconds>(now - ended.sent), now);
+      }
+      loads.health().Completed(ended.upstream, now);
+    } else if (whole->status != kGatewayTimeout) {
+      // That its time ran out says more of the request than of the upstream.
+      loads.health().Failed(ended.upstream, now);
     }
-  } else if (std::holds_alternative<MayHaveRun>(outcome)) {
-    context_.loads.Failed(ended.upstream, now);
-  } else if (!streaming()) {
-    context_.loads.Worked(ended.upstream,
-                          duration_cast<microseconds>(now - ended.sent), now);
+  } else if (const auto* refused = std::get_if<NotRun>(&outcome);
+             refused != nullptr && refused->full) {
+    loads.Refused(ended.upstream, now);
+  } else {
+    loads.health().Failed(ended.upstream, now);
   }
   const bool ran = !std::holds_alternative<NotRun>(outcome);
   if (ran && !std::exchange(counted_, true)) {
@@ -208,6 +214,8 @@
     return;
   }
   streaming_try_ = number;
+  context_.loads.health().Served(tries_.at(number).upstream,
+                                 context_.clock.now());
   if (!std::exchange(stream_started_, true)) {
     // A resumed stream keeps the headers of its first upstream.
     exchange_->StartStream(start.status, start.headers);
--- a/src/serving/upstreams.cc
+++ b/src/serving/upstreams.cc
@@ -19,9 +19,11 @@
 // A request to another failure domain counts as this share of a slot more, so
 // that a nearer upstream is taken unless it is busier.
 constexpr double kRemoteCost = 0.15;
-// An upstream that failed is taken only if no other is left.
-constexpr double kAvoidCost = 1'000.0;
+// A full upstream is taken before one that is suspect, and that before one that
+// is out of use: each cost outweighs all of the kinds before it.
 constexpr double kFullCost = 100.0;
+constexpr double kSuspectCost = 1'000.0;
+constexpr double kOutOfUseCost = 10'000.0;
 // Breaks ties without outweighing a slot.
 constexpr double kTieCost = 0.05;
 
@@ -93,11 +95,13 @@
 void UpstreamLoads::Ended(const UpstreamId& id) {
   Load& load = loads_[id];
   load.running -= std::min<std::uint32_t>(load.running, 1);
+  health_.Ended(id);
 }
 
 void UpstreamLoads::Started(const UpstreamId& id, Instant now) {
   Load& load = loads_[id];
   ++load.running;
+  health_.Started(id, now);
   if (load.refusals > 0) {
     load.probing = true;
     load.full_until = std::max(load.full_until, now + kFullTime);
@@ -120,8 +124,12 @@
   load.full_until = {};
 }
 
-void UpstreamLoads::Failed(const UpstreamId& id, Instant now) {
-  loads_[id].failed = now;
+void UpstreamLoads::Forget(const UpstreamId& id) {
+  Load& load = loads_[id];
+  const std::uint32_t running = load.running;
+  load = Load{};
+  load.running = running;
+  health_.Forget(id);
 }
 
 void UpstreamLoads::Worked(const UpstreamId& id,
@@ -133,7 +141,6 @@
   load.latency_us = load.latency_us.has_value() && recent
                         ? std::lerp(*load.latency_us, newest, kLatencyWeight)
                         : newest;
-  load.failed.reset();
 }
 
 std::uint32_t UpstreamLoads::running(const UpstreamId& id) const {
@@ -141,12 +148,6 @@
   return found == loads_.end() ? 0 : found->second.running;
 }
 
-bool UpstreamLoads::avoided(const UpstreamId& id, Instant now) const {
-  const auto found = loads_.find(id);
-  return found != loads_.end() && found->second.failed.has_value() &&
-         now < *found->second.failed + kAvoidTime;
-}
-
 bool UpstreamLoads::full(const UpstreamId& id, Instant now) const {
   const auto found = loads_.find(id);
   return found != loads_.end() && now < found->second.full_until;
@@ -162,10 +163,36 @@
   return std::chrono::microseconds(std::llround(*found->second.latency_us));
 }
 
+namespace {
+
+std::set<UpstreamId> OutOfUse(const std::vector<const Registration*>& service,
+                              const UpstreamLoads& loads, Instant now) {
+  std::vector<UpstreamId> ids;
+  ids.reserve(service.size());
+  for (const Registration* upstream : service) {
+    ids.push_back(upstream->id);
+  }
+  return loads.health().OutOfUse(ids, now);
+}
+
+}  // namespace
+
+std::vector<const Registration*> InUse(
+    const std::vector<const Registration*>& service, const UpstreamLoads& loads,
+    Instant now) {
+  const std::set<UpstreamId> out = OutOfUse(service, loads, now);
+  std::vector<const Registration*> in_use = service;
+  std::erase_if(in_use, [&out](const Registration* upstream) {
+    return out.contains(upstream->id);
+  });
+  return in_use;
+}
+
 const Registration* ChooseUpstream(
     const std::vector<const Registration*>& ready, const UpstreamLoads& loads,
     const std::set<UpstreamId>& tried, const FailureDomainId& own_domain,
     Instant now, double draw) {
+  const std::set<UpstreamId> out = OutOfUse(ready, loads, now);
   // A latency far over that of the fastest marks a slow upstream.
   double fastest = std::numeric_limits<double>::max();
   for (const Registration* upstream : ready) {
@@ -191,7 +218,12 @@
           1.0, static_cast<double>(latency->count()) / std::max(1.0, fastest));
     }
     cost += upstream->failure_domain == own_domain ? 0 : kRemoteCost;
-    cost += loads.avoided(upstream->id, now) ? kAvoidCost : 0;
+    const Standing standing = loads.health().standing(upstream->id, now);
+    // Ejected ones that are in use all the same are no better than suspect.
+    const bool suspect =
+        standing == Standing::kSuspect || standing == Standing::kEjected;
+    cost += suspect ? kSuspectCost : 0;
+    cost += out.contains(upstream->id) ? kOutOfUseCost : 0;
     cost += loads.full(upstream->id, now) ? kFullCost : 0;
     cost += turn * kTieCost;
     if (cost < best_cost) {
--- a/src/serving/upstreams.h
+++ b/src/serving/upstreams.h
@@ -15,6 +15,7 @@
 #include "mulberryroad/clock.h"
 #include "mulberryroad/endpoint.h"
 #include "mulberryroad/ids.h"
+#include "serving/upstream_health.h"
 
 namespace mulberryroad::serving {
 
@@ -40,10 +41,6 @@
 /// are still used: live upstreams register again within about two seconds of
 /// its return.
 inline constexpr std::chrono::milliseconds kLapseGrace{1'500};
-/// An upstream that failed to answer is used last for this long. Long enough
-/// for several requests to go elsewhere, short against a restart.
-inline constexpr std::chrono::milliseconds kAvoidTime{2'000};
-
 /// A latency is forgotten after this time without work, so that an upstream
 /// that was slow is tried again.
 inline constexpr std::chrono::milliseconds kLatencyAge{4'000};
@@ -82,22 +79,25 @@
   /// It refused a request as full. It is taken to be full for some time, which
   /// doubles with each refusal in a row, and then gets one request to see.
   void Refused(const UpstreamId& id, Instant now);
-  /// It began to run a request.
+  /// It took a request, whatever became of it.
   void Accepted(const UpstreamId& id);
-  /// It failed, or did not answer in time.
-  void Failed(const UpstreamId& id, Instant now);
   /// It did a unit of work, such as a request or an event, in this time.
   void Worked(const UpstreamId& id, std::chrono::microseconds latency,
               Instant now);
 
+  /// It started anew: nothing of the past counts but what still runs there.
+  void Forget(const UpstreamId& id);
+
   std::uint32_t running(const UpstreamId& id) const;
-  bool avoided(const UpstreamId& id, Instant now) const;
   /// True for some time after a refusal, and while a request is under way that
   /// was sent there to see.
   bool full(const UpstreamId& id, Instant now) const;
   /// Smoothed time of a unit of work; nullopt if there was none lately.
   std::optional<std::chrono::microseconds> latency(const UpstreamId& id,
                                                    Instant now) const;
+  /// What its answers say of it.
+  UpstreamHealth& health() { return health_; }
+  const UpstreamHealth& health() const { return health_; }
 
  private:
   struct Load {
@@ -107,17 +107,24 @@
     std::uint32_t refusals = 0;
     bool probing = false;
     Instant full_until{};
-    std::optional<Instant> failed;
     std::optional<double> latency_us;
     Instant worked{};
   };
 
   std::map<UpstreamId, Load> loads_;
+  UpstreamHealth health_;
 };
 
+/// Returns the upstreams of a service that get work now: all but those that
+/// their health keeps out of use.
+std::vector<const Registration*> InUse(
+    const std::vector<const Registration*>& service, const UpstreamLoads& loads,
+    Instant now);
+
 /// Chooses the upstream for a request: of those that did not fail lately the
 /// one with the lowest share of its slots in use, weighted by its latency, in
-/// this failure domain if all else is equal.
+/// this failure domain if all else is equal. One that is out of use is chosen
+/// only if no other is left.
 /// @param tried upstreams that must not be used again
 /// @param draw a random number from 0 to 1 that decides between equals
 /// @return null if none is left
--- a/test/fakes/fake_ordering.cc
+++ b/test/fakes/fake_ordering.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/json.h"
+#include "fakes/free_port.h"
 
 namespace mulberryroad::fakes {
 
--- a/test/part_owner_test.cc
+++ b/test/part_owner_test.cc
@@ -250,6 +250,39 @@
   owner->Stop();
 }
 
+// One of two upstreams cuts each run; the other has places for four items at a
+// time, so that most of a step waits.
+Test(part_owner, items_wait_for_a_sound_upstream_rather_than_go_to_a_bad_one) {
+  Fixture fixture;
+  std::list<base::Timer> work;
+  int cuts = 0;
+  fixture.upstreams.script = [&](ReceivedRequest& received) {
+    if (received.upstream.value() == "u1") {
+      ++cuts;
+      received.done(serving::MayHaveRun{"cut"});
+      return;
+    }
+    work.push_back(fixture.loop.After(milliseconds(40), [&received] {
+      FakeUpstreams::SendEvents(received, 3, 5);
+      received.done(serving::Whole{200, {}, {}});
+    }));
+  };
+  const auto owner = fixture.Own(1);
+  constexpr int kItems = 60;
+  std::vector<std::string> items;
+  items.reserve(kItems);
+  for (int i = 0; i < kItems; ++i) {
+    items.push_back("i" + std::to_string(i));
+  }
+  const base::Timer pump =
+      fixture.loop.Every(milliseconds(20), [&owner] { owner->Pump(); });
+  fixture.Submit("b1", items, 5);
+  cr_assert(fixture.WaitForResults("b1", items.size()));
+  // The first four runs show it.
+  cr_assert_leq(cuts, 4, "%d runs were cut", cuts);
+  owner->Stop();
+}
+
 Test(part_owner, successor_lists_only_what_is_missing) {
   Fixture fixture;
   fixture.upstreams.script = [](ReceivedRequest& received) {
--- /dev/null
+++ b/test/request_session_test.cc
@@ -0,0 +1,115 @@
+// Sessions of callers' requests against upstreams that misbehave.
+
+#include "serving/request_session.h"
+
+#include <criterion/criterion.h>
+
+#include <list>
+
+#include "fakes/fake_upstreams.h"
+#include "fakes/free_port.h"
+#include "fakes/loop_wait.h"
+
+namespace mulberryroad::serving {
+namespace {
+
+using fakes::FakeUpstreams;
+using fakes::ReceivedRequest;
+using std::chrono::milliseconds;
+
+constexpr int kOk = 200;
+constexpr int kServerError = 500;
+
+/// A server that makes a session of each request, and a client to call it.
+struct Fixture {
+  base::EventLoop loop;
+  SystemClock clock;
+  base::StructuredLog log{clock, NodeId("node-1")};
+  base::Metrics metrics;
+  Catalog catalog;
+  UpstreamDirectory directory;
+  UpstreamLoads loads;
+  FakeUpstreams upstreams{loop};
+  std::mt19937_64 random{1};
+  ServingContext context{
+      loop,
+      clock,
+      log,
+      metrics,
+      catalog,
+      directory,
+      loads,
+      upstreams,
+      FailureDomainId("d1"),
+      random,
+      [](const OrganisationId&) {},
+      [](milliseconds retry) {
+        return http::Header{"Retry-After", std::to_string(retry.count())};
+      }};
+  Endpoint address{"127.0.0.1", fakes::FreePort()};
+  http::Server server{loop, {}};
+  http::Client client{loop};
+  RouteKind kind = RouteKind::kNonIdempotent;
+  std::list<base::Timer> work;
+
+  Fixture() {
+    server.Fallback([this](const std::shared_ptr<http::Exchange>& exchange) {
+      SessionRequest request;
+      request.service = TargetId("desk");
+      request.kind = kind;
+      request.max_attempts = 3;
+      request.deadline = clock.now() + milliseconds(2'000);
+      request.target_latency = milliseconds(1'000);
+      std::make_shared<RequestSession>(context, exchange, std::move(request))
+          ->Start();
+    });
+    cr_assert(server.Listen(address));
+  }
+
+  /// Sends a request and waits for its answer.
+  /// @return the status
+  int Ask() {
+    std::optional<http::Result> result;
+    http::ClientRequest request;
+    request.endpoint = address;
+    request.method = http::Method::kPost;
+    request.path = "/report";
+    client.Send(std::move(request),
+                [&result](http::Result done) { result = std::move(done); });
+    cr_assert(fakes::RunUntil(loop, [&result] { return result.has_value(); }));
+    return std::get<http::Response>(*result).status;
+  }
+
+  /// Answers after a time, as an upstream that works does.
+  void AnswerLater(ReceivedRequest& received, milliseconds time) {
+    work.push_back(loop.After(time, [&received] {
+      received.done(Whole{kOk, {}, "done"});
+    }));
+  }
+};
+
+// The upstream in the callers' own failure domain answers 500 at once, the
+// others work for 5 ms.
+Test(request_session, upstream_that_fails_fast_draws_no_requests) {
+  Fixture fixture;
+  fixture.directory.Put(fakes::MakeUpstream("grey", "desk", "d1"));
+  fixture.directory.Put(fakes::MakeUpstream("sound-1", "desk", "d2"));
+  fixture.directory.Put(fakes::MakeUpstream("sound-2", "desk", "d3"));
+  fixture.upstreams.script = [&fixture](ReceivedRequest& received) {
+    if (received.upstream == UpstreamId("grey")) {
+      received.done(Whole{kServerError, {}, "broken"});
+    } else {
+      fixture.AnswerLater(received, milliseconds(5));
+    }
+  };
+  constexpr int kRequests = 60;
+  int failed = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    failed += fixture.Ask() == kServerError ? 1 : 0;
+  }
+  // Those that show that it fails; the test ends before it is tried again.
+  cr_assert_leq(failed, 3, "%d of %d callers got a failure", failed, kRequests);
+}
+
+}  // namespace
+}  // namespace mulberryroad::serving
--- a/test/serving_test.cc
+++ b/test/serving_test.cc
@@ -116,7 +116,7 @@
   loads.Started(near.id, At(0));
   cr_assert_str_eq(choose({}, 0).c_str(), "u2");
   loads.Ended(near.id);
-  loads.Failed(near.id, At(0));
+  loads.health().Failed(near.id, At(0));
   cr_assert_str_eq(choose({}, 100).c_str(), "u2");
   cr_assert_str_eq(choose({}, 2'000).c_str(), "u1");
   cr_assert(choose({near.id, far.id}, 0).empty());
--- /dev/null
+++ b/test/upstream_health_test.cc
@@ -0,0 +1,241 @@
+// Which upstreams are taken out of use, and when they come back.
+
+#include "serving/upstream_health.h"
+
+#include <criterion/criterion.h>
+
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "fakes/fake_upstreams.h"
+#include "serving/upstreams.h"
+
+namespace mulberryroad::serving {
+namespace {
+
+using std::chrono::milliseconds;
+
+Instant At(int millis) { return Instant{} + milliseconds(millis); }
+
+const UpstreamId kUpstream("u");
+
+void Fail(UpstreamHealth* health, int times, Instant now) {
+  for (int i = 0; i < times; ++i) {
+    health->Started(kUpstream, now);
+    health->Failed(kUpstream, now);
+    health->Ended(kUpstream);
+  }
+}
+
+void Serve(UpstreamHealth* health, Instant now) {
+  health->Started(kUpstream, now);
+  health->Served(kUpstream, now);
+  health->Completed(kUpstream, now);
+  health->Ended(kUpstream);
+}
+
+Test(upstream_health, failures_in_a_row_eject_and_trials_bring_back) {
+  UpstreamHealth health;
+  Fail(&health, 2, At(0));
+  cr_assert_eq(health.standing(kUpstream, At(0)), Standing::kSuspect);
+  Fail(&health, 1, At(0));
+  cr_assert_eq(health.standing(kUpstream, At(1'999)), Standing::kEjected);
+  cr_assert_eq(health.standing(kUpstream, At(2'000)), Standing::kTrial);
+  health.Started(kUpstream, At(2'000));
+  cr_assert_eq(health.standing(kUpstream, At(2'010)), Standing::kEjected,
+               "one request at a time");
+  health.Served(kUpstream, At(2'020));
+  health.Ended(kUpstream);
+  Serve(&health, At(2'030));
+  cr_assert_eq(health.standing(kUpstream, At(2'040)), Standing::kTrial);
+  Serve(&health, At(2'040));
+  cr_assert_eq(health.standing(kUpstream, At(2'050)), Standing::kSound);
+}
+
+Test(upstream_health, ejections_grow_while_trials_fail) {
+  UpstreamHealth health;
+  std::vector<std::int64_t> times;
+  health.on_ejected().connect([&times](const Ejection& ejection) {
+    times.push_back(ejection.time.count());
+  });
+  Fail(&health, 3, At(0));
+  Fail(&health, 1, At(2'000));
+  Fail(&health, 1, At(6'000));
+  Fail(&health, 1, At(14'000));
+  const std::vector<std::int64_t> expected = {2'000, 4'000, 8'000, 8'000};
+  cr_assert(times == expected);
+}
+
+Test(upstream_health, one_that_stayed_sound_starts_over) {
+  UpstreamHealth health;
+  std::int64_t last = 0;
+  health.on_ejected().connect(
+      [&last](const Ejection& ejection) { last = ejection.time.count(); });
+  Fail(&health, 3, At(0));
+  for (int i = 0; i < UpstreamHealth::kTrials; ++i) {
+    Serve(&health, At(2'000));
+  }
+  Fail(&health, 3, At(11'999));
+  cr_assert_eq(last, 4'000, "within its probation");
+  for (int i = 0; i < UpstreamHealth::kTrials; ++i) {
+    Serve(&health, At(20'000));
+  }
+  Fail(&health, 3, At(30'000));
+  cr_assert_eq(last, 2'000);
+}
+
+Test(upstream_health, answers_to_earlier_requests_end_no_ejection) {
+  UpstreamHealth health;
+  Fail(&health, 3, At(0));
+  for (int i = 0; i < 5; ++i) {
+    health.Served(kUpstream, At(100));
+  }
+  cr_assert_eq(health.standing(kUpstream, At(100)), Standing::kEjected);
+  cr_assert_eq(health.standing(kUpstream, At(2'000)), Standing::kTrial);
+}
+
+Test(upstream_health, lateness_makes_suspect_until_it_serves) {
+  UpstreamHealth health;
+  health.Late(kUpstream, At(0));
+  cr_assert_eq(health.standing(kUpstream, At(1'999)), Standing::kSuspect);
+  cr_assert_eq(health.standing(kUpstream, At(2'000)), Standing::kSound);
+  health.Late(kUpstream, At(3'000));
+  health.Served(kUpstream, At(3'010));
+  cr_assert_eq(health.standing(kUpstream, At(3'010)), Standing::kSound);
+}
+
+Test(upstream_health, restart_clears_the_past) {
+  UpstreamHealth health;
+  Fail(&health, 3, At(0));
+  health.Forget(kUpstream);
+  cr_assert_eq(health.standing(kUpstream, At(0)), Standing::kSound);
+}
+
+Test(upstream_health, at_most_half_are_out_of_use_the_worst_first) {
+  UpstreamHealth health;
+  const std::vector<UpstreamId> service = {UpstreamId("a"), UpstreamId("b"),
+                                           UpstreamId("c")};
+  for (const UpstreamId& id : service) {
+    // All fail alike in the end; c did some work before.
+    for (int i = 0; i < 5 && id.value() == "c"; ++i) {
+      health.Completed(id, At(0));
+    }
+    for (int i = 0; i < UpstreamHealth::kFailuresInARow; ++i) {
+      health.Failed(id, At(0));
+    }
+  }
+  const std::set<UpstreamId> out = health.OutOfUse(service, At(10));
+  cr_assert_eq(out.size(), 1);
+  cr_assert(!out.contains(UpstreamId("c")));
+  cr_assert(health.OutOfUse({UpstreamId("a")}, At(10)).empty(),
+            "the only one stays in use");
+}
+
+// 3% of the answers are lost, the most on the known deployments; 20 requests a
+// second for 500 s.
+Test(upstream_health, few_lost_answers_rarely_eject) {
+  UpstreamHealth health;
+  std::mt19937_64 random{7};
+  std::bernoulli_distribution lost(0.03);
+  int ejections = 0;
+  health.on_ejected().connect([&ejections](const Ejection&) { ++ejections; });
+  constexpr int kRequests = 10'000;
+  for (int i = 0; i < kRequests; ++i) {
+    if (lost(random)) {
+      Fail(&health, 1, At(i * 50));
+    } else {
+      Serve(&health, At(i * 50));
+    }
+  }
+  cr_assert_leq(ejections, kRequests / 700, "%d ejections", ejections);
+}
+
+/// What one node's callers get while some upstreams misbehave.
+struct Played {
+  int requests = 0;
+  /// First tries that failed.
+  int failed = 0;
+};
+
+/// Plays 100 requests a second for 30 s on 45 upstreams.
+/// @param fails whether an upstream fails a request at a time
+Played Play(
+    const std::function<bool(std::size_t upstream, Instant now)>& fails) {
+  constexpr std::size_t kUpstreams = 45;
+  constexpr milliseconds kWork{25};
+  constexpr milliseconds kFailure{1};
+  std::vector<Registration> upstreams;
+  for (std::size_t i = 0; i < kUpstreams; ++i) {
+    upstreams.push_back(fakes::MakeUpstream("u" + std::to_string(i), "s",
+                                            "d" + std::to_string(i % 5)));
+  }
+  std::vector<const Registration*> ready;
+  ready.reserve(upstreams.size());
+  for (const Registration& upstream : upstreams) {
+    ready.push_back(&upstream);
+  }
+  UpstreamLoads loads;
+  std::mt19937_64 random{3};
+  std::uniform_real_distribution<double> draw(0.0, 1.0);
+  struct Ending {
+    std::size_t upstream;
+    bool failed;
+    milliseconds took;
+  };
+  std::multimap<Instant, Ending> endings;
+  Played played;
+  for (Instant now = At(0); now < At(30'000); now += milliseconds(10)) {
+    for (; !endings.empty() && endings.begin()->first <= now;
+         endings.erase(endings.begin())) {
+      const auto& [at, ending] = *endings.begin();
+      const UpstreamId& id = upstreams[ending.upstream].id;
+      loads.Ended(id);
+      if (ending.failed) {
+        loads.health().Failed(id, at);
+      } else {
+        loads.health().Served(id, at);
+        loads.health().Completed(id, at);
+        loads.Worked(id, ending.took, at);
+      }
+    }
+    const Registration* chosen = ChooseUpstream(
+        ready, loads, {}, FailureDomainId("d0"), now, draw(random));
+    const auto index = static_cast<std::size_t>(chosen - upstreams.data());
+    const bool failed = fails(index, now);
+    loads.Started(chosen->id, now);
+    const milliseconds took = failed ? kFailure : kWork;
+    endings.emplace(now + took, Ending{index, failed, took});
+    ++played.requests;
+    played.failed += failed ? 1 : 0;
+  }
+  return played;
+}
+
+// Every sixth upstream fails 40% of its requests; spread evenly, 7.1% of all
+// would fail.
+Test(upstream_health, lame_upstreams_cost_a_third_of_an_even_spread) {
+  std::mt19937_64 random{5};
+  std::bernoulli_distribution fails(0.4);
+  const Played played = Play([&](std::size_t upstream, Instant /*now*/) {
+    return upstream % 6 == 0 && fails(random);
+  });
+  cr_assert_leq(played.failed, played.requests * 0.071 / 3, "%d of %d failed",
+                played.failed, played.requests);
+}
+
+// Every sixth upstream is gone for one second of two; spread evenly, 8.9% of
+// all requests would fail.
+Test(upstream_health, flapping_upstreams_cost_a_third_of_an_even_spread) {
+  const Played played = Play([&](std::size_t upstream, Instant now) {
+    const auto second =
+        std::chrono::duration_cast<std::chrono::seconds>(now - At(0)).count();
+    return upstream % 6 == 0 && second % 2 == 0;
+  });
+  cr_assert_leq(played.failed, played.requests * 0.089 / 3, "%d of %d failed",
+                played.failed, played.requests);
+}
+
+}  // namespace
+}  // namespace mulberryroad::serving
