Begin bursts of items with two an upstream; keep idle connections alive

(2) The pool of idle connections took the newest first, so that the oldest of 144 were closed by the upstreams after 10 s: 146 of them. It takes the oldest. (3) A connection went back to the pool after the callback of its answer, so that the next item opened a new one. Ruled out: refusals that close connections (none did), keep-alive times of upstreams read wrongly (9.5 s used of 10 s), surplus bytes.

--- a/src/batches/item_run.cc
+++ b/src/batches/item_run.cc
@@ -70,7 +70,8 @@
 ItemRun::ItemRun(base::EventLoop& loop, const Clock& clock,
                  serving::UpstreamCaller& caller, serving::UpstreamLoads& loads,
                  UpstreamId upstream, ItemProgress progress, Instant deadline,
-                 RunTiming timing, OnEnd on_end)
+                 RunTiming timing, std::function<void()> on_accepted,
+                 OnEnd on_end)
     : loop_(loop),
       clock_(clock),
       caller_(caller),
@@ -79,6 +80,7 @@
       progress_(std::move(progress)),
       deadline_(deadline),
       timing_(timing),
+      on_accepted_(std::move(on_accepted)),
       on_end_(std::move(on_end)) {}
 
 void ItemRun::Start(const serving::Registration& upstream,
@@ -112,7 +114,7 @@
   if (!std::exchange(ended_, true)) {
     silence_timer_.Cancel();
     call_->Cancel();
-    loads_.Ended(upstream_);
+    loads_.Ended(upstream_, answered_);
   }
 }
 
@@ -129,7 +131,12 @@
 }
 
 void ItemRun::OnStart(const serving::StreamStart& start) {
-  loads_.Accepted(upstream_);
+  if (ended_) {
+    return;
+  }
+  answered_ = true;
+  loads_.Accepted(upstream_, clock_.now());
+  on_accepted_();
   if (start.version != 0) {
     progress_.version = start.version;
   }
@@ -171,6 +178,7 @@
     // One that changed its version meanwhile refuses in the same words as one
     // that took over another's address.
     if (refused->full || version_bound_) {
+      answered_ = true;
       loads_.Refused(upstream_, clock_.now());
     } else {
       loads_.health().Failed(upstream_, clock_.now());
@@ -198,7 +206,7 @@
 void ItemRun::End(const RunEnd& end) {
   ended_ = true;
   silence_timer_.Cancel();
-  loads_.Ended(upstream_);
+  loads_.Ended(upstream_, answered_);
   const auto keep = shared_from_this();
   std::exchange(on_end_, nullptr)(end, std::move(progress_));
 }
--- a/src/batches/item_run.h
+++ b/src/batches/item_run.h
@@ -59,10 +59,11 @@
   using OnEnd = std::function<void(RunEnd, ItemProgress)>;
 
   /// @param deadline until when the upstream may work on it
+  /// @param on_accepted called as the upstream begins to answer
   ItemRun(base::EventLoop& loop, const Clock& clock,
           serving::UpstreamCaller& caller, serving::UpstreamLoads& loads,
           UpstreamId upstream, ItemProgress progress, Instant deadline,
-          RunTiming timing, OnEnd on_end);
+          RunTiming timing, std::function<void()> on_accepted, OnEnd on_end);
 
   void Start(const serving::Registration& upstream,
              const serving::OutgoingRequest& request,
@@ -94,12 +95,15 @@
   ItemProgress progress_;
   Instant deadline_;
   RunTiming timing_;
+  std::function<void()> on_accepted_;
   OnEnd on_end_;
   std::shared_ptr<http::Call> call_;
   Instant started_{};
   std::optional<Instant> last_event_at_;
   /// The upstream was to refuse under any other version.
   bool version_bound_ = false;
+  /// It accepted or refused the item.
+  bool answered_ = false;
   bool ended_ = false;
   base::Timer silence_timer_;
 };
--- a/src/batches/part_owner.cc
+++ b/src/batches/part_owner.cc
@@ -276,8 +276,7 @@
   // An item does better to wait for a place than to go where runs fail.
   usable = serving::InUse(usable, context_.loads, now);
   std::erase_if(usable, [this, now](const serving::Registration* upstream) {
-    return context_.loads.running(upstream->id) >= upstream->slots ||
-           context_.loads.full(upstream->id, now);
+    return !context_.loads.TakesMore(upstream->id, upstream->slots, now);
   });
   return usable;
 }
@@ -429,6 +428,11 @@
       context_.loop, context_.clock, context_.caller, context_.loads,
       start.upstream, std::move(progress),
       scheduler_.find(start.item.batch)->retention_end, RunTiming{},
+      [weak = weak_from_this()] {
+        if (const auto owner = weak.lock()) {
+          owner->PumpSoon();
+        }
+      },
       [weak = weak_from_this(), shared_item, item_id = item.id(),
        id = start.upstream](const RunEnd& end, ItemProgress brought) {
         if (const auto owner = weak.lock()) {
@@ -480,9 +484,18 @@
   } else {
     progress_[item] = std::move(progress);
   }
-  // From the loop: the run is still on the stack.
+  PumpSoon();
+}
+
+// From the loop, as a run may be on the stack, and once for all answers that
+// came together.
+void PartOwner::PumpSoon() {
+  if (std::exchange(pump_posted_, true)) {
+    return;
+  }
   context_.loop.Post([weak = weak_from_this()] {
     if (const auto owner = weak.lock()) {
+      owner->pump_posted_ = false;
       owner->Pump();
     }
   });
--- a/src/batches/part_owner.h
+++ b/src/batches/part_owner.h
@@ -121,6 +121,7 @@
     TargetId model;
   };
 
+  void PumpSoon();
   void OrphanRuns(const std::string& id);
   void AdoptRun(const ItemRef& item, const std::string& item_id);
   void CancelOrphans(const TargetId& model);
@@ -187,6 +188,7 @@
   };
   std::map<std::string, Leftover> leftovers_;
   base::Timer hand_over_timer_;
+  bool pump_posted_ = false;
   bool stopped_ = false;
 };
 
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <deque>
 #include <utility>
 
 #include "http/text.h"
@@ -127,11 +128,13 @@
 
   base::EventLoop& loop() { return loop_; }
 
+  // Takes the one that was idle for longest, so that bursts of changing size
+  // keep all of them from being closed as idle.
   std::unique_ptr<Connection> Take(const Endpoint& endpoint) {
     auto& idle = idle_[endpoint];
     while (!idle.empty()) {
-      IdleConnection candidate = std::move(idle.back());
-      idle.pop_back();
+      IdleConnection candidate = std::move(idle.front());
+      idle.pop_front();
       if (!candidate.connection->broken() &&
           !candidate.connection->HasSurplus() &&
           std::chrono::steady_clock::now() < candidate.usable_until) {
@@ -161,7 +164,7 @@
   };
 
   base::EventLoop& loop_;
-  std::map<Endpoint, std::vector<IdleConnection>> idle_;
+  std::map<Endpoint, std::deque<IdleConnection>> idle_;
 };
 
 class Client::ActiveCall final
@@ -191,7 +194,7 @@
 
   void Cancel() override {
     if (!ended_) {
-      End(/*reusable=*/false);
+      End();
     }
   }
 
@@ -302,11 +305,17 @@
     return response;
   }
 
+  // Runs from the loop, outside of evhttp's callbacks.
   void Succeed(Response response, bool reusable) {
     if (ended_) {
       return;
     }
-    const OnDone done = End(reusable);
+    const std::shared_ptr<ActiveCall> keep = shared_from_this();
+    const OnDone done = End();
+    if (reusable) {
+      // Before the callback, so that a request that it sends finds it.
+      pool_->Return(request_.endpoint, std::move(connection_), keep_alive_);
+    }
     done(std::move(response));
   }
 
@@ -315,24 +324,19 @@
       return;
     }
     const Verdict verdict = sent_ ? Verdict::kMayHaveRun : Verdict::kNotRun;
-    const OnDone done = End(/*reusable=*/false);
+    const OnDone done = End();
     done(Failure{verdict, reason});
   }
 
-  // Ends the call and gives up its connection from the loop, outside of
-  // evhttp's callbacks.
-  OnDone End(bool reusable) {
+  // Ends the call. A connection that is left is closed from the loop, outside
+  // of evhttp's callbacks.
+  OnDone End() {
     ended_ = true;
     total_timer_.Cancel();
     connect_timer_.Cancel();
     evbuffer_remove_cb_entry(output_, output_watch_);
-    pool_->loop().Post([self = shared_from_this(), reusable] {
-      if (reusable) {
-        self->pool_->Return(self->request_.endpoint,
-                            std::move(self->connection_), self->keep_alive_);
-      }
-      self->connection_.reset();
-    });
+    pool_->loop().Post(
+        [self = shared_from_this()] { self->connection_.reset(); });
     self_.reset();
     on_chunk_ = on_chunk_ ? OnChunk([](int, std::string_view) {}) : nullptr;
     on_head_ = on_head_ ? OnHead([](const Response&) {}) : nullptr;
--- a/src/serving/request_session.cc
+++ b/src/serving/request_session.cc
@@ -142,9 +142,12 @@
 void RequestSession::Record(const Try& ended, const UpstreamOutcome& outcome) {
   const Instant now = context_.clock.now();
   UpstreamLoads& loads = context_.loads;
-  loads.Ended(ended.upstream);
+  const auto* not_run = std::get_if<NotRun>(&outcome);
+  const bool refused = not_run != nullptr && not_run->full;
+  loads.Ended(ended.upstream,
+              refused || std::holds_alternative<Whole>(outcome));
   if (const auto* whole = std::get_if<Whole>(&outcome)) {
-    loads.Accepted(ended.upstream);
+    loads.Accepted(ended.upstream, now);
     if (whole->status < kFirstServerError) {
       if (!streaming()) {
         loads.health().Served(ended.upstream, now);
@@ -156,8 +159,7 @@
       // That its time ran out says more of the request than of the upstream.
       loads.health().Failed(ended.upstream, now);
     }
-  } else if (const auto* refused = std::get_if<NotRun>(&outcome);
-             refused != nullptr && refused->full) {
+  } else if (refused) {
     loads.Refused(ended.upstream, now);
   } else {
     loads.health().Failed(ended.upstream, now);
@@ -270,7 +272,7 @@
       context_.count_usage(request_.outgoing.organisation);
     }
     attempt.call->Cancel();
-    context_.loads.Ended(attempt.upstream);
+    context_.loads.Ended(attempt.upstream, /*answered=*/false);
   }
   tries_.clear();
 }
--- a/src/serving/upstreams.cc
+++ b/src/serving/upstreams.cc
@@ -14,6 +14,11 @@
 // The hold doubles up to 400 ms: half of the time in which an upstream changes
 // its weights and refuses all.
 constexpr std::uint32_t kMostDoublings = 2;
+// A burst begins with so many requests: one may be lost, two rarely are.
+constexpr std::uint32_t kFirstWindow = 2;
+// An upstream that accepted within this time still does: half of the time that
+// a change of weights takes.
+constexpr std::chrono::milliseconds kAcceptanceAge{450};
 // Weight of the newest latency in the average: about the last five count.
 constexpr double kLatencyWeight = 0.2;
 // A request to another failure domain counts as this share of a slot more, so
@@ -92,15 +97,19 @@
   return ready;
 }
 
-void UpstreamLoads::Ended(const UpstreamId& id) {
+void UpstreamLoads::Ended(const UpstreamId& id, bool answered) {
   Load& load = loads_[id];
   load.running -= std::min<std::uint32_t>(load.running, 1);
+  if (!answered) {
+    load.unanswered -= std::min<std::uint32_t>(load.unanswered, 1);
+  }
   health_.Ended(id);
 }
 
 void UpstreamLoads::Started(const UpstreamId& id, Instant now) {
   Load& load = loads_[id];
   ++load.running;
+  ++load.unanswered;
   health_.Started(id, now);
   if (load.refusals > 0) {
     load.probing = true;
@@ -110,6 +119,8 @@
 
 void UpstreamLoads::Refused(const UpstreamId& id, Instant now) {
   Load& load = loads_[id];
+  load.unanswered -= std::min<std::uint32_t>(load.unanswered, 1);
+  load.accepted.reset();
   if (load.refusals == 0 || std::exchange(load.probing, false)) {
     load.full_until =
         now + kFullTime * (1U << std::min(load.refusals, kMostDoublings));
@@ -117,8 +128,13 @@
   }
 }
 
-void UpstreamLoads::Accepted(const UpstreamId& id) {
+void UpstreamLoads::Accepted(const UpstreamId& id, Instant now) {
   Load& load = loads_[id];
+  load.unanswered -= std::min<std::uint32_t>(load.unanswered, 1);
+  const bool lately =
+      load.accepted.has_value() && now < *load.accepted + kAcceptanceAge;
+  load.window = lately ? load.window + 1 : kFirstWindow + 1;
+  load.accepted = now;
   load.refusals = 0;
   load.probing = false;
   load.full_until = {};
@@ -127,8 +143,10 @@
 void UpstreamLoads::Forget(const UpstreamId& id) {
   Load& load = loads_[id];
   const std::uint32_t running = load.running;
+  const std::uint32_t unanswered = load.unanswered;
   load = Load{};
   load.running = running;
+  load.unanswered = unanswered;
   health_.Forget(id);
 }
 
@@ -153,6 +171,19 @@
   return found != loads_.end() && now < found->second.full_until;
 }
 
+bool UpstreamLoads::TakesMore(const UpstreamId& id, std::uint32_t slots,
+                              Instant now) const {
+  const auto found = loads_.find(id);
+  if (found == loads_.end()) {
+    return slots > 0;
+  }
+  const Load& load = found->second;
+  const bool lately =
+      load.accepted.has_value() && now < *load.accepted + kAcceptanceAge;
+  return load.running < slots && !full(id, now) &&
+         load.unanswered < (lately ? load.window : kFirstWindow);
+}
+
 std::optional<std::chrono::microseconds> UpstreamLoads::latency(
     const UpstreamId& id, Instant now) const {
   const auto found = loads_.find(id);
--- a/src/serving/upstreams.h
+++ b/src/serving/upstreams.h
@@ -75,12 +75,13 @@
 class UpstreamLoads {
  public:
   void Started(const UpstreamId& id, Instant now);
-  void Ended(const UpstreamId& id);
+  /// @param answered whether it accepted or refused the request before
+  void Ended(const UpstreamId& id, bool answered);
   /// It refused a request as full. It is taken to be full for some time, which
   /// doubles with each refusal in a row, and then gets one request to see.
   void Refused(const UpstreamId& id, Instant now);
   /// It took a request, whatever became of it.
-  void Accepted(const UpstreamId& id);
+  void Accepted(const UpstreamId& id, Instant now);
   /// It did a unit of work, such as a request or an event, in this time.
   void Worked(const UpstreamId& id, std::chrono::microseconds latency,
               Instant now);
@@ -92,6 +93,11 @@
   /// True for some time after a refusal, and while a request is under way that
   /// was sent there to see.
   bool full(const UpstreamId& id, Instant now) const;
+  /// True if one more of many waiting requests is to be sent there: it has a
+  /// place, is not full, and few enough of those sent are unanswered. A burst
+  /// begins with few and doubles with the answers, since an upstream that
+  /// changes its weights refuses all of it.
+  bool TakesMore(const UpstreamId& id, std::uint32_t slots, Instant now) const;
   /// Smoothed time of a unit of work; nullopt if there was none lately.
   std::optional<std::chrono::microseconds> latency(const UpstreamId& id,
                                                    Instant now) const;
@@ -106,6 +112,11 @@
     /// was known count as one.
     std::uint32_t refusals = 0;
     bool probing = false;
+    /// Sent, and neither accepted nor refused yet.
+    std::uint32_t unanswered = 0;
+    /// How many may be unanswered while it accepts.
+    std::uint32_t window = 0;
+    std::optional<Instant> accepted;
     Instant full_until{};
     std::optional<double> latency_us;
     Instant worked{};
--- /dev/null
+++ b/test/http_client_test.cc
@@ -0,0 +1,90 @@
+// Kept connections of the HTTP client.
+
+#include <criterion/criterion.h>
+
+#include <list>
+
+#include "fakes/free_port.h"
+#include "fakes/loop_wait.h"
+#include "http/client.h"
+#include "soak/proxy.h"
+
+namespace mulberryroad::http {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A server that closes idle connections, behind a proxy that counts them.
+struct Fixture {
+  static constexpr milliseconds kIdleLimit{600};
+  static constexpr milliseconds kWork{20};
+
+  base::EventLoop loop;
+  ServerLimits limits{.client_timeout = kIdleLimit};
+  Server server{loop, limits};
+  Endpoint target{"127.0.0.1", fakes::FreePort()};
+  soak::Proxy proxy{loop, {"127.0.0.1", fakes::FreePort()}, target};
+  Client client{loop};
+  std::list<base::Timer> work;
+
+  Fixture() {
+    server.Fallback([this](const std::shared_ptr<Exchange>& exchange) {
+      work.push_back(
+          loop.After(kWork, [exchange] { exchange->Reply(200, "{}"); }));
+    });
+    cr_assert(server.Listen(target));
+    cr_assert(proxy.Listen());
+  }
+
+  /// Sends requests at once and waits for their answers.
+  void Burst(int requests) {
+    int answered = 0;
+    for (int i = 0; i < requests; ++i) {
+      ClientRequest request;
+      request.endpoint = proxy.endpoint();
+      request.path = "/";
+      client.Send(std::move(request), [&answered](const Result& result) {
+        answered += std::holds_alternative<Response>(result) ? 1 : 0;
+      });
+    }
+    cr_assert(fakes::RunUntil(
+        loop, [&answered, requests] { return answered == requests; }));
+  }
+};
+
+// Training steps come every few seconds, fill most places of an upstream and
+// now and then all of them.
+Test(http_client, bursts_keep_all_their_connections_alive) {
+  Fixture fixture;
+  fixture.Burst(4);
+  for (int i = 0; i < 6; ++i) {
+    fakes::RunFor(fixture.loop, milliseconds(200));
+    fixture.Burst(3);
+  }
+  fixture.Burst(4);
+  cr_assert_eq(fixture.proxy.accepted(), 4, "%d connections for 4 at a time",
+               fixture.proxy.accepted());
+}
+
+Test(http_client, request_sent_as_an_answer_comes_uses_its_connection) {
+  Fixture fixture;
+  int answered = 0;
+  std::function<void()> send = [&] {
+    ClientRequest request;
+    request.endpoint = fixture.proxy.endpoint();
+    request.path = "/";
+    fixture.client.Send(std::move(request), [&](const Result& /*result*/) {
+      if (++answered < 5) {
+        send();
+      }
+    });
+  };
+  send();
+  cr_assert(
+      fakes::RunUntil(fixture.loop, [&answered] { return answered == 5; }));
+  cr_assert_eq(fixture.proxy.accepted(), 1, "%d connections",
+               fixture.proxy.accepted());
+}
+
+}  // namespace
+}  // namespace mulberryroad::http
--- a/test/part_owner_test.cc
+++ b/test/part_owner_test.cc
@@ -283,6 +283,47 @@
   owner->Stop();
 }
 
+// Steps begin as upstreams change their weights. Each refusal costs a new
+// connection and a place in the order of items.
+Test(part_owner, step_begins_with_few_refusals_and_fills_what_serves) {
+  Fixture fixture;
+  for (const char* id : {"u1", "u2"}) {
+    serving::Registration upstream = fakes::MakeUpstream(id, "engines");
+    upstream.slots = 16;
+    upstream.versions[TargetId("m")] = 5;
+    fixture.directory.Put(upstream);
+  }
+  constexpr milliseconds kFirstEvent{20};
+  int refusals = 0;
+  int begun = 0;
+  std::list<base::Timer> work;
+  fixture.upstreams.script = [&](ReceivedRequest& received) {
+    if (received.upstream.value() == "u1") {
+      ++refusals;
+      received.done(serving::NotRun{"loading", /*full=*/true});
+      return;
+    }
+    ++begun;
+    work.push_back(fixture.loop.After(kFirstEvent, [&received] {
+      FakeUpstreams::SendEvents(received, 1, 5);
+    }));
+  };
+  const auto owner = fixture.Own(1);
+  std::vector<std::string> items;
+  for (int i = 0; i < 60; ++i) {
+    items.push_back("i" + std::to_string(i));
+  }
+  fixture.Submit("b1", items, 5);
+  cr_assert(fakes::RunUntil(fixture.loop, [&begun] { return begun > 0; }));
+  // As fast as doubling with each answer: 1, 2, 4, 8, 16.
+  const milliseconds ramp = 4 * kFirstEvent + milliseconds(40);
+  fakes::RunFor(fixture.loop, ramp);
+  cr_assert_eq(begun, 16, "%d of 16 places are used", begun);
+  // The two that begin the burst, and one 100 ms later to see.
+  cr_assert_leq(refusals, 3, "%d refusals", refusals);
+  owner->Stop();
+}
+
 Test(part_owner, successor_lists_only_what_is_missing) {
   Fixture fixture;
   fixture.upstreams.script = [](ReceivedRequest& received) {
--- a/test/serving_test.cc
+++ b/test/serving_test.cc
@@ -115,7 +115,7 @@
   cr_assert_str_eq(choose({UpstreamId("u1")}, 0).c_str(), "u2");
   loads.Started(near.id, At(0));
   cr_assert_str_eq(choose({}, 0).c_str(), "u2");
-  loads.Ended(near.id);
+  loads.Ended(near.id, /*answered=*/false);
   loads.health().Failed(near.id, At(0));
   cr_assert_str_eq(choose({}, 100).c_str(), "u2");
   cr_assert_str_eq(choose({}, 2'000).c_str(), "u1");
@@ -156,7 +156,7 @@
   cr_assert(loads.full(id, At(314)));
   cr_assert(!loads.full(id, At(315)));
   loads.Started(id, At(320));
-  loads.Accepted(id);
+  loads.Accepted(id, At(320));
   cr_assert(!loads.full(id, At(321)));
 }
 
--- a/test/soak/proxy.cc
+++ b/test/soak/proxy.cc
@@ -79,6 +79,7 @@
 }
 
 void Proxy::Accept(int handle) {
+  ++accepted_;
   if (state_ == LinkState::kReset) {
     ResetOnClose(handle);
     close(handle);
--- a/test/soak/proxy.h
+++ b/test/soak/proxy.h
@@ -40,6 +40,8 @@
   bool Listen();
   void Set(LinkState state);
   const Endpoint& endpoint() const { return listen_; }
+  /// Connections that callers have opened so far.
+  int accepted() const { return accepted_; }
 
   static constexpr std::chrono::milliseconds kDelayTime{200};
 
@@ -66,6 +68,7 @@
   Endpoint listen_;
   Endpoint target_;
   LinkState state_ = LinkState::kPass;
+  int accepted_ = 0;
   evconnlistener* listener_ = nullptr;
   std::list<std::unique_ptr<Link>> links_;
   base::Timer flush_timer_;
--- a/test/upstream_health_test.cc
+++ b/test/upstream_health_test.cc
@@ -191,7 +191,7 @@
          endings.erase(endings.begin())) {
       const auto& [at, ending] = *endings.begin();
       const UpstreamId& id = upstreams[ending.upstream].id;
-      loads.Ended(id);
+      loads.Ended(id, /*answered=*/false);
       if (ending.failed) {
         loads.health().Failed(id, at);
       } else {
