Let submissions wait for the relay before they are sent elsewhere

Now a caller is sent elsewhere only once calls have failed for a second, in which the relay finds its way (RetryElsewhere, pure), and a submission that already waits is given up at that moment too, not after 6 s.

--- a/src/batches/batch_client.cc
+++ b/src/batches/batch_client.cc
@@ -34,32 +34,35 @@
 }
 
 void BatchClient::Submit(const BatchName& batch,
-                         std::vector<KeyedRecord> records,
-                         milliseconds patience,
+                         std::vector<KeyedRecord> records, Patience patience,
                          std::function<void(StoreResult)> on_result) {
-  Append(Locate(batch), std::move(records), clock_.now() + patience,
+  const Instant give_up = clock_.now() + patience.most;
+  Append(Locate(batch), std::move(records), std::move(patience), give_up,
          /*maybe_stored=*/false, std::move(on_result));
 }
 
-void BatchClient::End(const BatchName& batch, milliseconds patience,
+void BatchClient::End(const BatchName& batch, Patience patience,
                       std::function<void(StoreResult)> on_result) {
   v1::BatchEnd end;
   end.set_ended_ms(UnixTime(clock_.wall_now()).count());
+  const Instant give_up = clock_.now() + patience.most;
   Append(Locate(batch), {{Encode(EndKey{batch.id}), end.SerializeAsString()}},
-         clock_.now() + patience, /*maybe_stored=*/false, std::move(on_result));
+         std::move(patience), give_up, /*maybe_stored=*/false,
+         std::move(on_result));
 }
 
 // Records of a batch have fixed keys and content, so that storing them twice
 // changes nothing.
 void BatchClient::Append(const platform::PartitionId& partition,
-                         std::vector<KeyedRecord> records, Instant give_up,
-                         bool maybe_stored,
+                         std::vector<KeyedRecord> records, Patience patience,
+                         Instant give_up, bool maybe_stored,
                          std::function<void(StoreResult)> on_result) {
   const auto left =
       std::chrono::duration_cast<milliseconds>(give_up - clock_.now());
   store_.Append(
       partition, records, {}, std::clamp(left, kRetry, kAppendTimeout),
-      [self = shared_from_this(), partition, records, give_up, maybe_stored,
+      [self = shared_from_this(), partition, records,
+       patience = std::move(patience), give_up, maybe_stored,
        on_result = std::move(on_result)](
           const platform::AppendOutcome& outcome) mutable {
         if (std::holds_alternative<platform::Appended>(outcome)) {
@@ -71,7 +74,8 @@
           reason = failure->reason;
           maybe_stored = maybe_stored || failure->verdict != Verdict::kNotRun;
         }
-        if (self->clock_.now() + kRetry >= give_up) {
+        if (self->clock_.now() + kRetry >= give_up ||
+            (patience.better_elsewhere && patience.better_elsewhere())) {
           if (maybe_stored) {
             on_result(MaybeStored{std::move(reason)});
           } else {
@@ -79,12 +83,13 @@
           }
           return;
         }
-        self->After(kRetry,
-                    [self, partition, records = std::move(records), give_up,
-                     maybe_stored, on_result = std::move(on_result)]() mutable {
-                      self->Append(partition, std::move(records), give_up,
-                                   maybe_stored, std::move(on_result));
-                    });
+        self->After(
+            kRetry, [self, partition, records = std::move(records),
+                     patience = std::move(patience), give_up, maybe_stored,
+                     on_result = std::move(on_result)]() mutable {
+              self->Append(partition, std::move(records), std::move(patience),
+                           give_up, maybe_stored, std::move(on_result));
+            });
       });
 }
 
--- a/src/batches/batch_client.h
+++ b/src/batches/batch_client.h
@@ -59,19 +59,25 @@
   std::string id;
 };
 
+/// How long a call that changes a batch is repeated while the store does not
+/// take it.
+struct Patience {
+  std::chrono::milliseconds most;
+  /// Ends it sooner once the caller is better off at another node; may be null.
+  std::function<bool()> better_elsewhere;
+};
+
 class BatchClient : public std::enable_shared_from_this<BatchClient> {
  public:
   BatchClient(base::EventLoop& loop, const Clock& clock,
               platform::PartitionStore& store, int partitions);
 
   /// Stores a batch.
-  /// @param patience how long an append without an answer is repeated
   void Submit(const BatchName& batch,
-              std::vector<platform::KeyedRecord> records,
-              std::chrono::milliseconds patience,
+              std::vector<platform::KeyedRecord> records, Patience patience,
               std::function<void(StoreResult)> on_result);
   /// Stores the end of a batch.
-  void End(const BatchName& batch, std::chrono::milliseconds patience,
+  void End(const BatchName& batch, Patience patience,
            std::function<void(StoreResult)> on_result);
   /// Finds what was accepted as a batch.
   void Find(
@@ -103,8 +109,9 @@
 
  private:
   void Append(const platform::PartitionId& partition,
-              std::vector<platform::KeyedRecord> records, Instant give_up,
-              bool maybe_stored, std::function<void(StoreResult)> on_result);
+              std::vector<platform::KeyedRecord> records, Patience patience,
+              Instant give_up, bool maybe_stored,
+              std::function<void(StoreResult)> on_result);
   void ReadPage(const BatchName& batch, std::uint32_t position, Instant until,
                 std::function<void(ReadResult)> on_result);
   void ReadChunks(const BatchName& batch, const std::string& item,
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -44,9 +44,6 @@
 constexpr milliseconds kStopMargin{500};
 // Results are kept a little longer than readers are promised.
 constexpr milliseconds kResultsMargin{10'000};
-// When a trainer may come back, to another node, while this one alone does not
-// reach the store.
-constexpr milliseconds kElsewhereRetry{50};
 // In which the last answers and counts leave the node.
 constexpr milliseconds kQuietTime{150};
 constexpr milliseconds kExpireTick{100};
@@ -231,11 +228,9 @@
       ingress_(
           serving_, batch_client_, settings_.max_record_bytes,
           [this] { return Refusal(); },
-          [this]() -> std::optional<milliseconds> {
-            if (!store_silent() || peers_.reach() == Reach::kOutage) {
-              return std::nullopt;
-            }
-            return kElsewhereRetry;
+          [this] {
+            return RetryElsewhere(operator_tail_->failing_since(),
+                                  peers_.reach(), clock_.now());
           }),
       drain_(loop_, clock_,
              {.leave_delay = kLeaveDelay,
--- a/src/node/peer_view.cc
+++ b/src/node/peer_view.cc
@@ -84,6 +84,13 @@
   return Reach::kIsolated;
 }
 
+std::optional<std::chrono::milliseconds> RetryElsewhere(
+    std::optional<Instant> failing_since, Reach reach, Instant now) {
+  const bool alone = failing_since.has_value() && reach != Reach::kOutage &&
+                     now >= *failing_since + kRelayFound;
+  return alone ? std::optional(kElsewhereRetry) : std::nullopt;
+}
+
 PeerView::PeerView(base::EventLoop& loop, const Clock& clock,
                    base::StructuredLog& log, http::Client& client,
                    std::mt19937_64& random, std::vector<Endpoint> peers,
--- a/src/node/peer_view.h
+++ b/src/node/peer_view.h
@@ -67,6 +67,21 @@
   std::optional<Instant> peer_;
 };
 
+/// Calls find their way through a peer in less: the relay begins after 400 ms
+/// without an answer, and its first peer may be gone.
+inline constexpr std::chrono::milliseconds kRelayFound{1'000};
+/// When a caller may come back, to another node, if this one alone does not
+/// reach the store.
+inline constexpr std::chrono::milliseconds kElsewhereRetry{50};
+
+/// Decides whether a caller that wants something stored is better off at
+/// another node. Pure.
+/// @param failing_since first call that failed since the store last answered
+/// @return when to come back; nullopt if it is to wait here, since the store
+///     answers, may yet be reached through a peer, or is away for all
+std::optional<std::chrono::milliseconds> RetryElsewhere(
+    std::optional<Instant> failing_since, Reach reach, Instant now);
+
 class PeerView {
  public:
   /// Called with all records of a peer that has read further.
--- a/src/store/keyed_tail.cc
+++ b/src/store/keyed_tail.cc
@@ -80,11 +80,11 @@
 
 std::chrono::milliseconds KeyedTail::ReadTimeout(
     std::chrono::milliseconds wait) const {
-  return failing_ ? timing_.probe_timeout : wait + timing_.patience;
+  return failing() ? timing_.probe_timeout : wait + timing_.patience;
 }
 
 void KeyedTail::Follow() {
-  const auto wait = failing_ ? std::chrono::milliseconds(0) : timing_.wait;
+  const auto wait = failing() ? std::chrono::milliseconds(0) : timing_.wait;
   store_.Read(partition_, position_, wait, ReadTimeout(wait),
               [self = shared_from_this(),
                sent = clock_.now()](const platform::ReadOutcome& outcome) {
@@ -132,7 +132,7 @@
   if (handler_.on_contact) {
     handler_.on_contact(sent);
   }
-  if (std::exchange(failing_, false)) {
+  if (std::exchange(failing_since_, std::nullopt).has_value()) {
     log_.Write("dependency.regained",
                {{"dependency", "store"}, {"topic", partition_.topic}});
   }
@@ -140,7 +140,8 @@
 
 void KeyedTail::Failed(const std::string& reason, std::function<void()> retry) {
   last_failure_ = clock_.now();
-  if (!std::exchange(failing_, true)) {
+  if (!failing()) {
+    failing_since_ = last_failure_;
     log_.Write("dependency.lost", {{"dependency", "store"},
                                    {"topic", partition_.topic},
                                    {"reason", reason}});
--- a/src/store/keyed_tail.h
+++ b/src/store/keyed_tail.h
@@ -64,7 +64,10 @@
   /// When the last call failed; nullopt if none did.
   std::optional<Instant> last_failure() const { return last_failure_; }
   /// True from a failed call to the next answered one.
-  bool failing() const { return failing_; }
+  bool failing() const { return failing_since_.has_value(); }
+  /// When the first call failed since the last answered one; nullopt if none
+  /// did.
+  std::optional<Instant> failing_since() const { return failing_since_; }
   /// Offset behind the last record read.
   platform::Offset position() const { return position_; }
 
@@ -87,12 +90,12 @@
   TailHandler handler_;
   bool stopped_ = false;
   bool caught_up_ = false;
-  bool failing_ = false;
   std::optional<platform::Offset> load_end_;
   std::vector<platform::KeyedRecord> loaded_;
   platform::Offset position_ = 0;
   std::optional<Instant> last_contact_;
   std::optional<Instant> last_failure_;
+  std::optional<Instant> failing_since_;
   base::Timer timer_;
 };
 
--- a/test/part_owner_test.cc
+++ b/test/part_owner_test.cc
@@ -98,11 +98,11 @@
       stored.push_back(item);
     }
     bool done = false;
-    client->Submit({OrganisationId("org"), batch},
-                   MakeRecords(record, stored, 64), milliseconds(500),
-                   [&done](const StoreResult& result) {
-                     done = std::holds_alternative<Stored>(result);
-                   });
+    client->Submit(
+        {OrganisationId("org"), batch}, MakeRecords(record, stored, 64),
+        {milliseconds(500), nullptr}, [&done](const StoreResult& result) {
+          done = std::holds_alternative<Stored>(result);
+        });
     cr_assert(fakes::RunUntil(loop, [&done] { return done; }));
   }
 
@@ -438,8 +438,8 @@
   const auto owner = fixture.Own(1);
   fixture.Submit("b1", {"i1", "i2", "i3"}, 4);
   cr_assert(fixture.WaitForResults("b1", 3));
-  fixture.client->End({OrganisationId("org"), "b1"}, milliseconds(500),
-                      [](const StoreResult&) {});
+  fixture.client->End({OrganisationId("org"), "b1"},
+                      {milliseconds(500), nullptr}, [](const StoreResult&) {});
   cr_assert(fakes::RunUntil(fixture.loop, [&] {
     return fixture.store.keys(PartitionOf("org", kPartitions)).size() == 2;
   }));
@@ -458,8 +458,8 @@
   const auto owner = fixture.Own(1);
   fixture.Submit("b1", {"i1", "i2"}, 4);
   cr_assert(fixture.WaitForResults("b1", 1));
-  fixture.client->End({OrganisationId("org"), "b1"}, milliseconds(500),
-                      [](const StoreResult&) {});
+  fixture.client->End({OrganisationId("org"), "b1"},
+                      {milliseconds(500), nullptr}, [](const StoreResult&) {});
   fakes::RunFor(fixture.loop, milliseconds(50));
   fixture.Submit("b2", {"i1", "i2"}, 5);
   cr_assert(fixture.WaitForResults("b2", 1), "the completed item is listed");
@@ -487,8 +487,8 @@
   fixture.Submit("b1", {"i1", "i2"}, 4);
   cr_assert(fakes::RunUntil(
       fixture.loop, [&] { return fixture.upstreams.requests.size() == 2; }));
-  fixture.client->End({OrganisationId("org"), "b1"}, milliseconds(500),
-                      [](const StoreResult&) {});
+  fixture.client->End({OrganisationId("org"), "b1"},
+                      {milliseconds(500), nullptr}, [](const StoreResult&) {});
   fakes::RunFor(fixture.loop, milliseconds(50));
   fixture.Submit("b2", {"i2", "i3"}, 5);
   cr_assert(fakes::RunUntil(
@@ -509,8 +509,8 @@
   cr_assert(fakes::RunUntil(
       fixture.loop, [&] { return fixture.upstreams.requests.size() == 1; }));
   fakes::RunFor(fixture.loop, milliseconds(20));
-  fixture.client->End({OrganisationId("org"), "b1"}, milliseconds(500),
-                      [](const StoreResult&) {});
+  fixture.client->End({OrganisationId("org"), "b1"},
+                      {milliseconds(500), nullptr}, [](const StoreResult&) {});
   cr_assert(fakes::RunUntil(
       fixture.loop, [&] { return fixture.upstreams.requests[0]->cancelled; }));
   owner->Stop();
@@ -527,8 +527,8 @@
   const auto owner = fixture.Own(1);
   fixture.Submit("b1", {"i1", "i2"}, 4);
   cr_assert(fixture.WaitForResults("b1", 1));
-  fixture.client->End({OrganisationId("org"), "b1"}, milliseconds(500),
-                      [](const StoreResult&) {});
+  fixture.client->End({OrganisationId("org"), "b1"},
+                      {milliseconds(500), nullptr}, [](const StoreResult&) {});
   fakes::RunFor(fixture.loop, milliseconds(50));
   for (const char* id : {"u1", "u2"}) {
     serving::Registration upstream = fakes::MakeUpstream(id, "engines");
@@ -564,6 +564,25 @@
   cr_assert(*unknown);
 }
 
+Test(batch_client, submission_is_given_up_once_another_node_serves_better) {
+  Fixture fixture;
+  fixture.store.away = true;
+  bool cut_off = false;
+  const Instant begun = fixture.clock.now();
+  std::optional<StoreResult> result;
+  fixture.client->Submit(
+      {OrganisationId("org"), "b1"}, MakeRecords(v1::BatchRecord(), {}, 64),
+      {milliseconds(6'000), [&cut_off] { return cut_off; }},
+      [&result](const StoreResult& stored) { result = stored; });
+  fakes::RunFor(fixture.loop, milliseconds(200));
+  cr_assert(!result.has_value(), "the store may come back");
+  cut_off = true;
+  cr_assert(
+      fakes::RunUntil(fixture.loop, [&result] { return result.has_value(); }));
+  cr_assert(std::holds_alternative<NotStored>(*result));
+  cr_assert(fixture.clock.now() < begun + milliseconds(1'000));
+}
+
 Test(part_owner, store_that_is_away_makes_reads_unsure) {
   Fixture fixture;
   fixture.store.away = true;
@@ -576,7 +595,8 @@
   cr_assert(fakes::RunUntil(fixture.loop, [&] { return unsure.has_value(); }));
   cr_assert(*unsure, "an unreachable store does not make a batch unknown");
   std::optional<StoreResult> stored;
-  fixture.client->End({OrganisationId("org"), "b1"}, milliseconds(100),
+  fixture.client->End({OrganisationId("org"), "b1"},
+                      {milliseconds(100), nullptr},
                       [&stored](const StoreResult& r) { stored = r; });
   cr_assert(fakes::RunUntil(fixture.loop, [&] { return stored.has_value(); }));
   cr_assert(std::holds_alternative<NotStored>(*stored));
--- a/test/reach_test.cc
+++ b/test/reach_test.cc
@@ -34,6 +34,18 @@
   cr_assert(judge.reach(At(7'000)) == Reach::kIsolated);
 }
 
+// A step comes just as a node loses the store, to which a peer opens the way
+// within half a second.
+Test(reach, callers_are_sent_elsewhere_only_after_the_relay_had_its_time) {
+  cr_assert(!RetryElsewhere(std::nullopt, Reach::kCurrent, At(0)));
+  for (const Reach reach : {Reach::kCurrent, Reach::kIsolated}) {
+    cr_assert(!RetryElsewhere(At(0), reach, At(999)));
+    cr_assert(RetryElsewhere(At(0), reach, At(1'000)).has_value());
+  }
+  cr_assert(!RetryElsewhere(At(0), Reach::kOutage, At(5'000)),
+            "nobody serves it better");
+}
+
 Test(reach, silence_of_all_is_isolation) {
   ReachJudge judge;
   judge.OnStore(At(1'000));
@@ -49,7 +61,7 @@
   base::StructuredLog log(clock, NodeId("n"));
   http::Client client(loop);
   std::mt19937_64 random(1);
-  const Endpoint endpoint{"127.0.0.1", 18'977};
+  const Endpoint endpoint{"127.0.0.1", fakes::FreePort()};
   const auto ignore = [](const std::vector<platform::KeyedRecord>&) {};
   PeerView reader(loop, clock, log, client, random, {}, ignore, ignore);
   http::Server server(loop, {});
