Order upstreams anew that were lost for good; apply the manifest's limits

CapacityPlan (pure) keeps each service's upstreams in a failure domain at the number that was there: planned departures and rolling replacements order nothing, entries that lapse with the store are waited for, what reads as lost for 1.5 s is ordered once per start-up time. Nothing follows backlog, since capacity that does costs more and serves worse (docs/MEASURES.md). Not kept: the level before a loss, if all nodes restart after it.

The manifest's header limit and idle time were decoded and not applied: connections were closed after 30 s whatever it said, and headers over the limit were forwarded. Requests over it get 431; open connections follow a new idle time with their next request. Tests: ingress (statuses before anything is forwarded), http_server::open_connection_follows_a_longer_idle_ time; neither was run on the old code.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -22,6 +22,8 @@
 // Bodies up to this many times the limit are read and refused with a typed
 // answer; beyond it the library refuses them.
 constexpr std::size_t kReadableOversizeFactor = 4;
+// The separators of a header line: a colon, a space and the line's end.
+constexpr std::size_t kHeaderSeparators = 4;
 constexpr int kNotFound = 404;
 constexpr int kPayloadTooLarge = 413;
 
@@ -44,7 +46,10 @@
   const evkeyvalq* headers = evhttp_request_get_input_headers(native);
   for (const evkeyval* header = headers->tqh_first; header != nullptr;
        header = header->next.tqe_next) {
-    request->headers[internal::LowerCase(header->key)] = header->value;
+    const std::string value = header->value;
+    const std::string name = internal::LowerCase(header->key);
+    request->header_bytes += name.size() + value.size() + kHeaderSeparators;
+    request->headers[name] = value;
   }
 }
 
@@ -311,13 +316,8 @@
   evhttp_set_allowed_methods(http_, static_cast<ev_uint16_t>(EVHTTP_REQ_GET) |
                                         EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
                                         EVHTTP_REQ_DELETE);
-  evhttp_set_max_body_size(
-      http_,
-      static_cast<ev_ssize_t>(kReadableOversizeFactor * limits.max_body_bytes));
-  evhttp_set_max_headers_size(http_,
-                              static_cast<ev_ssize_t>(limits.max_header_bytes));
-  const timeval timeout = ToTimeval(limits.client_timeout);
-  evhttp_set_timeout_tv(http_, &timeout);
+  Apply(limits);
+  limits_changed_ = false;
   evhttp_set_default_content_type(http_, "application/json");
   evhttp_set_gencb(http_, OnRequest, this);
   fallback_ = [](const std::shared_ptr<Exchange>& exchange) {
@@ -335,6 +335,18 @@
   evhttp_free(http_);
 }
 
+void Server::Apply(const ServerLimits& limits) {
+  limits_ = limits;
+  limits_changed_ = true;
+  evhttp_set_max_body_size(
+      http_,
+      static_cast<ev_ssize_t>(kReadableOversizeFactor * limits.max_body_bytes));
+  evhttp_set_max_headers_size(http_,
+                              static_cast<ev_ssize_t>(limits.max_header_bytes));
+  const timeval timeout = ToTimeval(limits.client_timeout);
+  evhttp_set_timeout_tv(http_, &timeout);
+}
+
 bool Server::Listen(const Endpoint& endpoint) {
   socket_ = evhttp_bind_socket_with_handle(http_, endpoint.address.c_str(),
                                            endpoint.port);
@@ -383,6 +395,11 @@
     evhttp_send_error(native, HTTP_BADMETHOD, nullptr);
     return;
   }
+  if (limits_changed_) {
+    const timeval timeout = ToTimeval(limits_.client_timeout);
+    evhttp_connection_set_timeout_tv(evhttp_request_get_connection(native),
+                                     &timeout);
+  }
   auto exchange =
       std::make_shared<Exchange>(loop_, native, ReadRequest(native, *method));
   exchange->self_ = exchange;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -42,6 +42,8 @@
   std::map<std::string, std::string> query;
   std::map<std::string, std::string> headers;
   std::string body;
+  /// Length of the header lines as received.
+  std::size_t header_bytes = 0;
 
   /// Returns a header by its lower-case name, or nullopt.
   std::optional<std::string> header(const std::string& name) const;
@@ -121,6 +123,8 @@
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
 
+  /// Takes other limits. Open connections follow with their next request.
+  void Apply(const ServerLimits& limits);
   /// Binds and listens; false if the address is taken or not of this machine.
   bool Listen(const Endpoint& endpoint);
   /// Serves a path prefix. Requests without a route get 404 from the fallback
@@ -150,6 +154,8 @@
   Handler fallback_;
   Handler oversize_;
   bool draining_ = false;
+  /// Connections may have begun under other limits.
+  bool limits_changed_ = false;
   std::size_t open_exchanges_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <random>
 #include <utility>
@@ -12,6 +13,7 @@
 #include "base/metrics.h"
 #include "base/structured_log.h"
 #include "batches/batch_host.h"
+#include "duties/capacity_orders.h"
 #include "duties/lease_runner.h"
 #include "duties/usage_reporter.h"
 #include "duties/weight_orders.h"
@@ -53,11 +55,25 @@
 // Gathers the heartbeats of upstreams into one read; far below the time in
 // which a leaving one must be noticed.
 constexpr milliseconds kRegistrationPace{150};
-constexpr std::size_t kMaxBodyBytes = 33'554'432;
-constexpr std::size_t kMaxHeaderBytes = 65'536;
+// Until a manifest says otherwise.
+constexpr http::ServerLimits kFirstLimits{
+    .max_body_bytes = 33'554'432,
+    .max_header_bytes = 65'536,
+    .client_timeout = milliseconds(30'000)};
+// Headers up to this many times the manifest's limit are read and get a typed
+// answer; beyond it the library closes the connection.
+constexpr std::size_t kReadableHeadersFactor = 4;
 // Callers reuse connections that were idle for up to four fifths of the
-// manifest's idle time, 15 s on the known deployments.
-constexpr milliseconds kClientTimeout{30'000};
+// manifest's idle time; a whole one more covers a manifest on its way.
+constexpr int kIdleFactor = 2;
+
+http::ServerLimits LimitsFor(const serving::Limits& limits) {
+  return {
+      std::max(kFirstLimits.max_body_bytes, limits.max_body_bytes),
+      std::max(kFirstLimits.max_header_bytes,
+               kReadableHeadersFactor * limits.max_header_bytes),
+      std::max(kFirstLimits.client_timeout, kIdleFactor * limits.idle_timeout)};
+}
 
 // A trainer's step of 150 items takes a tenth of a core; with reads and callers
 // beside it, a VM under a quarter of a core falls behind.
@@ -135,6 +151,7 @@
   duties::LeaseRunner lease_;
   duties::WeightOrders weights_;
   duties::UsageReporter usage_;
+  duties::CapacityOrders capacity_;
   PeerView peers_;
   std::shared_ptr<store::KeyedTail> operator_tail_;
   std::shared_ptr<store::KeyedTail> registration_tail_;
@@ -205,6 +222,10 @@
       usage_(loop_, clock_, log_, store_, duty_client_, settings_.partitions,
              {.window = settings_.usage_window}, settings_.node.value(),
              usage_counts_, [this] { return lease_.epoch(); }),
+      capacity_(
+          loop_, clock_, log_, metrics_, duty_client_, directory_, catalog_,
+          settings_.node.value(), [this] { return lease_.epoch(); },
+          [this] { return store_unstable(); }),
       peers_(
           loop_, clock_, log_, client_, random_, PeersOf(settings_),
           [this](const std::vector<platform::KeyedRecord>& records) {
@@ -223,7 +244,7 @@
           loop_, clock_, log_, store_,
           platform::PartitionId{platform_adapter::kRegistrationsTopic, 0},
           store::TailTiming{.pace = kRegistrationPace}, RegistrationHandler())),
-      callers_(loop_, {kMaxBodyBytes, kMaxHeaderBytes, kClientTimeout}),
+      callers_(loop_, kFirstLimits),
       readiness_(loop_, {}),
       ingress_(
           serving_, batch_client_, settings_.max_record_bytes,
@@ -266,6 +287,9 @@
     }
     const auto version = static_cast<std::int64_t>(manifest->version);
     const bool newer = catalog_.Apply(*std::move(manifest));
+    if (newer) {
+      callers_.Apply(LimitsFor(catalog_.manifest()->limits));
+    }
     log_.Write("manifest", {{"version", version}, {"in_force", newer}});
     return;
   }
@@ -466,6 +490,7 @@
   lease_.Start();
   weights_.Start();
   usage_.Start();
+  capacity_.Start();
   batch_host_.Start();
   expire_timer_ =
       loop_.Every(kExpireTick, [this] { directory_.Expire(clock_.now()); });
--- a/src/serving/manifest.h
+++ b/src/serving/manifest.h
@@ -58,7 +58,8 @@
 struct Scaling {
   std::uint32_t min = 0;
   std::uint32_t max = 0;
-  std::map<FailureDomainId, double> price;
+  /// From an order to the first request that a new upstream serves.
+  std::chrono::milliseconds start_up{0};
 };
 
 struct Service {
@@ -68,9 +69,11 @@
   std::optional<Scaling> scaling;
 };
 
+/// Bounds on what callers may send.
 struct Limits {
   std::size_t max_header_bytes = 16'384;
   std::size_t max_body_bytes = 8U << 20U;
+  /// How long callers may leave a connection idle and use it again.
   std::chrono::milliseconds idle_timeout{15'000};
 };
 
--- /dev/null
+++ b/test/capacity_plan_test.cc
@@ -0,0 +1,143 @@
+// What is ordered where upstreams were lost, and that nothing else orders any.
+
+#include "duties/capacity_plan.h"
+
+#include <criterion/criterion.h>
+
+#include "fakes/fake_upstreams.h"
+
+namespace mulberryroad::duties {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A service with four upstreams, looked at twice a second.
+struct Fixture {
+  std::map<UpstreamId, serving::Registration> upstreams;
+  serving::Manifest manifest;
+  CapacityPlan plan;
+  Instant now{};
+  bool store_unstable = false;
+  int next_id = 0;
+
+  Fixture() {
+    serving::Service service;
+    service.name = TargetId("engines");
+    service.scaling =
+        serving::Scaling{.min = 1, .max = 8, .start_up = milliseconds(4'000)};
+    manifest.services = {service};
+    for (int i = 0; i < 4; ++i) {
+      Add();
+    }
+  }
+
+  UpstreamId Add() {
+    const UpstreamId id("u" + std::to_string(next_id++));
+    upstreams[id] = fakes::MakeUpstream(id.value(), "engines");
+    return id;
+  }
+  void Drain(const UpstreamId& id) { upstreams.at(id).draining = true; }
+  void Lose(const UpstreamId& id) { upstreams.erase(id); }
+
+  /// Lets time pass.
+  /// @return the counts that were ordered meanwhile
+  std::vector<std::uint32_t> Pass(milliseconds time) {
+    std::vector<std::uint32_t> ordered;
+    const Instant end = now + time;
+    for (; now < end; now += milliseconds(500)) {
+      plan.Observe(upstreams, store_unstable, now);
+      for (const CapacityOrder& order : plan.Next(manifest, now)) {
+        ordered.push_back(order.count);
+      }
+    }
+    return ordered;
+  }
+};
+
+Test(capacity_plan, lost_upstream_is_ordered_anew_once) {
+  Fixture fixture;
+  cr_assert(fixture.Pass(seconds(10)).empty());
+  fixture.Lose(UpstreamId("u1"));
+  const auto ordered = fixture.Pass(seconds(6));
+  cr_assert_eq(ordered.size(), 1, "%zu orders", ordered.size());
+  cr_assert_eq(ordered.front(), 4);
+  fixture.Add();
+  cr_assert(fixture.Pass(seconds(60)).empty());
+}
+
+Test(capacity_plan, order_that_brought_none_is_given_again) {
+  Fixture fixture;
+  fixture.Pass(seconds(10));
+  fixture.Lose(UpstreamId("u1"));
+  // One after 1.5 s, and one each time that 8 s for the start are over.
+  cr_assert_eq(fixture.Pass(seconds(20)).size(), 3);
+}
+
+Test(capacity_plan, upstream_that_leaves_as_planned_is_not_replaced) {
+  Fixture fixture;
+  fixture.Pass(seconds(10));
+  fixture.Drain(UpstreamId("u1"));
+  cr_assert(fixture.Pass(seconds(4)).empty());
+  fixture.Lose(UpstreamId("u1"));
+  cr_assert(fixture.Pass(seconds(30)).empty());
+}
+
+// Each is replaced by one that starts before the old one drains.
+Test(capacity_plan, rolling_replacement_orders_nothing) {
+  Fixture fixture;
+  fixture.Pass(seconds(10));
+  for (const char* id : {"u0", "u1", "u2", "u3"}) {
+    fixture.Add();
+    cr_assert(fixture.Pass(seconds(2)).empty());
+    fixture.Drain(UpstreamId(id));
+    cr_assert(fixture.Pass(seconds(3)).empty());
+    fixture.Lose(UpstreamId(id));
+    cr_assert(fixture.Pass(seconds(1)).empty());
+  }
+  cr_assert(fixture.Pass(seconds(30)).empty());
+}
+
+Test(capacity_plan, entries_that_lapse_with_the_store_are_waited_for) {
+  Fixture fixture;
+  fixture.Pass(seconds(10));
+  const auto before = fixture.upstreams;
+  fixture.upstreams.clear();
+  fixture.store_unstable = true;
+  cr_assert(fixture.Pass(seconds(8)).empty());
+  fixture.upstreams = before;
+  fixture.store_unstable = false;
+  cr_assert(fixture.Pass(seconds(8)).empty());
+}
+
+Test(capacity_plan, added_upstreams_are_kept_once_they_stayed) {
+  Fixture fixture;
+  fixture.Pass(seconds(10));
+  const UpstreamId added = fixture.Add();
+  fixture.Pass(seconds(5));
+  fixture.Lose(added);
+  cr_assert(fixture.Pass(seconds(10)).empty(), "it was there for 5 s only");
+  const UpstreamId stayed = fixture.Add();
+  fixture.Pass(seconds(20));
+  fixture.Lose(stayed);
+  const auto ordered = fixture.Pass(seconds(5));
+  cr_assert_eq(ordered.size(), 1);
+  cr_assert_eq(ordered.front(), 5);
+}
+
+Test(capacity_plan, orders_stay_within_the_manifests_bounds) {
+  Fixture fixture;
+  fixture.manifest.services.front().scaling->max = 3;
+  fixture.Pass(seconds(10));
+  fixture.Lose(UpstreamId("u0"));
+  cr_assert(fixture.Pass(seconds(5)).empty(), "three are left, and allowed");
+  fixture.Lose(UpstreamId("u1"));
+  const auto ordered = fixture.Pass(seconds(5));
+  cr_assert_eq(ordered.size(), 1);
+  cr_assert_eq(ordered.front(), 3);
+  fixture.manifest.services.front().scaling.reset();
+  cr_assert(fixture.Pass(seconds(30)).empty(), "the service has none to order");
+}
+
+}  // namespace
+}  // namespace mulberryroad::duties
--- a/test/http_client_test.cc
+++ b/test/http_client_test.cc
@@ -86,5 +86,18 @@
                fixture.proxy.accepted());
 }
 
+Test(http_server, open_connection_follows_a_longer_idle_time) {
+  Fixture fixture;
+  fixture.Burst(1);
+  ServerLimits longer = fixture.limits;
+  longer.client_timeout = milliseconds(5'000);
+  fixture.server.Apply(longer);
+  fixture.Burst(1);
+  fakes::RunFor(fixture.loop, 2 * Fixture::kIdleLimit);
+  fixture.Burst(1);
+  cr_assert_eq(fixture.proxy.accepted(), 1, "%d connections",
+               fixture.proxy.accepted());
+}
+
 }  // namespace
 }  // namespace mulberryroad::http
--- /dev/null
+++ b/test/ingress_test.cc
@@ -0,0 +1,125 @@
+// What callers are told before anything is forwarded.
+
+#include "platform/ingress.h"
+
+#include <criterion/criterion.h>
+
+#include "fakes/fake_upstreams.h"
+#include "fakes/free_port.h"
+#include "fakes/loop_wait.h"
+#include "fakes/memory_store.h"
+
+namespace mulberryroad::platform_adapter {
+namespace {
+
+using std::chrono::milliseconds;
+
+serving::Manifest MakeManifest() {
+  serving::Manifest manifest;
+  manifest.version = 1;
+  serving::Route route;
+  route.name = "reports";
+  route.host = "desk.example";
+  route.path_prefix = "/reports/";
+  route.kind = serving::RouteKind::kIdempotent;
+  route.services = {{TargetId("desk"), 1}};
+  manifest.routes = {route};
+  manifest.organisations = {{OrganisationId("org"), {"key"}}};
+  manifest.limits.max_header_bytes = 1'000;
+  manifest.limits.max_body_bytes = 2'000;
+  return manifest;
+}
+
+struct Fixture {
+  base::EventLoop loop;
+  SystemClock clock;
+  base::StructuredLog log{clock, NodeId("node-1")};
+  base::Metrics metrics;
+  fakes::MemoryStore store{loop};
+  serving::Catalog catalog;
+  serving::UpstreamDirectory directory;
+  serving::UpstreamLoads loads;
+  fakes::FakeUpstreams upstreams{loop};
+  std::mt19937_64 random{1};
+  serving::ServingContext context{loop,
+                                  clock,
+                                  log,
+                                  metrics,
+                                  catalog,
+                                  directory,
+                                  loads,
+                                  upstreams,
+                                  FailureDomainId("d1"),
+                                  random,
+                                  [](const OrganisationId&) {},
+                                  RetryAfter};
+  Ingress ingress{
+      context, std::make_shared<batches::BatchClient>(loop, clock, store, 3),
+      1'000, [] { return std::nullopt; }, [] { return std::nullopt; }};
+  Endpoint address{"127.0.0.1", fakes::FreePort()};
+  http::Server server{loop, {}};
+  http::Client client{loop};
+
+  Fixture() {
+    ingress.Register(server);
+    cr_assert(server.Listen(address));
+    directory.Put(fakes::MakeUpstream("u1", "desk"));
+    upstreams.script = [](fakes::ReceivedRequest& received) {
+      received.done(serving::Whole{200, {}, "done"});
+    };
+  }
+
+  /// Sends a request and waits for its answer.
+  http::Response Ask(const std::string& path, const std::string& key,
+                     std::size_t padding, std::size_t body) {
+    http::ClientRequest request;
+    request.endpoint = address;
+    request.method = http::Method::kPost;
+    request.path = path;
+    request.headers = {{"Host", "desk.example"},
+                       {"Request-Id", "r1"},
+                       {"Credential", key},
+                       {"Deadline-Ms", "1000"},
+                       {"Padding", std::string(padding, 'p')}};
+    request.body = std::string(body, 'b');
+    std::optional<http::Result> result;
+    client.Send(std::move(request),
+                [&result](http::Result done) { result = std::move(done); });
+    cr_assert(fakes::RunUntil(loop, [&result] { return result.has_value(); }));
+    return std::get<http::Response>(*result);
+  }
+};
+
+struct Case {
+  const char* name;
+  const char* path;
+  const char* key;
+  std::size_t padding;
+  std::size_t body;
+  int status;
+};
+
+Test(ingress, callers_are_told_what_keeps_their_request_from_running) {
+  Fixture fixture;
+  const http::Response early = fixture.Ask("/reports/1", "key", 0, 10);
+  cr_assert_eq(early.status, 503, "without a manifest: %d", early.status);
+  cr_assert(early.headers.contains("retry-after"));
+  fixture.catalog.Apply(MakeManifest());
+  const std::vector<Case> cases = {
+      {"in order", "/reports/1", "key", 100, 10, 200},
+      {"no route", "/other/1", "key", 0, 10, 404},
+      {"unknown key", "/reports/1", "none", 0, 10, 401},
+      {"headers over the limit", "/reports/1", "key", 1'000, 10, 431},
+      {"body over the limit", "/reports/1", "key", 0, 2'001, 413},
+  };
+  for (const Case& one : cases) {
+    const http::Response response =
+        fixture.Ask(one.path, one.key, one.padding, one.body);
+    cr_expect_eq(response.status, one.status, "%s: %d in place of %d", one.name,
+                 response.status, one.status);
+  }
+  cr_assert_eq(fixture.upstreams.requests.size(), 1, "only one is forwarded");
+}
+
+}  // namespace
+}  // namespace mulberryroad::platform_adapter
