Read often enough to stay sure of the store; split node and tests

The tail of the operator's records waits 750 ms now. Test: reach::idle_store_stays_current_from_read_to_read (with 1 s its second read comes 2.1 s after the first was sent, over the bound; not run so). What a node takes in of upstreams is a class of its own (UpstreamWatch), as are the tests of placement; nothing else differs in them.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -21,6 +21,7 @@
 #include "http/server.h"
 #include "node/peer_view.h"
 #include "node/store_relay.h"
+#include "node/upstream_watch.h"
 #include "platform/batch_codec.h"
 #include "platform/duty_client.h"
 #include "platform/ingress.h"
@@ -112,16 +113,12 @@
   store::TailHandler OperatorHandler();
   store::TailHandler RegistrationHandler();
   void TakeOperatorRecord(const platform::KeyedRecord& record);
-  void TakeRegistration(const platform::KeyedRecord& record);
-  void TakeRegistrations(const std::vector<platform::KeyedRecord>& records);
-  bool ForgetIfRestarted(const serving::Registration& registration);
   std::optional<std::string> Refusal() const;
   bool store_unstable() const;
   bool store_silent() const;
   bool ready() const;
   base::DrainSteps StepsToStop();
   void CountUsage(const OrganisationId& organisation);
-  void WatchHealth(serving::UpstreamLoads& loads, const std::string& work);
   void RegisterReadiness();
   enum class ReloadCause { kSignal, kTimer };
   void Reload(ReloadCause cause);
@@ -143,6 +140,7 @@
   serving::UpstreamDirectory directory_;
   serving::UpstreamLoads request_loads_;
   serving::UpstreamLoads item_loads_;
+  UpstreamWatch upstream_watch_;
   serving::ServingContext serving_;
   batches::BatchContext batch_context_;
   std::shared_ptr<batches::BatchClient> batch_client_;
@@ -160,7 +158,6 @@
   std::optional<http::Server> peer_server_;
   std::optional<http::Server> metrics_server_;
   platform_adapter::Ingress ingress_;
-  bool registrations_known_ = false;
   bool stopping_ = false;
   base::Drain drain_;
   base::Timer expire_timer_;
@@ -179,6 +176,8 @@
       store_(store_relay_, settings_.store),
       upstream_client_(client_),
       duty_client_(client_, settings_.duty_services),
+      upstream_watch_(clock_, log_, metrics_, directory_, request_loads_,
+                      item_loads_),
       serving_{loop_,
                clock_,
                log_,
@@ -234,12 +233,12 @@
             }
           },
           [this](const std::vector<platform::KeyedRecord>& records) {
-            TakeRegistrations(records);
+            upstream_watch_.TakeAll(records, store_unstable());
           }),
       operator_tail_(std::make_shared<store::KeyedTail>(
           loop_, clock_, log_, store_,
           platform::PartitionId{platform_adapter::kOperatorTopic, 0},
-          store::TailTiming{}, OperatorHandler())),
+          store::TailTiming{.wait = ReachJudge::kReadWait}, OperatorHandler())),
       registration_tail_(std::make_shared<store::KeyedTail>(
           loop_, clock_, log_, store_,
           platform::PartitionId{platform_adapter::kRegistrationsTopic, 0},
@@ -305,91 +304,21 @@
   return failure.has_value() && clock_.now() < *failure + kUnstableTime;
 }
 
-void Node::Parts::TakeRegistrations(
-    const std::vector<platform::KeyedRecord>& records) {
-  std::vector<serving::Registration> all;
-  for (const platform::KeyedRecord& record : records) {
-    if (auto registration = platform_adapter::DecodeRegistration(
-            record.key, record.value.value_or(""))) {
-      ForgetIfRestarted(*registration);
-      all.push_back(*std::move(registration));
-    }
-  }
-  log_.Write("upstreams.list",
-             {{"count", static_cast<std::int64_t>(all.size())}});
-  directory_.Replace(std::move(all), store_unstable(), clock_.now());
-  registrations_known_ = true;
-}
-
-// What the process before did at this node says nothing of the new one.
-bool Node::Parts::ForgetIfRestarted(const serving::Registration& registration) {
-  const serving::Registration* known = directory_.find(registration.id);
-  if (known == nullptr || known->started == registration.started) {
-    return false;
-  }
-  request_loads_.Forget(registration.id);
-  item_loads_.Forget(registration.id);
-  return true;
-}
-
 store::TailHandler Node::Parts::RegistrationHandler() {
   store::TailHandler handler;
   handler.on_contact = [this](Instant sent) { peers_.OnStore(sent); };
   handler.on_snapshot =
       [this](const std::vector<platform::KeyedRecord>& records) {
         peers_.registrations().Replace(records);
-        TakeRegistrations(records);
+        upstream_watch_.TakeAll(records, store_unstable());
       };
   handler.on_record = [this](const platform::KeyedRecord& record) {
     peers_.registrations().Take(record);
-    TakeRegistration(record);
+    upstream_watch_.Take(record, store_unstable());
   };
   return handler;
 }
 
-void Node::Parts::TakeRegistration(const platform::KeyedRecord& record) {
-  const UpstreamId id(record.key);
-  if (!record.value.has_value()) {
-    log_.Write("upstream.removed", {{"upstream", id.value()},
-                                    {"store_unstable", store_unstable()}});
-    directory_.Remove(id, store_unstable(), clock_.now());
-    return;
-  }
-  auto registration =
-      platform_adapter::DecodeRegistration(record.key, *record.value);
-  if (!registration.has_value()) {
-    log_.Write("upstream.malformed", {{"upstream", id.value()}});
-    directory_.Remove(id, /*store_unstable=*/false, clock_.now());
-    return;
-  }
-  const serving::Registration* known = directory_.find(id);
-  if (ForgetIfRestarted(*registration) || known == nullptr ||
-      known->draining != registration->draining) {
-    log_.Write("upstream", {{"upstream", id.value()},
-                            {"service", registration->service.value()},
-                            {"draining", registration->draining}});
-  }
-  directory_.Put(*std::move(registration));
-}
-
-void Node::Parts::WatchHealth(serving::UpstreamLoads& loads,
-                              const std::string& work) {
-  loads.health().on_ejected().connect(
-      [this, work](const serving::Ejection& ejection) {
-        metrics_.Count("upstream_ejections_total", {{"work", work}});
-        log_.Write("upstream.ejected",
-                   {{"upstream", ejection.upstream.value()},
-                    {"work", work},
-                    {"failures_in_a_row",
-                     static_cast<std::int64_t>(ejection.failures_in_a_row)},
-                    {"failure_share", ejection.failure_share},
-                    {"time_ms", ejection.time.count()}});
-      });
-  loads.health().on_returned().connect([this, work](const UpstreamId& id) {
-    log_.Write("upstream.returned", {{"upstream", id.value()}, {"work", work}});
-  });
-}
-
 void Node::Parts::CountUsage(const OrganisationId& organisation) {
   usage_counts_.Count(organisation, clock_.wall_now());
 }
@@ -406,7 +335,7 @@
 bool Node::Parts::ready() const {
   const bool store_failing = store_silent() && peers_.reach() != Reach::kOutage;
   return !drain_.begun() && catalog_.manifest() != nullptr &&
-         registrations_known_ && !store_failing;
+         upstream_watch_.listed() && !store_failing;
 }
 
 // A node that hears of nobody cannot know which keys were withdrawn.
@@ -451,8 +380,6 @@
 }
 
 bool Node::Parts::Start(std::string* reason) {
-  WatchHealth(request_loads_, "requests");
-  WatchHealth(item_loads_, "items");
   RegisterReadiness();
   ingress_.Register(callers_);
   if (!callers_.Listen(settings_.callers)) {
--- a/src/node/peer_view.h
+++ b/src/node/peer_view.h
@@ -55,9 +55,11 @@
   void OnPeer(Instant now, Instant heard_of_store);
   Reach reach(Instant now) const;
 
-  /// Without word of the store for longer a node asks its peers: a read waits
-  /// a second there.
+  /// Without word of the store for longer a node asks its peers.
   static constexpr std::chrono::milliseconds kFresh{1'600};
+  /// Reads that bring word of the store wait at most this long for a record, so
+  /// that the answers of two in a row come while the first is still fresh.
+  static constexpr std::chrono::milliseconds kReadWait{750};
   /// Peers are asked some times a second; several of three may be gone.
   static constexpr std::chrono::milliseconds kPeerSilence{3'000};
 
--- /dev/null
+++ b/src/node/upstream_watch.cc
@@ -0,0 +1,97 @@
+#include "node/upstream_watch.h"
+
+#include <cstdint>
+#include <utility>
+
+#include "platform/manifest_codec.h"
+
+namespace mulberryroad::node {
+
+UpstreamWatch::UpstreamWatch(const Clock& clock, base::StructuredLog& log,
+                             base::Metrics& metrics,
+                             serving::UpstreamDirectory& directory,
+                             serving::UpstreamLoads& request_loads,
+                             serving::UpstreamLoads& item_loads)
+    : clock_(clock),
+      log_(log),
+      metrics_(metrics),
+      directory_(directory),
+      request_loads_(request_loads),
+      item_loads_(item_loads) {
+  LogHealth(request_loads_, "requests");
+  LogHealth(item_loads_, "items");
+}
+
+void UpstreamWatch::LogHealth(serving::UpstreamLoads& loads,
+                              const std::string& work) {
+  loads.health().on_ejected().connect(
+      [this, work](const serving::Ejection& ejection) {
+        metrics_.Count("upstream_ejections_total", {{"work", work}});
+        log_.Write("upstream.ejected",
+                   {{"upstream", ejection.upstream.value()},
+                    {"work", work},
+                    {"failures_in_a_row",
+                     static_cast<std::int64_t>(ejection.failures_in_a_row)},
+                    {"failure_share", ejection.failure_share},
+                    {"time_ms", ejection.time.count()}});
+      });
+  loads.health().on_returned().connect([this, work](const UpstreamId& id) {
+    log_.Write("upstream.returned", {{"upstream", id.value()}, {"work", work}});
+  });
+}
+
+void UpstreamWatch::TakeAll(const std::vector<platform::KeyedRecord>& records,
+                            bool store_unstable) {
+  std::vector<serving::Registration> all;
+  for (const platform::KeyedRecord& record : records) {
+    if (auto registration = platform_adapter::DecodeRegistration(
+            record.key, record.value.value_or(""))) {
+      ForgetIfRestarted(*registration);
+      all.push_back(*std::move(registration));
+    }
+  }
+  log_.Write("upstreams.list",
+             {{"count", static_cast<std::int64_t>(all.size())}});
+  directory_.Replace(std::move(all), store_unstable, clock_.now());
+  listed_ = true;
+}
+
+void UpstreamWatch::Take(const platform::KeyedRecord& record,
+                         bool store_unstable) {
+  const UpstreamId id(record.key);
+  if (!record.value.has_value()) {
+    log_.Write("upstream.removed",
+               {{"upstream", id.value()}, {"store_unstable", store_unstable}});
+    directory_.Remove(id, store_unstable, clock_.now());
+    return;
+  }
+  auto registration =
+      platform_adapter::DecodeRegistration(record.key, *record.value);
+  if (!registration.has_value()) {
+    log_.Write("upstream.malformed", {{"upstream", id.value()}});
+    directory_.Remove(id, /*store_unstable=*/false, clock_.now());
+    return;
+  }
+  const serving::Registration* known = directory_.find(id);
+  if (ForgetIfRestarted(*registration) || known == nullptr ||
+      known->draining != registration->draining) {
+    log_.Write("upstream", {{"upstream", id.value()},
+                            {"service", registration->service.value()},
+                            {"draining", registration->draining}});
+  }
+  directory_.Put(*std::move(registration));
+}
+
+// What the process before did at this node says nothing of the new one.
+bool UpstreamWatch::ForgetIfRestarted(
+    const serving::Registration& registration) {
+  const serving::Registration* known = directory_.find(registration.id);
+  if (known == nullptr || known->started == registration.started) {
+    return false;
+  }
+  request_loads_.Forget(registration.id);
+  item_loads_.Forget(registration.id);
+  return true;
+}
+
+}  // namespace mulberryroad::node
--- /dev/null
+++ b/test/fakes/part_owner_fixture.h
@@ -0,0 +1,139 @@
+// An owner of a partition with a store and upstreams in memory.
+
+#ifndef MULBERRYROAD_TEST_FAKES_PART_OWNER_FIXTURE_H_
+#define MULBERRYROAD_TEST_FAKES_PART_OWNER_FIXTURE_H_
+
+#include <criterion/criterion.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "batches/batch_client.h"
+#include "batches/part_owner.h"
+#include "fakes/fake_upstreams.h"
+#include "fakes/loop_wait.h"
+#include "fakes/memory_store.h"
+
+namespace mulberryroad::batches {
+
+inline constexpr int kPartitions = 3;
+
+inline serving::Manifest MakeManifest(bool single_version) {
+  serving::Manifest manifest;
+  manifest.version = 1;
+  serving::Route route;
+  route.name = "drafts";
+  route.host = "h";
+  route.path_prefix = "/drafts/";
+  route.kind = serving::RouteKind::kBatch;
+  route.single_version = single_version;
+  route.services = {{TargetId("engines"), 1}};
+  route.max_attempts = 3;
+  route.result_deadline = std::chrono::milliseconds(7'500);
+  route.retention = std::chrono::milliseconds(40'000);
+  manifest.routes = {route};
+  return manifest;
+}
+
+struct PartOwnerFixture {
+  base::EventLoop loop;
+  SystemClock clock;
+  base::StructuredLog log{clock, NodeId("node-1")};
+  base::Metrics metrics;
+  fakes::MemoryStore store{loop};
+  serving::Catalog catalog;
+  serving::UpstreamDirectory directory;
+  serving::UpstreamLoads loads;
+  fakes::FakeUpstreams upstreams{loop};
+  std::mt19937_64 random{1};
+  BatchContext context{
+      loop,       clock,
+      log,        metrics,
+      store,      catalog,
+      directory,  loads,
+      upstreams,  FailureDomainId("d1"),
+      random,     [](const v1::BatchItem&) { return ItemHeaders{}; },
+      kPartitions};
+  std::shared_ptr<BatchClient> client =
+      std::make_shared<BatchClient>(loop, clock, store, kPartitions);
+  bool lost = false;
+
+  explicit PartOwnerFixture(bool single_version = false) {
+    catalog.Apply(MakeManifest(single_version));
+    for (const char* id : {"u1", "u2"}) {
+      serving::Registration upstream = fakes::MakeUpstream(id, "engines");
+      upstream.versions[TargetId("m")] = 5;
+      directory.Put(upstream);
+    }
+  }
+
+  std::shared_ptr<PartOwner> Own(std::uint64_t epoch) {
+    auto owner =
+        std::make_shared<PartOwner>(context, PartitionOf("org", kPartitions),
+                                    epoch, [this] { lost = true; });
+    owner->Start();
+    return owner;
+  }
+
+  void Submit(const std::string& batch, const std::vector<std::string>& items,
+              std::uint64_t min_version) {
+    v1::BatchRecord record;
+    record.set_batch(batch);
+    record.set_route("/drafts/x");
+    record.set_host("h");
+    record.set_organisation("org");
+    record.set_model("m");
+    record.set_min_version(min_version);
+    record.set_accepted_ms(UnixTime(clock.wall_now()).count());
+    std::vector<v1::BatchItem> stored;
+    for (const std::string& id : items) {
+      v1::BatchItem item;
+      item.set_id(id);
+      item.set_path("/drafts/" + id);
+      item.set_group("g");
+      item.set_body("body of " + id);
+      stored.push_back(item);
+    }
+    bool done = false;
+    client->Submit({OrganisationId("org"), batch},
+                   MakeRecords(record, stored, 64),
+                   {std::chrono::milliseconds(500), nullptr},
+                   [&done](const StoreResult& result) {
+                     done = std::holds_alternative<Stored>(result);
+                   });
+    cr_assert(fakes::RunUntil(loop, [&done] { return done; }));
+  }
+
+  std::vector<v1::ResultRecord> Results(const std::string& batch) {
+    std::optional<ReadResult> result;
+    client->Read({OrganisationId("org"), batch}, 0,
+                 std::chrono::milliseconds(0),
+                 [&result](ReadResult read) { result = std::move(read); });
+    cr_assert(fakes::RunUntil(loop, [&result] { return result.has_value(); }));
+    return std::get<ResultPage>(*result).results;
+  }
+
+  bool WaitForResults(const std::string& batch, std::size_t count) {
+    for (int i = 0; i < 100; ++i) {
+      if (Results(batch).size() >= count) {
+        return true;
+      }
+      fakes::RunFor(loop, std::chrono::milliseconds(10));
+    }
+    return false;
+  }
+
+  void AnswerAll(int events, std::uint64_t version) {
+    upstreams.script = [events, version](fakes::ReceivedRequest& received) {
+      fakes::FakeUpstreams::SendEvents(received, events, version);
+      received.done(serving::Whole{200, {}, {}});
+    };
+  }
+};
+
+}  // namespace mulberryroad::batches
+
+#endif  // MULBERRYROAD_TEST_FAKES_PART_OWNER_FIXTURE_H_
--- a/test/reach_test.cc
+++ b/test/reach_test.cc
@@ -46,6 +46,20 @@
             "nobody serves it better");
 }
 
+// Word of the store dates from the sending of the read that brought it.
+Test(reach, idle_store_stays_current_from_read_to_read) {
+  constexpr milliseconds kSlowAnswer{50};
+  ReachJudge judge;
+  Instant sent = At(0);
+  for (int read = 0; read < 5; ++read) {
+    const Instant answered = sent + ReachJudge::kReadWait + kSlowAnswer;
+    cr_assert(judge.reach(answered - milliseconds(1)) == Reach::kCurrent ||
+              read == 0);
+    judge.OnStore(sent);
+    sent = answered;
+  }
+}
+
 Test(reach, silence_of_all_is_isolation) {
   ReachJudge judge;
   judge.OnStore(At(1'000));
