--- a/test/capacity_plan_test.cc
+++ b/test/capacity_plan_test.cc
@@ -33,7 +33,7 @@
   }
 
   UpstreamId Add() {
-    const UpstreamId id("u" + std::to_string(next_id++));
+    UpstreamId id("u" + std::to_string(next_id++));
     upstreams[id] = fakes::MakeUpstream(id.value(), "engines");
     return id;
   }
--- a/test/ingress_test.cc
+++ b/test/ingress_test.cc
@@ -2,18 +2,12 @@
 
 #include "platform/ingress.h"
 
-#include <criterion/criterion.h>
-
-#include "fakes/fake_upstreams.h"
-#include "fakes/free_port.h"
-#include "fakes/loop_wait.h"
 #include "fakes/memory_store.h"
+#include "fakes/serving_fixture.h"
 
 namespace mulberryroad::platform_adapter {
 namespace {
 
-using std::chrono::milliseconds;
-
 serving::Manifest MakeManifest() {
   serving::Manifest manifest;
   manifest.version = 1;
@@ -30,39 +24,15 @@
   return manifest;
 }
 
-struct Fixture {
-  base::EventLoop loop;
-  SystemClock clock;
-  base::StructuredLog log{clock, NodeId("node-1")};
-  base::Metrics metrics;
+/// A server with the ingress of a node.
+struct Fixture : fakes::ServingFixture {
   fakes::MemoryStore store{loop};
-  serving::Catalog catalog;
-  serving::UpstreamDirectory directory;
-  serving::UpstreamLoads loads;
-  fakes::FakeUpstreams upstreams{loop};
-  std::mt19937_64 random{1};
-  serving::ServingContext context{loop,
-                                  clock,
-                                  log,
-                                  metrics,
-                                  catalog,
-                                  directory,
-                                  loads,
-                                  upstreams,
-                                  FailureDomainId("d1"),
-                                  random,
-                                  [](const OrganisationId&) {},
-                                  RetryAfter};
   Ingress ingress{
       context, std::make_shared<batches::BatchClient>(loop, clock, store, 3),
       1'000, [] { return std::nullopt; }, [] { return std::nullopt; }};
-  Endpoint address{"127.0.0.1", fakes::FreePort()};
-  http::Server server{loop, {}};
-  http::Client client{loop};
 
   Fixture() {
     ingress.Register(server);
-    cr_assert(server.Listen(address));
     directory.Put(fakes::MakeUpstream("u1", "desk"));
     upstreams.script = [](fakes::ReceivedRequest& received) {
       received.done(serving::Whole{200, {}, "done"});
@@ -72,21 +42,13 @@
   /// Sends a request and waits for its answer.
   http::Response Ask(const std::string& path, const std::string& key,
                      std::size_t padding, std::size_t body) {
-    http::ClientRequest request;
-    request.endpoint = address;
-    request.method = http::Method::kPost;
-    request.path = path;
-    request.headers = {{"Host", "desk.example"},
-                       {"Request-Id", "r1"},
-                       {"Credential", key},
-                       {"Deadline-Ms", "1000"},
-                       {"Padding", std::string(padding, 'p')}};
-    request.body = std::string(body, 'b');
-    std::optional<http::Result> result;
-    client.Send(std::move(request),
-                [&result](http::Result done) { result = std::move(done); });
-    cr_assert(fakes::RunUntil(loop, [&result] { return result.has_value(); }));
-    return std::get<http::Response>(*result);
+    return Post(path,
+                {{"Host", "desk.example"},
+                 {"Request-Id", "r1"},
+                 {"Credential", key},
+                 {"Deadline-Ms", "1000"},
+                 {"Padding", std::string(padding, 'p')}},
+                std::string(body, 'b'));
   }
 };
 
--- a/test/request_session_test.cc
+++ b/test/request_session_test.cc
@@ -2,13 +2,9 @@
 
 #include "serving/request_session.h"
 
-#include <criterion/criterion.h>
-
 #include <list>
 
-#include "fakes/fake_upstreams.h"
-#include "fakes/free_port.h"
-#include "fakes/loop_wait.h"
+#include "fakes/serving_fixture.h"
 
 namespace mulberryroad::serving {
 namespace {
@@ -20,35 +16,8 @@
 constexpr int kOk = 200;
 constexpr int kServerError = 500;
 
-/// A server that makes a session of each request, and a client to call it.
-struct Fixture {
-  base::EventLoop loop;
-  SystemClock clock;
-  base::StructuredLog log{clock, NodeId("node-1")};
-  base::Metrics metrics;
-  Catalog catalog;
-  UpstreamDirectory directory;
-  UpstreamLoads loads;
-  FakeUpstreams upstreams{loop};
-  std::mt19937_64 random{1};
-  ServingContext context{
-      loop,
-      clock,
-      log,
-      metrics,
-      catalog,
-      directory,
-      loads,
-      upstreams,
-      FailureDomainId("d1"),
-      random,
-      [](const OrganisationId&) {},
-      [](milliseconds retry) {
-        return http::Header{"Retry-After", std::to_string(retry.count())};
-      }};
-  Endpoint address{"127.0.0.1", fakes::FreePort()};
-  http::Server server{loop, {}};
-  http::Client client{loop};
+/// A server that makes a session of each request.
+struct Fixture : fakes::ServingFixture {
   RouteKind kind = RouteKind::kNonIdempotent;
   std::list<base::Timer> work;
 
@@ -63,22 +32,11 @@
       std::make_shared<RequestSession>(context, exchange, std::move(request))
           ->Start();
     });
-    cr_assert(server.Listen(address));
   }
 
   /// Sends a request and waits for its answer.
   /// @return the status
-  int Ask() {
-    std::optional<http::Result> result;
-    http::ClientRequest request;
-    request.endpoint = address;
-    request.method = http::Method::kPost;
-    request.path = "/report";
-    client.Send(std::move(request),
-                [&result](http::Result done) { result = std::move(done); });
-    cr_assert(fakes::RunUntil(loop, [&result] { return result.has_value(); }));
-    return std::get<http::Response>(*result).status;
-  }
+  int Ask() { return Post("/report", {}, "").status; }
 
   /// Answers after a time, as an upstream that works does.
   void AnswerLater(ReceivedRequest& received, milliseconds time) {
