--- a/test/request_session_test.cc
+++ b/test/request_session_test.cc
@@ -9,7 +9,6 @@
 namespace mulberryroad::serving {
 namespace {
 
-using fakes::FakeUpstreams;
 using fakes::ReceivedRequest;
 using std::chrono::milliseconds;
 
