Share what tests set up twice; drop a sender that only a test used

From a newcomer's read of the diff; no behaviour of the product differs and no check or bound is touched. Written twice: the steps that two stand-ins take later (DelayedSteps), the two nodes of the peer view's tests. Dead or misplaced: http::DirectSender stood in the product for one contract test, and stands there now; the session tests' fixture had a kind of route that no test changed. Ruled out: one delayed step for BatchClient and the stand-ins (the client's keeps the client alive, theirs are dropped with them); one fixture of contexts for owners and host (they differ in manifest, partitions and results).

--- a/src/http/sender.h
+++ b/src/http/sender.h
@@ -3,8 +3,6 @@
 #ifndef MULBERRYROAD_SRC_HTTP_SENDER_H_
 #define MULBERRYROAD_SRC_HTTP_SENDER_H_
 
-#include <utility>
-
 #include "http/client.h"
 
 namespace mulberryroad::http {
@@ -16,18 +14,6 @@
   virtual void Send(ClientRequest request, OnDone on_done) = 0;
 };
 
-/// Sends each request to its endpoint.
-class DirectSender final : public Sender {
- public:
-  explicit DirectSender(Client& client) : client_(client) {}
-  void Send(ClientRequest request, OnDone on_done) override {
-    client_.Send(std::move(request), std::move(on_done));
-  }
-
- private:
-  Client& client_;
-};
-
 }  // namespace mulberryroad::http
 
 #endif  // MULBERRYROAD_SRC_HTTP_SENDER_H_
--- a/test/contract/store_client_test.cc
+++ b/test/contract/store_client_test.cc
@@ -15,6 +15,18 @@
 namespace mulberryroad::platform_adapter {
 namespace {
 
+/// Sends each request to its endpoint.
+class DirectSender final : public http::Sender {
+ public:
+  explicit DirectSender(http::Client& client) : client_(client) {}
+  void Send(http::ClientRequest request, http::OnDone on_done) override {
+    client_.Send(std::move(request), std::move(on_done));
+  }
+
+ private:
+  http::Client& client_;
+};
+
 using platform::KeyedRecord;
 using platform::PartitionId;
 using std::chrono::milliseconds;
@@ -81,7 +93,7 @@
   Endpoint endpoint_{"127.0.0.1", fakes::FreePort()};
   fakes::FakePlatform fake_{loop_, 1};
   http::Client client_{loop_};
-  http::DirectSender sender_{client_};
+  DirectSender sender_{client_};
   StoreClient store_{sender_, endpoint_};
 };
 
--- a/test/fakes/platform/fake_platform.cc
+++ b/test/fakes/platform/fake_platform.cc
@@ -70,22 +70,11 @@
 void FakePlatform::Answer(const Exchange& exchange, StoreAnswer answer) {
   const milliseconds delay =
       Now() < faults_.slow_until ? kSlowAnswerTime : kAnswerTime;
-  After(delay, [exchange, answer = std::move(answer)] {
+  steps_.After(delay, [exchange, answer = std::move(answer)] {
     exchange->Reply(answer.status, answer.body);
   });
 }
 
-void FakePlatform::After(milliseconds delay, std::function<void()> step) {
-  const auto timer = std::make_shared<base::Timer>();
-  timers_.push_back(timer);
-  *timer = loop_.After(delay, [this, timer, step = std::move(step)] {
-    timers_.remove(timer);
-    // The timer holds this callback, and with it itself.
-    const base::Timer fired = std::move(*timer);
-    step();
-  });
-}
-
 bool FakePlatform::Draw(double share) {
   return std::uniform_real_distribution<double>(0, 1)(random_) < share;
 }
@@ -144,7 +133,7 @@
   query.sequence = NumberOf(request, "seq");
   if (Now() < faults_.late_until && Draw(kLostShare)) {
     unanswered_.push_back(exchange);
-    After(kLateBy, [this, part, body = request.body, query] {
+    steps_.After(kLateBy, [this, part, body = request.body, query] {
       store_.Append(part, body, query);
       WakeReaders();
     });
--- a/test/fakes/platform/fake_platform.h
+++ b/test/fakes/platform/fake_platform.h
@@ -14,6 +14,7 @@
 #include <string>
 
 #include "base/event_loop.h"
+#include "fakes/platform/delayed_steps.h"
 #include "fakes/platform/duty_book.h"
 #include "fakes/platform/log_store.h"
 #include "http/server.h"
@@ -67,7 +68,6 @@
   void Serve(http::Method method, const std::string& path,
              std::function<void(const Exchange&)> handler);
   void Answer(const Exchange& exchange, StoreAnswer answer);
-  void After(std::chrono::milliseconds delay, std::function<void()> step);
   bool Draw(double share);
   std::string Stats() const;
 
@@ -84,7 +84,7 @@
   std::map<std::string, StoreTime> registered_;
   std::uint64_t appends_ = 0;
   std::uint64_t reads_ = 0;
-  std::list<std::shared_ptr<base::Timer>> timers_;
+  DelayedSteps steps_{loop_};
   base::Timer tick_;
 };
 
--- a/test/fakes/platform/fake_replica.cc
+++ b/test/fakes/platform/fake_replica.cc
@@ -88,17 +88,6 @@
   return true;
 }
 
-void FakeReplica::After(milliseconds delay, std::function<void()> step) {
-  const auto timer = std::make_shared<base::Timer>();
-  timers_.push_back(timer);
-  *timer = loop_.After(delay, [this, timer, step = std::move(step)] {
-    timers_.remove(timer);
-    // The timer holds this callback, and with it itself.
-    const base::Timer fired = std::move(*timer);
-    step();
-  });
-}
-
 bool FakeReplica::Draw(double share) {
   return std::uniform_real_distribution<double>(0, 1)(random_) < share;
 }
@@ -145,7 +134,7 @@
     return;
   }
   Register();
-  After(kDrainTime, [this] {
+  steps_.After(kDrainTime, [this] {
     http::ClientRequest request;
     request.endpoint = options_.platform;
     request.method = Method::kPost;
@@ -200,7 +189,7 @@
 }
 
 void FakeReplica::RunPlain(const Exchange& exchange, const std::string& id) {
-  After(kWorkTime, [this, exchange, id] {
+  steps_.After(kWorkTime, [this, exchange, id] {
     --running_;
     if (Draw(options_.fault_share)) {
       exchange->Abort();
@@ -288,7 +277,7 @@
     ++orders_;
     busy_ = true;
     exchange->Reply(kAccepted, "{}");
-    After(kLoadTime, [this, model, version] {
+    steps_.After(kLoadTime, [this, model, version] {
       busy_ = false;
       versions_[model] = version;
       Register();
--- a/test/fakes/platform/fake_replica.h
+++ b/test/fakes/platform/fake_replica.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "base/event_loop.h"
+#include "fakes/platform/delayed_steps.h"
 #include "http/client.h"
 #include "http/server.h"
 
@@ -79,7 +80,6 @@
   void Report(const Exchange& exchange) const;
   void Note(const nlohmann::json& line) const;
   nlohmann::json Models() const;
-  void After(std::chrono::milliseconds delay, std::function<void()> step);
   bool Draw(double share);
 
   base::EventLoop& loop_;
@@ -94,7 +94,7 @@
   std::uint64_t newest_fence_ = 0;
   bool busy_ = false;
   bool draining_ = false;
-  std::list<std::shared_ptr<base::Timer>> timers_;
+  DelayedSteps steps_{loop_};
   base::Timer heartbeat_;
 };
 
--- a/test/reach_test.cc
+++ b/test/reach_test.cc
@@ -68,61 +68,60 @@
   cr_assert(judge.reach(At(9'100)) == Reach::kCurrent);
 }
 
-// Two nodes: one reads the store, the other learns from it over HTTP.
-Test(peer_view, node_without_the_store_learns_from_a_peer) {
+/// Two nodes: one reads the store and answers its peers, the other does not
+/// reach the store.
+struct TwoNodes {
   base::EventLoop loop;
   SystemClock clock;
-  base::StructuredLog log(clock, NodeId("n"));
-  http::Client client(loop);
-  std::mt19937_64 random(1);
-  const Endpoint endpoint{"127.0.0.1", fakes::FreePort()};
-  const auto ignore = [](const std::vector<platform::KeyedRecord>&) {};
-  PeerView reader(loop, clock, log, client, random, {}, ignore, ignore);
-  http::Server server(loop, {});
-  reader.Register(server);
-  cr_assert(server.Listen(endpoint));
-  reader.operator_records().Take({"config", "manifest 7", 41});
-  reader.OnStore(clock.now());
+  base::StructuredLog log{clock, NodeId("n")};
+  http::Client client{loop};
+  std::mt19937_64 random{1};
+  Endpoint reader_address{"127.0.0.1", fakes::FreePort()};
+  PeerView::OnRecords ignore = [](const auto& /*records*/) {};
+  PeerView reader{loop, clock, log, client, random, {}, ignore, ignore};
+  http::Server server{loop, {}};
   std::vector<platform::KeyedRecord> learnt;
-  PeerView cut_off(
-      loop, clock, log, client, random, {endpoint},
-      [&learnt](const std::vector<platform::KeyedRecord>& records) {
-        learnt = records;
-      },
-      ignore);
-  cut_off.Start();
-  const base::Timer contact =
-      loop.Every(milliseconds(100), [&] { reader.OnStore(clock.now()); });
-  cr_assert(fakes::RunUntil(loop, [&learnt] { return !learnt.empty(); }));
-  cr_assert_str_eq(learnt[0].value->c_str(), "manifest 7");
-  cr_assert(cut_off.reach() == Reach::kCurrent);
+
+  TwoNodes() {
+    reader.Register(server);
+    cr_assert(server.Listen(reader_address));
+    reader.operator_records().Take({"config", "manifest 7", 41});
+  }
+
+  /// Makes the node that does not reach the store.
+  std::unique_ptr<PeerView> CutOff(const Endpoint& peer) {
+    return std::make_unique<PeerView>(
+        loop, clock, log, client, random, std::vector<Endpoint>{peer},
+        [this](const std::vector<platform::KeyedRecord>& records) {
+          learnt = records;
+        },
+        ignore);
+  }
+};
+
+Test(peer_view, node_without_the_store_learns_from_a_peer) {
+  TwoNodes nodes;
+  nodes.reader.OnStore(nodes.clock.now());
+  const auto cut_off = nodes.CutOff(nodes.reader_address);
+  cut_off->Start();
+  const base::Timer contact = nodes.loop.Every(
+      milliseconds(100), [&] { nodes.reader.OnStore(nodes.clock.now()); });
+  cr_assert(
+      fakes::RunUntil(nodes.loop, [&nodes] { return !nodes.learnt.empty(); }));
+  cr_assert_str_eq(nodes.learnt[0].value->c_str(), "manifest 7");
+  cr_assert(cut_off->reach() == Reach::kCurrent);
 }
 
 // The seeds that a node started with are gone; its settings name others now.
 Test(peer_view, seeds_that_changed_are_asked) {
-  base::EventLoop loop;
-  SystemClock clock;
-  base::StructuredLog log(clock, NodeId("n"));
-  http::Client client(loop);
-  std::mt19937_64 random(1);
-  const Endpoint gone{"127.0.0.1", fakes::FreePort()};
-  const Endpoint present{"127.0.0.1", fakes::FreePort()};
-  const auto ignore = [](const std::vector<platform::KeyedRecord>&) {};
-  PeerView reader(loop, clock, log, client, random, {}, ignore, ignore);
-  http::Server server(loop, {});
-  reader.Register(server);
-  cr_assert(server.Listen(present));
-  reader.operator_records().Take({"config", "manifest 7", 41});
-  bool learnt = false;
-  PeerView cut_off(
-      loop, clock, log, client, random, {gone},
-      [&learnt](const std::vector<platform::KeyedRecord>&) { learnt = true; },
-      ignore);
-  cut_off.Start();
-  fakes::RunFor(loop, milliseconds(500));
-  cr_assert(!learnt);
-  cut_off.Follow({present});
-  cr_assert(fakes::RunUntil(loop, [&learnt] { return learnt; }));
+  TwoNodes nodes;
+  const auto cut_off = nodes.CutOff({"127.0.0.1", fakes::FreePort()});
+  cut_off->Start();
+  fakes::RunFor(nodes.loop, milliseconds(500));
+  cr_assert(nodes.learnt.empty());
+  cut_off->Follow({nodes.reader_address});
+  cr_assert(
+      fakes::RunUntil(nodes.loop, [&nodes] { return !nodes.learnt.empty(); }));
 }
 
 }  // namespace
--- a/test/request_session_test.cc
+++ b/test/request_session_test.cc
@@ -17,14 +17,13 @@
 
 /// A server that makes a session of each request.
 struct Fixture : fakes::ServingFixture {
-  RouteKind kind = RouteKind::kNonIdempotent;
   std::list<base::Timer> work;
 
   Fixture() {
     server.Fallback([this](const std::shared_ptr<http::Exchange>& exchange) {
       SessionRequest request;
       request.service = TargetId("desk");
-      request.kind = kind;
+      request.kind = RouteKind::kNonIdempotent;
       request.max_attempts = 3;
       request.deadline = clock.now() + milliseconds(2'000);
       request.target_latency = milliseconds(1'000);
