Score items with the request that they carry

Cause: an item may carry a request to a scorer, and its result is completed only with the signature of the scorer's answer.

Change: the codec checks the request and names item and field of a malformed one (400, nothing stored). Once the output is complete it is stored as such, and the scorer is called through the manifest in force. A new owner scores a stored output without running it again.

--- a/src/batches/batch_host.cc
+++ b/src/batches/batch_host.cc
@@ -182,6 +182,14 @@
   return count;
 }
 
+std::size_t BatchHost::scoring() const {
+  std::size_t count = 0;
+  for (const auto& [partition, owner] : owners_) {
+    count += owner->scoring();
+  }
+  return count;
+}
+
 std::size_t BatchHost::waiting() const {
   std::size_t count = 0;
   for (const auto& [partition, owner] : owners_) {
--- a/src/batches/batch_host.h
+++ b/src/batches/batch_host.h
@@ -36,6 +36,8 @@
   std::size_t running() const;
   /// Number of items waiting for an upstream.
   std::size_t waiting() const;
+  /// Number of items whose output is complete and has no score yet.
+  std::size_t scoring() const;
 
   /// A member that does not renew its membership for this long loses its
   /// partitions. The store's minimum is one second; the additional half second
--- a/src/batches/item_run.cc
+++ b/src/batches/item_run.cc
@@ -39,6 +39,7 @@
     record.add_events(events[i]);
   }
   record.set_version(version);
+  record.set_complete(complete);
   for (const std::uint64_t used_version : versions) {
     record.add_versions(used_version);
   }
@@ -52,6 +53,7 @@
   events.insert(events.end(), record.events().begin(), record.events().end());
   last_event = events.size();
   version = record.version();
+  complete = record.complete();
   versions.insert(record.versions().begin(), record.versions().end());
   return true;
 }
@@ -193,6 +195,7 @@
     Finish(RunInterrupted{});
   } else if (response->status == kOk) {
     loads_.health().OnResponseCompleted(upstream_, clock_.now());
+    progress_.complete = true;
     Finish(RunCompleted{});
   } else if (response->status == kUnprocessable) {
     Finish(RunImpossible{});
--- a/src/batches/item_run.h
+++ b/src/batches/item_run.h
@@ -30,6 +30,8 @@
   std::uint64_t version = 0;
   /// Weight versions under which the events were generated.
   std::set<std::uint64_t> versions;
+  /// The output ends with the last event.
+  bool complete = false;
 
   /// Appends the next event.
   /// @return false if its id is not `last_event` + 1; nothing is changed
--- a/src/batches/item_scheduler.cc
+++ b/src/batches/item_scheduler.cc
@@ -122,10 +122,15 @@
 ItemDecision ItemScheduler::OnRunEnd(const ItemRef& ref, const RunEnd& end,
                                      Instant now) {
   Item* item = FindItem(ref);
-  if (item == nullptr || item->state == State::kDone) {
+  if (item == nullptr || item->state == State::kDone ||
+      item->state == State::kAwaitingScore) {
     return NoResult{};
   }
   if (std::holds_alternative<RunCompleted>(end)) {
+    if (batches_.at(ref.batch).info.items[ref.index].needs_score) {
+      item->state = State::kAwaitingScore;
+      return AwaitScore{};
+    }
     item->state = State::kDone;
     return ListCompleted{};
   }
@@ -142,6 +147,15 @@
   return NoResult{};
 }
 
+bool ItemScheduler::OnScoreEnd(const ItemRef& ref) {
+  Item* item = FindItem(ref);
+  if (item == nullptr || item->state != State::kAwaitingScore) {
+    return false;
+  }
+  item->state = State::kDone;
+  return true;
+}
+
 std::vector<ItemRef> ItemScheduler::TakeOverdue(Instant now) {
   std::vector<ItemRef> overdue;
   for (auto& [id, entry] : batches_) {
--- a/src/batches/item_scheduler.h
+++ b/src/batches/item_scheduler.h
@@ -33,6 +33,8 @@
   bool listed = false;
   /// The item was in an earlier batch: the trainer always needs its group.
   bool carried_over = false;
+  /// The item is completed only once its output has a score.
+  bool needs_score = false;
 };
 
 /// Properties of a batch and its items.
@@ -85,7 +87,10 @@
 struct ListTerminated {};
 /// Store no result; the item is retried if it is unfinished.
 struct NoResult {};
-using ItemDecision = std::variant<ListCompleted, ListTerminated, NoResult>;
+/// The output is complete: get its score, then call `OnScoreEnd`.
+struct AwaitScore {};
+using ItemDecision =
+    std::variant<ListCompleted, ListTerminated, NoResult, AwaitScore>;
 
 /// Returns an upstream with a free slot for an item of the batch, or nullopt.
 /// @param last upstream of the item's last run, to be avoided; empty if none
@@ -114,6 +119,9 @@
   /// @return the result to store, if any; `NoResult` if the item is unknown
   ///     or already has a result
   ItemDecision OnRunEnd(const ItemRef& item, const RunEnd& end, Instant now);
+  /// Marks an item as done whose score was received or given up.
+  /// @return false if the item is unknown or does not await a score
+  bool OnScoreEnd(const ItemRef& item);
   /// Marks the unfinished items of batches past their `retention_end` as done
   /// and returns them, to be listed as terminated.
   std::vector<ItemRef> TakeOverdue(Instant now);
@@ -128,7 +136,7 @@
   static constexpr std::chrono::milliseconds kRetryDelay{60};
 
  private:
-  enum class State { kWaiting, kRunning, kDone };
+  enum class State { kWaiting, kRunning, kAwaitingScore, kDone };
   struct Item {
     State state = State::kWaiting;
     int failures = 0;
--- a/src/batches/part_owner.cc
+++ b/src/batches/part_owner.cc
@@ -31,6 +31,13 @@
   context_.log.Write("part.acquire",
                      {{"part", static_cast<std::int64_t>(partition_.number)},
                       {"epoch", static_cast<std::int64_t>(epoch_)}});
+  scorer_ = std::make_shared<ItemScorer>(
+      context_, [weak = weak_from_this()](const ItemRef& item,
+                                          const ItemScoreResult& result) {
+        if (const auto owner = weak.lock()) {
+          owner->OnScoreEnd(item, result);
+        }
+      });
   FollowBatches();
 }
 
@@ -80,6 +87,9 @@
   if (tail_ != nullptr) {
     tail_->Stop();
   }
+  if (scorer_ != nullptr) {
+    scorer_->Stop();
+  }
   for (const auto& [item, running] : runs_) {
     running.run->Cancel();
   }
@@ -155,9 +165,10 @@
     items.insert(items.end(), chunk.items().begin(), chunk.items().end());
   }
   for (const v1::BatchItem& item : items) {
-    info.items.push_back(
-        {item.id(), item.group(), context_.read_headers(item).expected_tokens,
-         batch.listed.contains(item.id()), leftovers_.contains(item.id())});
+    info.items.push_back({item.id(), item.group(),
+                          context_.read_headers(item).expected_tokens,
+                          batch.listed.contains(item.id()),
+                          leftovers_.contains(item.id()), item.has_scorer()});
   }
   next_position_[id] = std::max(next_position_[id], batch.next_position);
   context_.log.Write(
@@ -195,6 +206,7 @@
   ExpireLeftovers();
   KeepLeftovers(id);
   OrphanRuns(id);
+  scorer_->CancelBatch(id);
   const auto of_batch = [&id](const auto& entry) {
     return entry.first.batch == id;
   };
@@ -260,12 +272,10 @@
   });
 }
 
-void PartitionOwner::OnOrphanEnd(const std::string& item_id, const RunEnd& end,
+void PartitionOwner::OnOrphanEnd(const std::string& item_id,
                                  ItemProgress progress) {
   orphans_.erase(item_id);
-  leftovers_[item_id] = {std::move(progress),
-                         std::holds_alternative<RunCompleted>(end),
-                         context_.clock.now()};
+  leftovers_[item_id] = {std::move(progress), context_.clock.now()};
 }
 
 std::vector<const serving::Registration*> PartitionOwner::UsableUpstreams(
@@ -380,7 +390,8 @@
       run->second.run->Cancel();
       runs_.erase(run);
     }
-    ListResult(item, v1::ITEM_STATE_TERMINATED, {});
+    scorer_->Cancel(item);
+    ListResult(item, v1::ITEM_STATE_TERMINATED, {}, "");
   }
   scheduler_.Place(now, [this](const BatchInfo& batch, const ItemRef& item,
                                const UpstreamId& last) {
@@ -458,7 +469,7 @@
     return;
   }
   if (orphans_.contains(item_id)) {
-    OnOrphanEnd(item_id, end, std::move(progress));
+    OnOrphanEnd(item_id, std::move(progress));
     return;
   }
   runs_.erase(item);
@@ -484,11 +495,10 @@
                          {{"outcome", kOutcomeNames[end.index()]}});
   const ItemDecision step = scheduler_.OnRunEnd(
       item, stale ? RunEnd(RunInterrupted{}) : end, context_.clock.now());
-  if (std::holds_alternative<ListCompleted>(step)) {
-    ListResult(item, v1::ITEM_STATE_COMPLETED, progress);
-    completed_[item] = std::move(progress);
+  if (completed && !stale) {
+    OnOutputComplete(item, std::move(progress), step);
   } else if (std::holds_alternative<ListTerminated>(step)) {
-    ListResult(item, v1::ITEM_STATE_TERMINATED, {});
+    ListResult(item, v1::ITEM_STATE_TERMINATED, {}, "");
   } else if (stale) {
     DeleteItemProgress(item);
   } else {
@@ -497,6 +507,48 @@
   PostSchedule();
 }
 
+void PartitionOwner::OnOutputComplete(const ItemRef& item,
+                                      ItemProgress progress,
+                                      const ItemDecision& decision) {
+  if (std::holds_alternative<ListCompleted>(decision)) {
+    ListCompletedItem(item, std::move(progress), "");
+  } else if (std::holds_alternative<AwaitScore>(decision)) {
+    const v1::BatchItem& stored = *FindItem(item);
+    const BatchInfo& batch = *scheduler_.find(item.batch);
+    const serving::Route* route = context_.catalog.FindRoute(
+        stored.scorer().host(), stored.scorer().path());
+    SaveCompleteOutput(item, progress);
+    progress_[item] = std::move(progress);
+    scorer_->Add({item,
+                  std::max(batch.max_attempts,
+                           route == nullptr ? 1 : route->max_attempts),
+                  batch.deadline},
+                 stored, batch.retention_end);
+  }
+}
+
+void PartitionOwner::OnScoreEnd(const ItemRef& item,
+                                const ItemScoreResult& result) {
+  if (stopped_ || !scheduler_.OnScoreEnd(item)) {
+    return;
+  }
+  const auto found = progress_.find(item);
+  ItemProgress progress = std::move(found->second);
+  progress_.erase(found);
+  if (const auto* scored = std::get_if<ItemScored>(&result)) {
+    ListCompletedItem(item, std::move(progress), scored->score);
+  } else {
+    ListResult(item, v1::ITEM_STATE_TERMINATED, {}, "");
+  }
+}
+
+void PartitionOwner::ListCompletedItem(const ItemRef& item,
+                                       ItemProgress progress,
+                                       const std::string& score) {
+  ListResult(item, v1::ITEM_STATE_COMPLETED, progress, score);
+  completed_[item] = std::move(progress);
+}
+
 // Posted to the loop because the caller may be a method of a run; one call
 // covers all run events of the same loop iteration.
 void PartitionOwner::PostSchedule() {
--- a/src/batches/part_owner.h
+++ b/src/batches/part_owner.h
@@ -7,53 +7,21 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <random>
 #include <string>
 
 #include "base/event_loop.h"
-#include "base/metrics.h"
-#include "base/structured_log.h"
+#include "batches/batch_context.h"
 #include "batches/batch_table.h"
 #include "batches/item_run.h"
 #include "batches/item_scheduler.h"
+#include "batches/item_scorer.h"
 #include "mulberryroad/clock.h"
 #include "platform/partition_store.h"
-#include "serving/catalog.h"
-#include "serving/upstream_caller.h"
-#include "serving/upstreams.h"
 #include "store/fenced_writer.h"
 #include "store/keyed_tail.h"
 
 namespace mulberryroad::batches {
 
-/// Values read from the platform's headers of an item.
-struct ItemHeaders {
-  /// Estimated number of output tokens; 0 if there is none.
-  double expected_tokens = 0;
-};
-using ReadItemHeaders = std::function<ItemHeaders(const v1::BatchItem&)>;
-
-/// Dependencies and settings that all partition owners of a node share.
-struct BatchContext {
-  base::EventLoop& loop;
-  const Clock& clock;
-  base::StructuredLog& log;
-  base::Metrics& metrics;
-  platform::PartitionStore& store;
-  const serving::Catalog& catalog;
-  const serving::UpstreamDirectory& directory;
-  /// Load, latency and health of the upstreams.
-  serving::UpstreamLoads& loads;
-  serving::UpstreamCaller& caller;
-  FailureDomainId own_domain;
-  std::mt19937_64& random;
-  ReadItemHeaders read_headers;
-  /// Number of partitions of each topic.
-  int partitions = 1;
-  /// Retention of the results of an ended batch, counted from its acceptance.
-  std::chrono::milliseconds results_retention{180'000};
-};
-
 /// Follows the partition, runs the items of its batches and stores their
 /// results. Fenced by an epoch: once an owner with a higher epoch has appended,
 /// the store refuses the results of this one. Must be owned by a
@@ -100,6 +68,10 @@
   std::size_t running() const { return runs_.size(); }
   /// Number of items waiting for an upstream.
   std::size_t waiting() const { return scheduler_.waiting(); }
+  /// Number of items whose output is complete and has no score yet.
+  std::size_t scoring() const {
+    return scorer_ == nullptr ? 0 : scorer_->pending();
+  }
 
  private:
   /// Writer of one result partition, and the callbacks to run once earlier
@@ -147,8 +119,7 @@
   void AdoptRun(const ItemRef& item, const std::string& item_id);
   /// Cancels the orphaned runs of a model.
   void CancelOrphans(const TargetId& model);
-  void OnOrphanEnd(const std::string& item_id, const RunEnd& end,
-                   ItemProgress progress);
+  void OnOrphanEnd(const std::string& item_id, ItemProgress progress);
   /// Deletes the stored progress of one item.
   void DeleteItemProgress(const ItemRef& item);
   /// Deletes the stored progress of all items of a batch.
@@ -176,9 +147,19 @@
   void OnRunEnd(const ItemRef& item, const std::string& item_id,
                 const UpstreamId& upstream, const RunEnd& end,
                 ItemProgress progress);
+  /// Lists an item whose output is complete, or calls its scorer first.
+  /// @param decision of the scheduler on the completed run
+  void OnOutputComplete(const ItemRef& item, ItemProgress progress,
+                        const ItemDecision& decision);
+  /// Lists an item with the result of its scorer.
+  void OnScoreEnd(const ItemRef& item, const ItemScoreResult& result);
+  /// Stores the end of an output, so that a later owner only has to score it.
+  void SaveCompleteOutput(const ItemRef& item, const ItemProgress& progress);
+  void ListCompletedItem(const ItemRef& item, ItemProgress progress,
+                         const std::string& score);
   /// Stores the result of an item at the next position of its batch.
   void ListResult(const ItemRef& item, v1::ItemState state,
-                  const ItemProgress& progress);
+                  const ItemProgress& progress, const std::string& score);
   const v1::BatchItem* FindItem(const ItemRef& item) const;
 
   BatchContext& context_;
@@ -196,6 +177,7 @@
   std::shared_ptr<store::KeyedTail> tail_;
   BatchTable table_;
   ItemScheduler scheduler_;
+  std::shared_ptr<ItemScorer> scorer_;
   std::map<ItemRef, Running> runs_;
   /// Extent of the stored progress of an unfinished item.
   struct StoredProgress {
@@ -203,11 +185,14 @@
     std::uint64_t last_event = 0;
     /// Number of progress records.
     std::uint32_t records = 0;
+    /// The stored events are the whole output.
+    bool complete = false;
   };
   std::map<ItemRef, StoredProgress> stored_progress_;
   /// Orphaned runs by item id.
   std::map<std::string, Orphan> orphans_;
-  /// Events of unfinished items that are not running.
+  /// Events of unfinished items that are not running, also of those that await
+  /// a score.
   std::map<ItemRef, ItemProgress> progress_;
   /// Items of the open batches, by batch id.
   std::map<std::string, std::vector<v1::BatchItem>> items_;
@@ -219,8 +204,6 @@
   /// Trainers submit such groups again under the same item ids.
   struct Leftover {
     ItemProgress progress;
-    /// True if the run completed, false if the output is partial.
-    bool complete = false;
     /// Time at which the batch or its orphaned run ended.
     Instant since;
   };
--- a/src/batches/part_owner_storage.cc
+++ b/src/batches/part_owner_storage.cc
@@ -164,13 +164,38 @@
       }
     }
     saved.last_event = progress.last_event;
+    saved.complete = progress.complete;
     context_.log.Write(
         "item.restored",
         {{"request", items[i].id()},
          {"batch", id},
+         {"complete", progress.complete},
          {"events", static_cast<std::int64_t>(progress.last_event)}});
-    progress_[item] = std::move(progress);
+    if (progress.complete) {
+      OnOutputComplete(
+          item, std::move(progress),
+          scheduler_.OnRunEnd(item, RunCompleted{}, context_.clock.now()));
+    } else {
+      progress_[item] = std::move(progress);
+    }
+  }
+}
+
+void PartitionOwner::SaveCompleteOutput(const ItemRef& item,
+                                        const ItemProgress& progress) {
+  const v1::BatchItem& stored = *FindItem(item);
+  StoredProgress& saved = stored_progress_[item];
+  if (!IsValidKeyId(stored.id()) || saved.complete) {
+    return;
   }
+  WriterFor(item.batch)
+      .writer->Append(
+          {{Encode(ProgressKey{item.batch, stored.id(), saved.records}),
+            progress.RecordSince(saved.last_event).SerializeAsString()}},
+          nullptr);
+  saved.last_event = progress.last_event;
+  saved.complete = true;
+  ++saved.records;
 }
 
 void PartitionOwner::SaveProgress(std::uint64_t min_events) {
@@ -256,15 +281,15 @@
         "item.reused",
         {{"request", items[i].id()},
          {"batch", id},
-         {"complete", leftover.complete},
+         {"complete", leftover.progress.complete},
          {"events", static_cast<std::int64_t>(leftover.progress.last_event)}});
     const ItemRef item{id, i};
-    if (!leftover.complete) {
+    if (leftover.progress.complete) {
+      OnOutputComplete(
+          item, std::move(leftover.progress),
+          scheduler_.OnRunEnd(item, RunCompleted{}, context_.clock.now()));
+    } else {
       progress_[item] = std::move(leftover.progress);
-    } else if (std::holds_alternative<ListCompleted>(scheduler_.OnRunEnd(
-                   item, RunCompleted{}, context_.clock.now()))) {
-      ListResult(item, v1::ITEM_STATE_COMPLETED, leftover.progress);
-      completed_[item] = std::move(leftover.progress);
     }
   }
 }
@@ -283,10 +308,9 @@
     if (group_complete[items[i].group()]) {
       continue;
     }
-    Leftover leftover{{}, false, now};
+    Leftover leftover{{}, now};
     if (const auto done = completed_.find({id, i}); done != completed_.end()) {
       leftover.progress = std::move(done->second);
-      leftover.complete = true;
     } else if (const auto run = runs_.find({id, i}); run != runs_.end()) {
       leftover.progress = run->second.run->progress();
     } else if (const auto kept = progress_.find({id, i});
@@ -305,12 +329,14 @@
 }
 
 void PartitionOwner::ListResult(const ItemRef& item, v1::ItemState state,
-                                const ItemProgress& progress) {
+                                const ItemProgress& progress,
+                                const std::string& score) {
   const v1::BatchItem* stored = FindItem(item);
   v1::ResultRecord result;
   result.set_item(stored->id());
   result.set_state(state);
   result.set_text(progress.text());
+  result.set_score(score);
   for (const std::uint64_t version : progress.versions) {
     result.add_versions(version);
   }
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -149,6 +149,7 @@
   serving::UpstreamDirectory directory_;
   serving::UpstreamLoads request_loads_;
   serving::UpstreamLoads item_loads_;
+  batches::ScorerLimits scorer_limits_;
   UpstreamWatch upstream_watch_;
   serving::ServingContext serving_;
   batches::BatchContext batch_context_;
@@ -208,6 +209,8 @@
                      catalog_,
                      directory_,
                      item_loads_,
+                     request_loads_,
+                     scorer_limits_,
                      upstream_client_,
                      settings_.failure_domain,
                      random_,
@@ -399,6 +402,8 @@
                  [this] { return static_cast<double>(batch_host_.running()); });
   metrics_.Gauge("items_waiting",
                  [this] { return static_cast<double>(batch_host_.waiting()); });
+  metrics_.Gauge("items_scoring",
+                 [this] { return static_cast<double>(batch_host_.scoring()); });
   metrics_.Gauge("log_lines_dropped",
                  [this] { return static_cast<double>(log_.dropped()); });
   metrics_.Gauge("manifest_version",
--- a/src/serving/upstream_caller.h
+++ b/src/serving/upstream_caller.h
@@ -51,6 +51,8 @@
   http::Headers headers;
   /// Empty if the response was streamed.
   std::string body;
+  /// Signature of the upstream over its response; empty if it sent none.
+  std::string signature = {};
 };
 using UpstreamOutcome = std::variant<NotRun, MayHaveRun, CompleteResponse>;
 
--- a/test/batch_owners_test.cc
+++ b/test/batch_owners_test.cc
@@ -26,14 +26,17 @@
   serving::Catalog catalog;
   serving::UpstreamDirectory directory;
   serving::UpstreamLoads loads;
+  serving::UpstreamLoads request_loads;
+  ScorerLimits scorer_limits;
   std::mt19937_64 random{1};
   BatchContext context{
-      loop,      clock,
-      log,       metrics,
-      store,     catalog,
-      directory, loads,
-      upstreams, FailureDomainId("d1"),
-      random,    [](const v1::BatchItem&) { return ItemHeaders{}; }};
+      loop,          clock,
+      log,           metrics,
+      store,         catalog,
+      directory,     loads,
+      request_loads, scorer_limits,
+      upstreams,     FailureDomainId("d1"),
+      random,        [](const v1::BatchItem&) { return ItemHeaders{}; }};
 };
 
 platform::GroupAssignment Share(std::uint64_t generation) {
--- a/test/contract/platform_adapter_test.cc
+++ b/test/contract/platform_adapter_test.cc
@@ -2,7 +2,10 @@
 
 #include <criterion/criterion.h>
 
+#include <array>
 #include <string>
+#include <variant>
+#include <vector>
 
 #include "platform/batch_codec.h"
 #include "platform/headers.h"
@@ -174,32 +177,67 @@
   cr_assert_str_eq(outgoing.organisation.value().c_str(), "org");
 }
 
-Test(batch_codec, submission_with_malformed_item_is_rejected) {
+// Returns the reason for which a submission is malformed; empty if it is not.
+std::string DecodingError(const std::string& body) {
+  const auto decoded = DecodeSubmission(body);
+  const auto* malformed = std::get_if<MalformedSubmission>(&decoded);
+  return malformed == nullptr ? "" : malformed->reason;
+}
+
+Test(batch_codec, malformed_submission_names_item_and_field) {
   const std::string body =
       R"({"step":7,"model":"m","minVersion":6,"desired":12,"items":[
-          {"id":"i1","path":"/a/1","headers":{"Length-Hint":"55"},"body":"YWJj","tokens":940,"group":"g"}]})";
-  const auto submission = DecodeSubmission(body);
-  cr_assert(submission.has_value());
-  cr_assert_eq(submission->min_version, 6);
-  cr_assert_eq(submission->desired_groups, 12);
-  cr_assert_str_eq(submission->items[0].body().c_str(), "abc");
-  cr_assert_eq(ReadItemHeaders(submission->items[0]).expected_tokens, 55);
-  cr_assert(!DecodeSubmission(Replaced(body, "YWJj", "YW!")).has_value());
-  cr_assert(!DecodeSubmission(Replaced(body, "\"i1\"", "1")).has_value());
-  cr_assert(!DecodeSubmission(body.substr(0, 60)).has_value());
-  cr_assert(!DecodeSubmission(R"({"items":[]})").has_value());
+          {"id":"i1","path":"/a/1","headers":{"Length-Hint":"55"},"body":"YWJj",
+           "tokens":940,"group":"g","scorerUrl":
+           {"id":"s1","host":"h","path":"/s/1","body":"ZGVm"}}]})";
+  const auto decoded = DecodeSubmission(body);
+  cr_assert(std::holds_alternative<Submission>(decoded));
+  const auto& submission = std::get<Submission>(decoded);
+  const v1::BatchItem& item = submission.items[0];
+  cr_assert_eq(submission.min_version, 6);
+  cr_assert_eq(submission.desired_groups, 12);
+  cr_assert_str_eq(item.body().c_str(), "abc");
+  cr_assert_eq(ReadItemHeaders(item).expected_tokens, 55);
+  cr_assert_str_eq(item.scorer().id().c_str(), "s1");
+  cr_assert_str_eq(item.scorer().host().c_str(), "h");
+  cr_assert_str_eq(item.scorer().path().c_str(), "/s/1");
+  cr_assert_str_eq(item.scorer().body().c_str(), "def");
+  const std::string prefix = "item 0 (id \"i1\"): field ";
+  const std::vector<std::array<std::string, 3>> cases = {
+      {"YWJj", "YW!", prefix + "\"body\" must be base64"},
+      {"\"/a/1\"", "\"a\"", prefix + "\"path\" must be a path"},
+      {"\"55\"", "55", prefix + "\"headers\" must have strings as values"},
+      {"\"i1\"", "1",
+       "item 0 (id \"\"): field \"id\" must be a non-empty string"},
+      {"\"s1\"", "\"\"",
+       prefix + "\"scorerUrl.id\" must be a non-empty string"},
+      {"\"h\"", "7", prefix + "\"scorerUrl.host\" must be a non-empty string"},
+      {"/s/1", "s/1", prefix + "\"scorerUrl.path\" must be a path"},
+      {"ZGVm", "Z", prefix + "\"scorerUrl.body\" must be base64"},
+      {R"({"id":"s1","host":"h","path":"/s/1","body":"ZGVm"})", "[]",
+       prefix + "\"scorerUrl\" must be an object"},
+  };
+  for (const auto& [from, to, reason] : cases) {
+    const std::string actual = DecodingError(Replaced(body, from, to));
+    cr_expect_str_eq(actual.c_str(), reason.c_str(), "%s: found '%s'",
+                     to.c_str(), actual.c_str());
+  }
+  cr_assert(!DecodingError(body.substr(0, 60)).empty());
+  cr_assert(!DecodingError(R"({"items":[]})").empty());
 }
 
 // An item runs for the organisation that submitted it, regardless of the
 // headers of the item.
 Test(batch_codec, item_cannot_override_service_headers) {
-  const auto submission = DecodeSubmission(
+  const auto decoded = DecodeSubmission(
       R"({"items":[{"id":"i1","path":"/a/1","body":"","headers":{
           "Tenant":"other","Credential":"secret","Deadline-Ms":"9",
           "expect-instance":"i9","Request-Id":"r9","Model":"m"}}]})");
-  cr_assert(submission.has_value());
-  cr_assert_eq(submission->items[0].headers_size(), 1);
-  cr_assert_str_eq(submission->items[0].headers(0).name().c_str(), "Model");
+  cr_assert(std::holds_alternative<Submission>(decoded));
+  const v1::BatchItem& item = std::get<Submission>(decoded).items[0];
+  cr_assert(!item.has_scorer());
+  cr_assert_eq(item.headers_size(), 1);
+  cr_assert_str_eq(item.headers(0).name().c_str(), "Model");
 }
 
 Test(batch_codec, results_include_versions_and_next_position) {
@@ -212,11 +250,15 @@
   result.add_versions(6);
   result.add_versions(7);
   page.results.push_back(result);
+  result.set_score("seal");
+  page.results.push_back(result);
   const auto body = ParseJson(EncodeResults(page, 12));
   cr_assert_eq(UnsignedField(body, "total").value_or(0), 40);
-  cr_assert_eq(UnsignedField(body, "nextToken").value_or(0), 13);
+  cr_assert_eq(UnsignedField(body, "nextToken").value_or(0), 14);
   cr_assert(StringField(body["results"][0], "state") == "completed");
   cr_assert_eq(body["results"][0]["versions"].size(), 2);
+  cr_assert(!StringField(body["results"][0], "score").has_value());
+  cr_assert(StringField(body["results"][1], "score") == "seal");
 }
 
 constexpr char kSettings[] = R"(
--- a/test/fakes/part_owner_fixture.h
+++ b/test/fakes/part_owner_fixture.h
@@ -5,6 +5,7 @@
 
 #include <criterion/criterion.h>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -48,15 +49,18 @@
   serving::Catalog catalog;
   serving::UpstreamDirectory directory;
   serving::UpstreamLoads loads;
+  serving::UpstreamLoads request_loads;
+  ScorerLimits scorer_limits;
   fakes::FakeUpstreams upstreams{loop};
   std::mt19937_64 random{1};
   BatchContext context{
-      loop,       clock,
-      log,        metrics,
-      store,      catalog,
-      directory,  loads,
-      upstreams,  FailureDomainId("d1"),
-      random,     [](const v1::BatchItem&) { return ItemHeaders{}; },
+      loop,          clock,
+      log,           metrics,
+      store,         catalog,
+      directory,     loads,
+      request_loads, scorer_limits,
+      upstreams,     FailureDomainId("d1"),
+      random,        [](const v1::BatchItem&) { return ItemHeaders{}; },
       kPartitions};
   std::shared_ptr<BatchClient> client =
       std::make_shared<BatchClient>(loop, clock, store, kPartitions);
@@ -84,6 +88,14 @@
   /// Stores a batch of one group and waits until it is stored.
   void Submit(const std::string& batch, const std::vector<std::string>& items,
               std::uint64_t min_version) {
+    SubmitItems(batch, items, min_version, [](v1::BatchItem*) {});
+  }
+
+  /// Like `Submit`, with a function that completes each item.
+  void SubmitItems(const std::string& batch,
+                   const std::vector<std::string>& items,
+                   std::uint64_t min_version,
+                   const std::function<void(v1::BatchItem*)>& complete_item) {
     v1::BatchRecord record;
     record.set_batch(batch);
     record.set_route("/drafts/x");
@@ -99,6 +111,7 @@
       item.set_path("/drafts/" + id);
       item.set_group("g");
       item.set_body("body of " + id);
+      complete_item(&item);
       stored.push_back(item);
     }
     bool done = false;
