Withdraw fenced calls whose term ended before they are written

Cause: where the platform does not check fencing tokens, a duty call must not reach it after one of a later holder. The term was checked when a call was made, but its connection may be ready only later: after a slow connect, or after the process was suspended. A release of the lease was written while calls were still in flight. A call that was given up closed its connection, so that bytes held back by a partition were still delivered.

Change: ClientRequest::may_write is asked when the request is about to be written; if the term has ended nothing is sent. The lease is released once no fenced call is in flight. Calls that end without a response reset their connection.

--- a/src/duties/capacity_orders.cc
+++ b/src/duties/capacity_orders.cc
@@ -46,8 +46,8 @@
                                std::uint64_t epoch) {
   metrics_.Count("capacity_orders_total", {});
   services_.OrderCapacity(
-      {node_, epoch}, order.target.service, order.target.failure_domain,
-      order.count,
+      {node_, epoch, [this, epoch] { return epoch_() == epoch; }},
+      order.target.service, order.target.failure_domain, order.count,
       [this, alive = alive_, order,
        epoch](const platform::DutyOutcome& outcome) {
         if (!*alive) {
--- a/src/duties/lease_runner.cc
+++ b/src/duties/lease_runner.cc
@@ -13,12 +13,14 @@
 
 LeaseRunner::LeaseRunner(base::EventLoop& loop, const Clock& clock,
                          base::StructuredLog& log,
-                         platform::PartitionStore& store, DutyLease lease)
+                         platform::PartitionStore& store, DutyLease lease,
+                         std::function<int()> calls_in_flight)
     : loop_(loop),
       clock_(clock),
       log_(log),
       store_(store),
-      lease_(std::move(lease)) {
+      lease_(std::move(lease)),
+      calls_in_flight_(std::move(calls_in_flight)) {
   store::TailHandler handler;
   handler.on_snapshot =
       [this](const std::vector<platform::KeyedRecord>& records) {
@@ -85,11 +87,21 @@
 
 void LeaseRunner::Release() {
   timer_.Cancel();
-  if (const auto record = lease_.Release(clock_.now())) {
-    log_.Write("lease.release",
-               {{"epoch", static_cast<std::int64_t>(record->epoch())}});
-    AppendRecord(*record);
+  pending_release_ = lease_.Release(clock_.now());
+  TryRelease();
+}
+
+void LeaseRunner::TryRelease() {
+  if (!pending_release_.has_value()) {
+    return;
+  }
+  if (calls_in_flight_() > 0) {
+    timer_ = loop_.After(kReleaseCheckInterval, [this] { TryRelease(); });
+    return;
   }
+  log_.Write("lease.release",
+             {{"epoch", static_cast<std::int64_t>(pending_release_->epoch())}});
+  AppendRecord(*std::exchange(pending_release_, std::nullopt));
 }
 
 }  // namespace mulberryroad::duties
--- a/src/duties/lease_runner.h
+++ b/src/duties/lease_runner.h
@@ -28,21 +28,27 @@
 /// Runs DutyLease on a partition of the store. Used on the event loop's thread.
 class LeaseRunner {
  public:
+  /// @param calls_in_flight returns the number of fenced calls without an
+  ///     outcome
   LeaseRunner(base::EventLoop& loop, const Clock& clock,
               base::StructuredLog& log, platform::PartitionStore& store,
-              DutyLease lease);
+              DutyLease lease, std::function<int()> calls_in_flight);
   ~LeaseRunner();
   LeaseRunner(const LeaseRunner&) = delete;
   LeaseRunner& operator=(const LeaseRunner&) = delete;
 
   /// Starts reading the partition and claiming the lease. Called once.
   void Start();
-  /// Releases the lease, if held, and stops claiming it.
+  /// Stops claiming the lease, and releases it, if held, once no fenced call is
+  /// in flight: the next holder acts at once, and an earlier call must not
+  /// reach its service after one of the next holder.
   void Release();
   /// Returns the epoch while this process holds the lease, else nullopt.
   std::optional<std::uint64_t> epoch() const;
 
   static constexpr std::chrono::milliseconds kTickInterval{100};
+  /// Interval at which a pending release checks for calls in flight.
+  static constexpr std::chrono::milliseconds kReleaseCheckInterval{10};
   /// Timeout of an append.
   static constexpr std::chrono::milliseconds kAppendTimeout{500};
 
@@ -51,6 +57,8 @@
   void OnRecord(const platform::KeyedRecord& record);
   /// Logs a change of the lease and writes the record that is due.
   void Tick();
+  /// Appends the release once no fenced call is in flight.
+  void TryRelease();
   /// Appends a record, on the condition that nothing was appended meanwhile.
   void AppendRecord(const v1::DutyRecord& record);
 
@@ -59,6 +67,9 @@
   base::StructuredLog& log_;
   platform::PartitionStore& store_;
   DutyLease lease_;
+  std::function<int()> calls_in_flight_;
+  /// Release of the lease that waits for calls in flight.
+  std::optional<v1::DutyRecord> pending_release_;
   std::shared_ptr<store::KeyedTail> tail_;
   base::Timer timer_;
   /// Epoch that was logged last.
--- a/src/duties/usage_reporter.cc
+++ b/src/duties/usage_reporter.cc
@@ -213,7 +213,9 @@
   UsageByOrganisation counts = term->closed[window];
   counts.erase(OrganisationId());
   services_.ReportUsage(
-      {node_, term->epoch}, window, counts,
+      {node_, term->epoch,
+       [this, epoch = term->epoch] { return epoch_() == epoch; }},
+      window, counts,
       [this, alive = alive_, term,
        window](const platform::DutyOutcome& outcome) {
         if (!*alive || term->ended) {
--- a/src/duties/weight_orders.cc
+++ b/src/duties/weight_orders.cc
@@ -106,7 +106,8 @@
   }
   metrics_.Count("weight_orders_total", {});
   orders_.ChangeVersion(
-      {node_, *epoch}, {upstream->id, upstream->endpoint},
+      {node_, *epoch, [this, epoch] { return epoch_() == epoch; }},
+      {upstream->id, upstream->endpoint},
       {load.model, load.version, SwapModeFor(upstream->service), after_orders},
       [this, alive = alive_, load,
        after_orders](const platform::OrderOutcome& outcome) {
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -5,6 +5,7 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <cstdlib>
@@ -185,7 +186,7 @@
     connection_ = pool_->Acquire(request_.endpoint);
     output_ = bufferevent_get_output(
         evhttp_connection_get_bufferevent(connection_->native()));
-    output_callback_ = evbuffer_add_cb(output_, OnBytesSent, this);
+    output_callback_ = evbuffer_add_cb(output_, OnOutputChanged, this);
     request_timer_ = pool_->loop().After(
         request_.timeout, [this] { Fail("the request timed out"); });
     connect_timer_ = pool_->loop().After(
@@ -195,6 +196,7 @@
 
   void Cancel() override {
     if (!finished_) {
+      ResetOnClose();
       Finish();
     }
   }
@@ -233,13 +235,25 @@
     });
   }
 
-  static void OnBytesSent(evbuffer* /*buffer*/, const evbuffer_cb_info* info,
-                          void* argument) {
+  static void OnOutputChanged(evbuffer* /*buffer*/,
+                              const evbuffer_cb_info* info, void* argument) {
     auto* self = static_cast<ActiveCall*>(argument);
+    if (self->withdrawn_) {
+      return;
+    }
     if (info->n_deleted > 0 && !self->sent_) {
       self->sent_ = true;
       self->connect_timer_.Cancel();
     }
+    const bool first_bytes = info->n_added > 0 && info->orig_size == 0;
+    if (first_bytes && !self->sent_ && self->request_.may_write &&
+        !self->request_.may_write()) {
+      // evhttp enables writing after this callback; only the socket itself can
+      // still prevent that the bytes are sent.
+      self->withdrawn_ = true;
+      shutdown(self->fd(), SHUT_RDWR);
+      self->FailLater("the request was withdrawn before it was written");
+    }
   }
 
   static void OnError(evhttp_request_error error, void* argument) {
@@ -327,10 +341,26 @@
       return;
     }
     const Verdict verdict = sent_ ? Verdict::kMayHaveRun : Verdict::kNotRun;
+    ResetOnClose();
     const ResultCallback done = Finish();
     done(Failure{verdict, reason});
   }
 
+  evutil_socket_t fd() const {
+    return bufferevent_getfd(
+        evhttp_connection_get_bufferevent(connection_->native()));
+  }
+
+  // Makes the closing of the connection discard what was not delivered. An
+  // abandoned request that a partition holds back would otherwise be executed
+  // once the partition ends.
+  void ResetOnClose() {
+    const linger discard{.l_onoff = 1, .l_linger = 0};
+    if (connection_ != nullptr && fd() >= 0) {
+      setsockopt(fd(), SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+    }
+  }
+
   // Ends the call and returns on_done_. A connection that is not returned to
   // the pool is closed from the event loop, because Finish may run inside one
   // of the connection's evhttp callbacks.
@@ -360,6 +390,8 @@
   base::Timer connect_timer_;
   std::string error_;
   bool sent_ = false;
+  // may_write returned false; what evhttp discards was not sent.
+  bool withdrawn_ = false;
   bool finished_ = false;
   // Set until the call ends.
   std::shared_ptr<ActiveCall> self_;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -38,6 +38,10 @@
   std::chrono::milliseconds connect_timeout{1'000};
   /// Time from Send to the end of the response.
   std::chrono::milliseconds timeout{10'000};
+  /// If set, called when the request is about to be written, which is after its
+  /// connection is established. If it returns false, no byte is sent and the
+  /// request fails as not run.
+  std::function<bool()> may_write;
 };
 
 /// A complete response. Header names are in lower case. The body is empty if it
@@ -68,7 +72,8 @@
 class Call {
  public:
   virtual ~Call() = default;
-  /// Cancels the request without further callbacks and closes its connection.
+  /// Cancels the request without further callbacks and resets its connection,
+  /// so that bytes the network still holds back are not delivered.
   virtual void Cancel() = 0;
   /// True once a byte was sent to the server.
   virtual bool sent() const = 0;
--- a/src/platform/duty_services.h
+++ b/src/platform/duty_services.h
@@ -21,6 +21,11 @@
 struct DutyFence {
   std::string holder;
   std::uint64_t epoch = 0;
+  /// Returns whether the term still runs. Called when the call is written to
+  /// its connection: connecting may take longer than the rest of the term, or
+  /// the process may have been suspended meanwhile, and the service may not
+  /// reject outdated epochs.
+  std::function<bool()> is_current;
 };
 
 /// The call was executed, or its effect was already in place.
--- a/test/duty_lease_test.cc
+++ b/test/duty_lease_test.cc
@@ -1,14 +1,20 @@
-// Tests that the lease has one holder at a time and doesn't return to an
-// earlier holder at once.
+// Tests that the lease has one holder at a time, does not return to an earlier
+// holder at once, and protects services that do not reject outdated epochs.
 
 #include "duties/duty_lease.h"
 
 #include <criterion/criterion.h>
 
 #include <deque>
+#include <map>
 #include <random>
+#include <string>
 #include <vector>
 
+#include "duties/lease_runner.h"
+#include "fakes/loop_wait.h"
+#include "fakes/memory_store.h"
+
 namespace mulberryroad::duties {
 namespace {
 
@@ -187,5 +193,151 @@
   }
 }
 
+// Where the services do not reject outdated epochs, the holder itself must not
+// send them. Processes pause between deciding on a call and writing it, and
+// check their term again when they write.
+Test(duty_lease, unfenced_service_sees_ascending_epochs_and_no_alternation) {
+  constexpr int kSeeds = 200;
+  constexpr int kStep = 20;
+  constexpr int kLeaseMs = 3'000;
+  constexpr int kMaxConnectMs = 1'000;
+  for (int seed = 0; seed < kSeeds; ++seed) {
+    std::mt19937_64 random(static_cast<std::uint64_t>(seed));
+    const auto draw = [&random](int below) {
+      return static_cast<int>(random() % static_cast<unsigned>(below));
+    };
+    struct Call {
+      std::uint64_t epoch = 0;
+      int written_at = 0;
+    };
+    struct Process {
+      std::string node;
+      int number = 1;
+      DutyLease lease;
+      std::size_t read = 0;
+      int paused_until = 0;
+      std::vector<Call> calls = {};
+    };
+    const LeaseTiming timing{.reclaim_delay = milliseconds(kLeaseMs + 500)};
+    std::vector<Process> processes;
+    for (const char* name : {"a", "b", "c"}) {
+      processes.push_back(
+          {name, 1, DutyLease(name, std::string(name) + "/1", timing, At(0))});
+    }
+    struct Append {
+      int at = 0;
+      std::size_t expected_end = 0;
+      v1::DutyRecord record;
+    };
+    std::deque<Append> pending_appends;
+    std::vector<v1::DutyRecord> log;
+    std::uint64_t newest_epoch = 0;
+    std::map<std::string, int> last_acted;
+    std::string last_node;
+    std::string node_before;
+    for (int now = 0; now < 60'000; now += kStep) {
+      std::erase_if(pending_appends, [&](const Append& append) {
+        if (append.at > now) {
+          return false;
+        }
+        if (append.expected_end == log.size()) {
+          log.push_back(append.record);
+        }
+        return true;
+      });
+      for (Process& process : processes) {
+        if (now < process.paused_until) {
+          continue;
+        }
+        if (draw(400) == 0) {
+          process.paused_until = now + draw(8'000);
+          continue;
+        }
+        if (draw(1'500) == 0) {
+          // The process is killed and starts again; its calls are gone.
+          ++process.number;
+          process.lease = DutyLease(
+              process.node, process.node + "/" + std::to_string(process.number),
+              timing, At(now));
+          process.read = 0;
+          process.calls.clear();
+        }
+        // Calls whose connection is ready are written, or withdrawn.
+        std::erase_if(process.calls, [&](const Call& call) {
+          if (call.written_at > now) {
+            return false;
+          }
+          if (process.lease.epoch(At(now)) == call.epoch) {
+            cr_assert_geq(call.epoch, newest_epoch, "seed %d at %d ms", seed,
+                          now);
+            newest_epoch = call.epoch;
+            if (process.node != last_node) {
+              cr_assert(process.node != node_before ||
+                            now >= last_acted[process.node] + kLeaseMs,
+                        "seed %d at %d ms: %s acted %d ms ago", seed, now,
+                        process.node.c_str(), now - last_acted[process.node]);
+              node_before = last_node;
+              last_node = process.node;
+            }
+            last_acted[process.node] = now;
+          }
+          return true;
+        });
+        while (process.read < log.size()) {
+          process.lease.OnRecord(log[process.read++], At(now));
+        }
+        const LeaseStep step = process.lease.Tick(At(now));
+        if (const auto* write = std::get_if<WriteLease>(&step)) {
+          pending_appends.push_back({now + draw(draw(20) == 0 ? 6'000 : 100),
+                                     process.read, write->record});
+        }
+        if (const auto epoch = process.lease.epoch(At(now));
+            epoch.has_value() && draw(5) == 0) {
+          process.calls.push_back(
+              {*epoch, now + draw(draw(10) == 0 ? kMaxConnectMs : 40)});
+        }
+      }
+    }
+    cr_assert_gt(newest_epoch, 0, "seed %d: nobody acted", seed);
+  }
+}
+
+struct RunnerFixture {
+  base::EventLoop loop;
+  SystemClock clock;
+  base::StructuredLog log{clock, NodeId("a")};
+  fakes::MemoryStore store{loop};
+  int calls_in_flight = 0;
+  LeaseRunner runner{
+      loop, clock, log, store, DutyLease("a", "a/1", {}, clock.now()), [this] {
+        return calls_in_flight;
+      }};
+
+  bool released() {
+    v1::DutyRecord record;
+    return record.ParseFromString(
+               store.value({kDutyTopic, kLeasePartition}, "duties")
+                   .value_or("")) &&
+           record.released();
+  }
+};
+
+// The next holder acts as soon as it reads the release. A call that is still on
+// its way would reach an unfenced service after those of the next holder.
+Test(lease_runner, release_waits_for_calls_in_flight) {
+  RunnerFixture fixture;
+  fixture.runner.Start();
+  cr_assert(fakes::RunUntil(
+      fixture.loop, [&fixture] { return fixture.runner.epoch().has_value(); }));
+  fixture.calls_in_flight = 1;
+  fixture.runner.Release();
+  fakes::RunFor(fixture.loop, milliseconds(100));
+  cr_assert(!fixture.runner.epoch().has_value(), "no new call may start");
+  cr_assert(!fixture.released());
+  fixture.calls_in_flight = 0;
+  cr_assert(
+      fakes::RunUntil(fixture.loop, [&fixture] { return fixture.released(); }));
+}
+
 }  // namespace
 }  // namespace mulberryroad::duties
--- a/test/http_client_test.cc
+++ b/test/http_client_test.cc
@@ -1,8 +1,14 @@
 // Tests how the HTTP client reuses keep-alive connections.
 
 #include <criterion/criterion.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <array>
+#include <csignal>
 #include <list>
+#include <optional>
 
 #include "fakes/free_port.h"
 #include "fakes/loop_wait.h"
@@ -27,10 +33,15 @@
   soak::Proxy proxy{loop, {"127.0.0.1", fakes::FreePort()}, target};
   Client client{loop};
   std::list<base::Timer> reply_timers;
+  /// Number of requests that the server received.
+  int handled = 0;
 
   Fixture() {
+    // As in the programs, whose writes to closed connections fail instead.
+    std::signal(SIGPIPE, SIG_IGN);
     server.SetFallbackHandler(
         [this](const std::shared_ptr<Exchange>& exchange) {
+          ++handled;
           reply_timers.push_back(loop.After(
               kHandlingTime, [exchange] { exchange->Reply(200, "{}"); }));
         });
@@ -89,6 +100,85 @@
                fixture.proxy.accepted());
 }
 
+// A fenced call must not be sent once its term has ended, neither on a new
+// connection nor on a pooled one.
+Test(http_client, withdrawn_request_sends_nothing) {
+  Fixture fixture;
+  for (const bool pooled : {false, true}) {
+    if (pooled) {
+      fixture.SendBurst(1);
+    }
+    const int handled = fixture.handled;
+    std::optional<Result> result;
+    ClientRequest request;
+    request.endpoint = fixture.proxy.endpoint();
+    request.path = "/";
+    request.may_write = [] { return false; };
+    fixture.client.Send(std::move(request),
+                        [&result](const Result& r) { result = r; });
+    cr_assert(fakes::RunUntil(fixture.loop,
+                              [&result] { return result.has_value(); }));
+    const auto* failure = std::get_if<Failure>(&*result);
+    cr_assert(failure != nullptr);
+    cr_assert_eq(failure->verdict, Verdict::kNotRun);
+    fakes::RunFor(fixture.loop, milliseconds(50));
+    cr_assert_eq(fixture.handled, handled, "pooled connection: %d", pooled);
+  }
+}
+
+Test(http_client, validity_is_checked_after_the_connection_is_established) {
+  Fixture fixture;
+  bool current = true;
+  std::optional<Result> result;
+  ClientRequest request;
+  request.endpoint = fixture.proxy.endpoint();
+  request.path = "/";
+  request.may_write = [&current] { return current; };
+  fixture.client.Send(std::move(request),
+                      [&result](const Result& r) { result = r; });
+  // The connection is established only in the next iteration of the loop.
+  current = false;
+  cr_assert(
+      fakes::RunUntil(fixture.loop, [&result] { return result.has_value(); }));
+  cr_assert(std::holds_alternative<Failure>(*result));
+  cr_assert_eq(fixture.handled, 0);
+}
+
+// A partition may hold back the bytes of a request that its sender has given
+// up. A reset discards them.
+Test(http_client, cancelled_request_resets_its_connection) {
+  base::EventLoop loop;
+  Client client(loop);
+  const Endpoint endpoint{"127.0.0.1", fakes::FreePort()};
+  const int listener = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(endpoint.port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  const int reuse = 1;
+  setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+  cr_assert_eq(
+      bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof(address)),
+      0);
+  cr_assert_eq(listen(listener, 1), 0);
+  ClientRequest request;
+  request.endpoint = endpoint;
+  request.path = "/";
+  const auto call = client.Send(std::move(request), [](const Result&) {});
+  cr_assert(fakes::RunUntil(loop, [&call] { return call->sent(); }));
+  const int accepted = accept(listener, nullptr, nullptr);
+  cr_assert_geq(accepted, 0);
+  std::array<char, 4'096> bytes{};
+  cr_assert_gt(recv(accepted, bytes.data(), bytes.size(), 0), 0);
+  call->Cancel();
+  fakes::RunFor(loop, milliseconds(50));
+  // After a mere close, the first bytes of the server would still be accepted.
+  cr_assert_eq(send(accepted, bytes.data(), 1, MSG_NOSIGNAL), -1,
+               "expected a reset connection");
+  close(accepted);
+  close(listener);
+}
+
 Test(http_server, longer_idle_timeout_applies_to_open_connections) {
   Fixture fixture;
   fixture.SendBurst(1);
