Bound answers without end, in a head or a body

Cause: an upstream in trouble may send bytes that are no answer until its caller closes. evhttp bounds neither the number of interim responses nor the line that holds a chunk's length, and had no limit on headers: the input buffer grew with the link's rate until the deadline.

A call over a limit fails as "may have run", its connection is reset and the upstream's record is charged as for any broken answer.

--- a/src/dispatch/engine_generator.cc
+++ b/src/dispatch/engine_generator.cc
@@ -147,6 +147,7 @@
         },
         [self = shared_from_this()](int status, std::string_view piece) {
           self->ConsumeBytes(status, piece);
+          return true;
         });
   }
 
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -21,7 +21,9 @@
 // More than the requests that an upstream runs concurrently, so that a node
 // that uses all of an upstream's capacity keeps its connections.
 constexpr std::size_t kMaxIdlePerEndpoint = 64;
-constexpr ev_ssize_t kMaxResponseBytes = ev_ssize_t{64} << 20;
+constexpr int kFirstFinalStatus = 200;
+// libevent reads at most this much from a connection at a time.
+constexpr std::size_t kMaxReadBytes = 16U << 10U;
 // Long enough that evhttp's timeout never fires before the timers of a call.
 constexpr int kEvhttpTimeoutSeconds = 24 * 3600;
 
@@ -96,7 +98,8 @@
             base, nullptr, endpoint.address.c_str(), endpoint.port)) {
     evhttp_connection_set_timeout(native_, kEvhttpTimeoutSeconds);
     evhttp_connection_set_retries(native_, 0);
-    evhttp_connection_set_max_body_size(native_, kMaxResponseBytes);
+    evhttp_connection_set_max_headers_size(
+        native_, static_cast<ev_ssize_t>(kMaxResponseHeadBytes));
     evhttp_connection_set_closecb(
         native_,
         [](evhttp_connection*, void* self) {
@@ -187,6 +190,11 @@
     output_ = bufferevent_get_output(
         evhttp_connection_get_bufferevent(connection_->native()));
     output_callback_ = evbuffer_add_cb(output_, OnOutputChanged, this);
+    input_ = bufferevent_get_input(
+        evhttp_connection_get_bufferevent(connection_->native()));
+    input_callback_ = evbuffer_add_cb(input_, OnInputChanged, this);
+    evhttp_connection_set_max_body_size(
+        connection_->native(), static_cast<ev_ssize_t>(max_body_bytes()));
     request_timer_ = pool_->loop().After(
         request_.timeout, [this] { Fail("the request timed out"); });
     connect_timer_ = pool_->loop().After(
@@ -210,9 +218,7 @@
     if (on_chunk_) {
       evhttp_request_set_chunked_cb(native, OnBodyChunk);
     }
-    if (on_head_) {
-      evhttp_request_set_header_cb(native, OnHeaders);
-    }
+    evhttp_request_set_header_cb(native, OnHeaders);
     evkeyvalq* headers = evhttp_request_get_output_headers(native);
     for (const Header& header : request_.headers) {
       evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
@@ -256,6 +262,31 @@
     }
   }
 
+  // evhttp limits neither the number of interim responses, whose headers it
+  // collects, nor the line that holds the length of a chunk.
+  static void OnInputChanged(evbuffer* /*buffer*/, const evbuffer_cb_info* info,
+                             void* argument) {
+    auto* self = static_cast<ActiveCall*>(argument);
+    if (self->finished_ || self->answer_rejected_) {
+      return;
+    }
+    if (!self->head_received_) {
+      self->head_bytes_ += info->n_added;
+    }
+    const std::size_t unparsed =
+        info->orig_size + info->n_added - info->n_deleted;
+    // The first part of the body may arrive together with the head.
+    const bool head_too_long =
+        !self->head_received_ &&
+        self->head_bytes_ > kMaxResponseHeadBytes + kMaxReadBytes;
+    if (head_too_long ||
+        unparsed > self->request_.max_response_bytes + kMaxResponseHeadBytes) {
+      self->answer_rejected_ = true;
+      shutdown(self->fd(), SHUT_RDWR);
+      self->FailLater("the answer is too long");
+    }
+  }
+
   static void OnError(evhttp_request_error error, void* argument) {
     static_cast<ActiveCall*>(argument)->error_ = ErrorMessage(error);
   }
@@ -266,13 +297,20 @@
         TakeBytes(evhttp_request_get_input_buffer(native));
     if (!self->finished_ && !chunk.empty()) {
       const std::shared_ptr<ActiveCall> self_ref = self->shared_from_this();
-      self->on_chunk_(evhttp_request_get_response_code(native), chunk);
+      if (!self->on_chunk_(evhttp_request_get_response_code(native), chunk)) {
+        self->FailLater("the body was rejected");
+      }
     }
   }
 
   static int OnHeaders(evhttp_request* native, void* argument) {
     auto* self = static_cast<ActiveCall*>(argument);
-    if (!self->finished_) {
+    if (self->finished_ ||
+        evhttp_request_get_response_code(native) < kFirstFinalStatus) {
+      return 0;
+    }
+    self->head_received_ = true;
+    if (self->on_head_) {
       const std::shared_ptr<ActiveCall> self_ref = self->shared_from_this();
       self->on_head_(ReadResponse(native));
     }
@@ -346,6 +384,10 @@
     done(Failure{verdict, reason});
   }
 
+  std::size_t max_body_bytes() const {
+    return on_chunk_ ? kMaxStreamBytes : request_.max_response_bytes;
+  }
+
   evutil_socket_t fd() const {
     return bufferevent_getfd(
         evhttp_connection_get_bufferevent(connection_->native()));
@@ -369,10 +411,12 @@
     request_timer_.Cancel();
     connect_timer_.Cancel();
     evbuffer_remove_cb_entry(output_, output_callback_);
+    evbuffer_remove_cb_entry(input_, input_callback_);
     pool_->loop().Post(
         [self = shared_from_this()] { self->connection_.reset(); });
     self_.reset();
-    on_chunk_ = on_chunk_ ? OnChunk([](int, std::string_view) {}) : nullptr;
+    on_chunk_ = on_chunk_ ? OnChunk([](int, std::string_view) { return true; })
+                          : nullptr;
     on_head_ = on_head_ ? OnHead([](const Response&) {}) : nullptr;
     return std::exchange(on_done_, nullptr);
   }
@@ -386,6 +430,13 @@
   std::unique_ptr<Connection> connection_;
   evbuffer* output_ = nullptr;
   evbuffer_cb_entry* output_callback_ = nullptr;
+  evbuffer* input_ = nullptr;
+  evbuffer_cb_entry* input_callback_ = nullptr;
+  // Bytes received before the end of the head.
+  std::size_t head_bytes_ = 0;
+  bool head_received_ = false;
+  // The answer exceeded a limit.
+  bool answer_rejected_ = false;
   base::Timer request_timer_;
   base::Timer connect_timer_;
   std::string error_;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -23,6 +23,15 @@
 
 namespace mulberryroad::http {
 
+/// Maximum size of a response body if the request sets none. Several responses
+/// of this size fit into the memory of the smallest VM (130 MB).
+inline constexpr std::size_t kDefaultMaxResponseBytes = 8U << 20U;
+/// Maximum size of a streamed response body.
+inline constexpr std::size_t kMaxStreamBytes = 64U << 20U;
+/// Maximum size of all that precedes a response body: the status line, the
+/// headers and interim responses.
+inline constexpr std::size_t kMaxResponseHeadBytes = 64U << 10U;
+
 struct ClientRequest {
   Endpoint endpoint;
   Method method = Method::kGet;
@@ -38,6 +47,8 @@
   std::chrono::milliseconds connect_timeout{1'000};
   /// Time from Send to the end of the response.
   std::chrono::milliseconds timeout{10'000};
+  /// Maximum size of the response body. A longer one ends the call as failed.
+  std::size_t max_response_bytes = kDefaultMaxResponseBytes;
   /// If set, called when the request is about to be written, which is after its
   /// connection is established. If it returns false, no byte is sent and the
   /// request fails as not run.
@@ -62,7 +73,8 @@
 using Result = std::variant<Response, Failure>;
 using ResultCallback = std::function<void(Result)>;
 /// Receives each chunk of a response body as it arrives, with the HTTP status.
-using OnChunk = std::function<void(int status, std::string_view chunk)>;
+/// Returns false to end the call as failed.
+using OnChunk = std::function<bool(int status, std::string_view chunk)>;
 
 /// Receives the status and headers of a response before its first chunk.
 using OnHead = std::function<void(const Response& head)>;
--- a/test/fakes/platform/fake_replica.cc
+++ b/test/fakes/platform/fake_replica.cc
@@ -20,6 +20,7 @@
 constexpr int kConflict = 409;
 constexpr int kFenced = 412;
 constexpr int kMisdirected = 421;
+constexpr int kServerError = 500;
 constexpr int kUnavailable = 503;
 constexpr std::uint64_t kDefaultEvents = 8;
 
@@ -196,6 +197,10 @@
       exchange->Abort();
       return;
     }
+    if (exchange->request().path == kFailingScorerPath) {
+      exchange->Reply(kServerError, "{}", {{"Request-Id", id}});
+      return;
+    }
     exchange->Reply(kOk, AnswerText(id),
                     {{"Request-Id", id},
                      {"Server-Seal", options_.id + "." + id},
@@ -237,6 +242,7 @@
   event += "id: " + std::to_string(stream->next) +
            "\ndata: " + EventText(stream->item, stream->next) + "\n\n";
   Note({{"event", stream->item},
+        {"at_ms", WallMillis()},
         {"number", stream->next},
         {"version", stream->version}});
   stream->exchange->Write(event);
--- a/test/fakes/platform/fake_replica.h
+++ b/test/fakes/platform/fake_replica.h
@@ -39,6 +39,8 @@
 
 /// Text of an item's event; the same at every replica.
 std::string EventText(const std::string& item, std::uint64_t event);
+/// Path at which a plain service answers every request with status 500.
+inline constexpr char kFailingScorerPath[] = "/scores/fails";
 /// Body of a plain answer.
 std::string AnswerText(const std::string& request);
 
--- a/test/soak/checks.h
+++ b/test/soak/checks.h
@@ -33,6 +33,8 @@
   /// Versions under which each event of an item was made.
   std::map<std::pair<std::string, std::uint64_t>, std::set<std::uint64_t>>
       events;
+  /// When each event of an item was first made.
+  std::map<std::pair<std::string, std::uint64_t>, std::int64_t> event_times;
   std::vector<Order> orders;
 
   /// Adds the lines of one upstream's log.
--- a/test/soak/soak_run.cc
+++ b/test/soak/soak_run.cc
@@ -57,6 +57,7 @@
            {route("reports", "/reports/", "idempotent", "desk", 2, false),
             route("orders", "/orders/", "non_idempotent", "desk", 1, false),
             route("open", "/open/", "idempotent", "desk", 2, true),
+            route("scores", "/scores/", "idempotent", "desk", 2, false),
             route("steps-a", "/steps-a/", "rollout", "engines", 3, false),
             route("steps-b", "/steps-b/", "rollout", "engines", 3, false)}},
           {"services",
--- a/test/soak/trainer.cc
+++ b/test/soak/trainer.cc
@@ -26,6 +26,8 @@
 constexpr std::uint64_t kShortEvents = 8;
 // Every eighth item is this much longer.
 constexpr std::uint64_t kLongEvents = 40;
+// Item of each step whose scorer call always fails.
+constexpr int kUnscorableItem = 5;
 
 }  // namespace
 
@@ -90,6 +92,19 @@
          {"body", "YWJj"},
          {"tokens", 20 + events},
          {"group", "g" + std::to_string(i / kGroupSize)}});
+    if (letter_ == 'a') {
+      const std::string call = id + "-score";
+      next.scorer_calls[id] = call;
+      if (i == kUnscorableItem) {
+        next.unscorable.insert(id);
+      }
+      items.back()["scorerUrl"] = {
+          {"id", call},
+          {"host", kHost},
+          {"path", i == kUnscorableItem ? fakes::kFailingScorerPath
+                                        : "/scores/" + call},
+          {"body", "ZGVm"}};
+    }
   }
   body_ = json{
       {"step", steps_.size()},
@@ -169,6 +184,7 @@
     item.id = in.value("id", "");
     item.state = in.value("state", "");
     item.text = in.value("text", "");
+    item.score = in.value("score", "");
     for (const json& version : in["versions"]) {
       item.versions.insert(version.get<std::uint64_t>());
     }
--- a/test/soak/trainer.h
+++ b/test/soak/trainer.h
@@ -27,6 +27,7 @@
   std::string state;
   std::string text;
   std::set<std::uint64_t> versions;
+  std::string score;
 
   friend bool operator==(const ReadItem&, const ReadItem&) = default;
 };
@@ -36,6 +37,10 @@
   std::string id;
   std::uint64_t min_version = 0;
   std::map<std::string, std::uint64_t> events_by_item;
+  /// Ids of the scorer calls by item; empty if the items have none.
+  std::map<std::string, std::string> scorer_calls;
+  /// Items whose scorer call always fails.
+  std::set<std::string> unscorable;
   bool accepted = false;
   bool refused_throughout = true;
   bool ended = false;
