Run the longest items at the fastest upstreams

Steps end with their longest items of 137 events: 6.5 s at a fast upstream and 8.7 s at a slow one, of 7.5 s. Placement preferred the node's own failure domain and smoothed single intervals over 4 s, so that long items met slow upstreams by chance, and moves needed a factor of two.

ChooseItemUpstream weighs speed by the item's expected length. Runs move where at least 300 ms are gained; lengths are estimated by hint and by the events so far. A moved run is placed again at once.

Ruled out: load of the upstreams (0.5 to 2.8 runs of 16 slots), refusals.

--- /dev/null
+++ b/src/batches/item_placement.h
@@ -0,0 +1,51 @@
+// Chooses the upstream for a run of an item. Pure.
+//
+// Designed for steps whose longest items generate five times as many tokens as
+// the others and decide when the step ends, on services whose upstreams differ
+// by a third in speed: the longest items go to the fastest upstreams.
+
+#ifndef MULBERRYROAD_SRC_BATCHES_ITEM_PLACEMENT_H_
+#define MULBERRYROAD_SRC_BATCHES_ITEM_PLACEMENT_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "mulberryroad/ids.h"
+
+namespace mulberryroad::batches {
+
+/// An upstream that can take the item.
+struct PlacementCandidate {
+  UpstreamId id;
+  std::uint32_t slots = 1;
+  /// Runs of this node at the upstream.
+  std::uint32_t running = 0;
+  /// Smoothed interval between events; nullopt if unknown.
+  std::optional<std::chrono::microseconds> event_interval;
+  /// In the failure domain of this node.
+  bool local = false;
+  /// Failed or was late recently.
+  bool suspect = false;
+};
+
+/// Speed weighs against the share of used slots: for the longest items an
+/// upstream that is slower by a third costs as much as four fifths of its
+/// slots. Upstreams generate more slowly the fuller they are.
+inline constexpr double kSpeedWeight = 2.4;
+/// Cost of an upstream in another failure domain. Items exchange few bytes.
+inline constexpr double kRemoteItemCost = 0.02;
+
+/// Returns the best candidate, or null if there is none. An upstream without a
+/// known event interval counts as average.
+/// @param length_share expected length of the item, as a share of the longest
+///     item of its batch
+/// @param draw random number in [0, 1) that breaks ties
+const PlacementCandidate* ChooseItemUpstream(
+    const std::vector<PlacementCandidate>& candidates, double length_share,
+    double draw);
+
+}  // namespace mulberryroad::batches
+
+#endif  // MULBERRYROAD_SRC_BATCHES_ITEM_PLACEMENT_H_
--- a/src/batches/item_run.cc
+++ b/src/batches/item_run.cc
@@ -9,7 +9,6 @@
 namespace {
 
 using std::chrono::duration_cast;
-using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
 constexpr int kOk = 200;
@@ -123,7 +122,7 @@
 void ItemRun::InterruptForMove() {
   if (!ended_) {
     call_->Cancel();
-    Finish(RunInterrupted{});
+    Finish(RunMoved{});
   }
 }
 
@@ -153,13 +152,12 @@
     return;
   }
   const Instant now = clock_.now();
-  if (!last_event_at_.has_value()) {
+  if (!std::exchange(has_event_, true)) {
     loads_.health().OnResponseStarted(upstream_, now);
-  } else {
-    loads_.RecordLatency(
-        upstream_, duration_cast<microseconds>(now - *last_event_at_), now);
   }
-  last_event_at_ = now;
+  if (const auto interval = pace_.OnEvent(now)) {
+    loads_.RecordLatency(upstream_, *interval, now);
+  }
   RestartEventTimer(timeouts_.next_event_timeout);
 }
 
--- a/src/batches/item_run.h
+++ b/src/batches/item_run.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/event_loop.h"
+#include "batches/event_pace.h"
 #include "batches/item_scheduler.h"
 #include "mulberryroad/clock.h"
 #include "mulberryroad/store.pb.h"
@@ -117,7 +118,8 @@
   OnEnd on_end_;
   std::shared_ptr<http::Call> call_;
   Instant started_{};
-  std::optional<Instant> last_event_at_;
+  bool has_event_ = false;
+  EventPace pace_;
   /// The request requires a specific weight version.
   bool version_required_ = false;
   /// The upstream accepted or refused the request.
--- a/src/batches/item_scheduler.cc
+++ b/src/batches/item_scheduler.cc
@@ -143,7 +143,8 @@
     return ListTerminated{};
   }
   item->state = State::kWaiting;
-  item->not_before = now + kRetryDelay;
+  item->not_before =
+      std::holds_alternative<RunMoved>(end) ? now : now + kRetryDelay;
   return NoResult{};
 }
 
--- a/src/batches/item_scheduler.h
+++ b/src/batches/item_scheduler.h
@@ -78,8 +78,10 @@
 struct RunRefused {};
 /// The run was interrupted; it can resume after the events received so far.
 struct RunInterrupted {};
+/// The run was interrupted to continue at a faster upstream.
+struct RunMoved {};
 using RunEnd = std::variant<RunCompleted, RunFailed, RunImpossible, RunRefused,
-                            RunInterrupted>;
+                            RunInterrupted, RunMoved>;
 
 /// Store a result: the item is completed.
 struct ListCompleted {};
--- a/src/batches/part_owner.cc
+++ b/src/batches/part_owner.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <variant>
 
+#include "batches/item_placement.h"
 #include "batches/straggler_policy.h"
 
 namespace mulberryroad::batches {
@@ -317,19 +318,50 @@
   const Instant now = context_.clock.now();
   const std::vector<const serving::Registration*> usable =
       UsableUpstreams(batch, *service);
-  std::set<UpstreamId> excluded;
-  if (usable.size() > 1 && !last.empty()) {
-    excluded.insert(last);
-  }
-  const serving::Registration* chosen =
-      serving::ChooseUpstream(usable, context_.loads, excluded,
-                              context_.own_domain, now, draw(context_.random));
+  std::vector<PlacementCandidate> candidates;
+  for (const serving::Registration* upstream : usable) {
+    if (usable.size() > 1 && upstream->id == last) {
+      continue;
+    }
+    candidates.push_back(
+        {upstream->id, upstream->slots, context_.loads.running(upstream->id),
+         context_.loads.latency(upstream->id, now),
+         upstream->failure_domain == context_.own_domain,
+         context_.loads.health().health_state(upstream->id, now) !=
+             serving::HealthState::kHealthy});
+  }
+  const PlacementCandidate* chosen = ChooseItemUpstream(
+      candidates, LengthShare(batch, ref), draw(context_.random));
   if (chosen == nullptr) {
     return std::nullopt;
   }
   return chosen->id;
 }
 
+double PartitionOwner::ExpectedEvents(const BatchInfo& batch,
+                                      const ItemRef& item) const {
+  return completed_hint_ > 0 ? batch.items[item.index].expected_tokens *
+                                   completed_events_ / completed_hint_
+                             : 0.0;
+}
+
+double PartitionOwner::LengthShare(const BatchInfo& batch,
+                                   const ItemRef& item) const {
+  double longest = 0;
+  for (const ItemInfo& other : batch.items) {
+    longest = std::max(longest, other.expected_tokens);
+  }
+  const auto progress = progress_.find(item);
+  const double events = progress == progress_.end()
+                            ? 0.0
+                            : static_cast<double>(progress->second.last_event);
+  if (longest <= 0 || (events > 0 && events >= ExpectedEvents(batch, item))) {
+    // Nothing is known, or the output is longer than estimated.
+    return 1.0;
+  }
+  return batch.items[item.index].expected_tokens / longest;
+}
+
 void PartitionOwner::MoveStragglers() {
   std::set<std::string> batches;
   for (const auto& [item, run] : runs_) {
@@ -342,6 +374,14 @@
 
 void PartitionOwner::MoveStragglersOf(const std::string& id) {
   const BatchInfo* batch = scheduler_.find(id);
+  const v1::BatchRecord& record = *table_.find(id)->accepted;
+  const serving::Route* route =
+      context_.catalog.FindRoute(record.host(), record.route());
+  if (route != nullptr && route->single_version) {
+    // A moved sample would start again if the other upstream has another
+    // version.
+    return;
+  }
   const Instant now = context_.clock.now();
   std::vector<RunningItem> running;
   std::vector<FreeUpstream> free;
@@ -351,7 +391,8 @@
         {run->first, run->second.run->upstream(),
          context_.loads.latency(run->second.run->upstream(), now),
          duration_cast<milliseconds>(now - run->second.run->started()),
-         batch->items[run->first.index].expected_tokens});
+         static_cast<double>(run->second.run->progress().last_event),
+         ExpectedEvents(*batch, run->first)});
   }
   const serving::Registration* current =
       context_.directory.find(running.front().upstream);
@@ -474,7 +515,7 @@
   }
   runs_.erase(item);
   static constexpr const char* kOutcomeNames[] = {
-      "completed", "failed", "impossible", "refused", "interrupted"};
+      "completed", "failed", "impossible", "refused", "interrupted", "moved"};
   const v1::BatchItem* stored = FindItem(item);
   const BatchInfo* batch = scheduler_.find(item.batch);
   if (stored == nullptr || batch == nullptr) {
@@ -545,6 +586,12 @@
 void PartitionOwner::ListCompletedItem(const ItemRef& item,
                                        ItemProgress progress,
                                        const std::string& score) {
+  const double hint =
+      scheduler_.find(item.batch)->items[item.index].expected_tokens;
+  if (hint > 0) {
+    completed_hint_ += hint;
+    completed_events_ += static_cast<double>(progress.last_event);
+  }
   ListResult(item, v1::ITEM_STATE_COMPLETED, progress, score);
   completed_[item] = std::move(progress);
 }
--- a/src/batches/part_owner.h
+++ b/src/batches/part_owner.h
@@ -143,6 +143,11 @@
   std::optional<UpstreamId> PlaceItem(const BatchInfo& batch,
                                       const ItemRef& item,
                                       const UpstreamId& last);
+  /// Returns the estimated number of events of an item; 0 if unknown.
+  double ExpectedEvents(const BatchInfo& batch, const ItemRef& item) const;
+  /// Returns the expected length of an item as a share of the longest item of
+  /// its batch.
+  double LengthShare(const BatchInfo& batch, const ItemRef& item) const;
   void StartRun(const PlacedItem& start);
   void OnRunEnd(const ItemRef& item, const std::string& item_id,
                 const UpstreamId& upstream, const RunEnd& end,
@@ -198,6 +203,10 @@
   std::map<std::string, std::vector<v1::BatchItem>> items_;
   /// Position of the next result, by batch id.
   std::map<std::string, std::uint32_t> next_position_;
+  /// Sums over the completed items: estimated tokens, and events. Their ratio
+  /// turns further estimates into events, which hold several tokens each.
+  double completed_hint_ = 0;
+  double completed_events_ = 0;
   /// Outputs of the completed items of open batches.
   std::map<ItemRef, ItemProgress> completed_;
   /// Output of an item in a group that its ended batch did not complete.
--- a/src/batches/straggler_policy.cc
+++ b/src/batches/straggler_policy.cc
@@ -5,33 +5,23 @@
 
 namespace mulberryroad::batches {
 
+double EventsLeft(const RunningItem& run) {
+  return std::max(run.expected_events - run.events, kOverrunShare * run.events);
+}
+
 std::vector<ItemRef> RunsToMove(std::vector<RunningItem> running,
                                 const std::vector<FreeUpstream>& free) {
-  // An upstream without recent work is assumed to be as fast as the fastest.
-  std::optional<std::chrono::microseconds> fastest;
-  for (const RunningItem& run : running) {
-    if (run.event_interval.has_value() &&
-        (!fastest.has_value() || run.event_interval < fastest)) {
-      fastest = run.event_interval;
-    }
-  }
-  for (const FreeUpstream& upstream : free) {
-    if (upstream.event_interval.has_value() &&
-        (!fastest.has_value() || upstream.event_interval < fastest)) {
-      fastest = upstream.event_interval;
-    }
-  }
-  std::vector<std::pair<std::chrono::microseconds, std::uint32_t>> free_slots;
+  using Micros = std::chrono::duration<double, std::micro>;
+  std::vector<std::pair<Micros, std::uint32_t>> free_slots;
   for (const FreeUpstream& upstream : free) {
-    if (fastest.has_value() && upstream.free_slots > 0) {
-      free_slots.emplace_back(upstream.event_interval.value_or(*fastest),
-                              upstream.free_slots);
+    if (upstream.event_interval.has_value() && upstream.free_slots > 0) {
+      free_slots.emplace_back(*upstream.event_interval, upstream.free_slots);
     }
   }
   std::sort(free_slots.begin(), free_slots.end());
   std::stable_sort(running.begin(), running.end(),
                    [](const RunningItem& a, const RunningItem& b) {
-                     return a.expected_tokens > b.expected_tokens;
+                     return EventsLeft(a) > EventsLeft(b);
                    });
   std::vector<ItemRef> moves;
   for (const RunningItem& run : running) {
@@ -44,11 +34,10 @@
     if (run.age < kMinMoveAge || !run.event_interval.has_value()) {
       continue;
     }
-    const auto limit =
-        std::chrono::duration<double, std::micro>(free_slots.front().first) *
-        kMinSpeedRatio;
-    if (std::chrono::duration<double, std::micro>(*run.event_interval) >=
-        limit) {
+    const Micros here = *run.event_interval;
+    const Micros there = free_slots.front().first;
+    if (here >= there * kMinSpeedRatio &&
+        (here - there) * EventsLeft(run) >= Micros(kMinMoveGain)) {
       moves.push_back(run.item);
       --free_slots.front().second;
     }
--- a/src/batches/straggler_policy.h
+++ b/src/batches/straggler_policy.h
@@ -25,8 +25,10 @@
   std::optional<std::chrono::microseconds> event_interval;
   /// Time since the run started at this upstream.
   std::chrono::milliseconds age{0};
-  /// Estimated length of the output; 0 if unknown.
-  double expected_tokens = 0;
+  /// Events generated so far.
+  double events = 0;
+  /// Estimated number of events of the whole output; 0 if unknown.
+  double expected_events = 0;
 };
 
 /// An upstream that can take over runs.
@@ -38,20 +40,27 @@
   std::uint32_t free_slots = 0;
 };
 
-/// A run is moved only if its upstream is slower by this factor. It is above
-/// the usual ratios due to the speeds (1.3) and loads (1.2) of upstreams.
-inline constexpr double kMinSpeedRatio = 2.0;
-/// Minimum age of a run that is moved: below it the event interval of its
-/// upstream is not yet reliable. It also limits how often a run moves.
+/// A run is moved only if its upstream is slower by this factor: more than the
+/// differences that load causes.
+inline constexpr double kMinSpeedRatio = 1.2;
+/// A run is moved only if it is expected to end this much earlier. Several
+/// times the duration of a move.
+inline constexpr std::chrono::milliseconds kMinMoveGain{300};
+/// Minimum age of a run that is moved. It also limits how often a run moves.
 inline constexpr std::chrono::milliseconds kMinMoveAge{600};
+/// Expected further length of an output that is longer than estimated, as a
+/// share of its length so far.
+inline constexpr double kOverrunShare = 0.5;
 
 /// Returns the runs to interrupt, so that they are placed again. The runs with
-/// the longest expected output come first; there are at most as many as faster
-/// upstreams have free slots. An upstream without recent work counts as fast as
-/// the fastest.
+/// the most events left come first; there are at most as many as faster
+/// upstreams have free slots. An upstream without recent work takes no runs.
 std::vector<ItemRef> RunsToMove(std::vector<RunningItem> running,
                                 const std::vector<FreeUpstream>& free);
 
+/// Returns the estimated number of events that a run still generates.
+double EventsLeft(const RunningItem& run);
+
 }  // namespace mulberryroad::batches
 
 #endif  // MULBERRYROAD_SRC_BATCHES_STRAGGLER_POLICY_H_
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -81,6 +81,10 @@
                    kIdleTimeoutFactor * limits.idle_timeout)};
 }
 
+// The speed of an upstream that runs items stays the same for most of its life,
+// and each one gets some of the items of most steps.
+constexpr milliseconds kItemLatencyMaxAge{15'000};
+
 // A training step of 150 items takes a tenth of a core. Store reads and callers
 // add to that load, so a VM with less than a quarter of a core cannot keep up.
 constexpr double kSmallVmCores = 0.25;
@@ -148,7 +152,7 @@
   serving::Catalog catalog_;
   serving::UpstreamDirectory directory_;
   serving::UpstreamLoads request_loads_;
-  serving::UpstreamLoads item_loads_;
+  serving::UpstreamLoads item_loads_{kItemLatencyMaxAge};
   batches::ScorerLimits scorer_limits_;
   UpstreamWatch upstream_watch_;
   serving::ServingContext serving_;
--- a/src/serving/upstreams.cc
+++ b/src/serving/upstreams.cc
@@ -158,7 +158,7 @@
                                   Instant now) {
   Load& load = loads_[id];
   const auto sample_us = static_cast<double>(latency.count());
-  const bool recent = now < load.measured_at + kLatencyMaxAge;
+  const bool recent = now < load.measured_at + latency_max_age_;
   load.measured_at = now;
   load.latency_us =
       load.latency_us.has_value() && recent
@@ -193,7 +193,7 @@
     const UpstreamId& id, Instant now) const {
   const auto found = loads_.find(id);
   if (found == loads_.end() || !found->second.latency_us.has_value() ||
-      now >= found->second.measured_at + kLatencyMaxAge) {
+      now >= found->second.measured_at + latency_max_age_) {
     return std::nullopt;
   }
   return std::chrono::microseconds(std::llround(*found->second.latency_us));
--- a/src/serving/upstreams.h
+++ b/src/serving/upstreams.h
@@ -79,6 +79,12 @@
 /// the event loop's thread.
 class UpstreamLoads {
  public:
+  /// @param latency_max_age time without a sample after which a latency average
+  ///     expires
+  explicit UpstreamLoads(
+      std::chrono::milliseconds latency_max_age = kLatencyMaxAge)
+      : latency_max_age_(latency_max_age) {}
+
   /// Records that a request was sent to the upstream.
   void OnRequestSent(const UpstreamId& id, Instant now);
   /// Records the end of a request.
@@ -142,6 +148,7 @@
     Instant measured_at{};
   };
 
+  std::chrono::milliseconds latency_max_age_;
   std::map<UpstreamId, Load> loads_;
   UpstreamHealth health_;
 };
--- a/test/straggler_policy_test.cc
+++ b/test/straggler_policy_test.cc
@@ -11,12 +11,13 @@
 using std::chrono::milliseconds;
 
 RunningItem Run(std::size_t index, const char* upstream, int event_interval_ms,
-                double tokens) {
+                double expected_events, double events = 0) {
   return {{"b", index},
           UpstreamId(upstream),
           milliseconds(event_interval_ms),
           milliseconds(1'000),
-          tokens};
+          events,
+          expected_events};
 }
 
 Test(straggler_policy, longest_runs_of_a_slow_upstream_move_to_free_slots) {
@@ -30,9 +31,12 @@
 }
 
 Test(straggler_policy, no_run_moves_without_a_clearly_faster_free_slot) {
-  cr_assert(RunsToMove({Run(0, "a", 60, 100)},
+  cr_assert(RunsToMove({Run(0, "a", 47, 100)},
                        {{UpstreamId("b"), milliseconds(40), 2}})
                 .empty());
+  cr_assert(
+      RunsToMove({Run(0, "a", 160, 100)}, {{UpstreamId("b"), std::nullopt, 2}})
+          .empty());
   cr_assert(RunsToMove({Run(0, "a", 160, 100)},
                        {{UpstreamId("b"), milliseconds(40), 0}})
                 .empty());
@@ -49,6 +53,16 @@
           .empty());
 }
 
+// Two speeds that differ by a third, as on real services.
+Test(straggler_policy, only_runs_with_enough_events_left_move) {
+  const FreeUpstream fast{UpstreamId("fast"), milliseconds(47), 8};
+  cr_assert_eq(RunsToMove({Run(0, "slow", 63, 137, 20)}, {fast}).size(), 1);
+  cr_assert(RunsToMove({Run(0, "slow", 63, 30, 20)}, {fast}).empty());
+  // Longer than estimated: the more it has generated, the more is expected.
+  cr_assert(RunsToMove({Run(0, "slow", 63, 15, 20)}, {fast}).empty());
+  cr_assert_eq(RunsToMove({Run(0, "slow", 63, 15, 60)}, {fast}).size(), 1);
+}
+
 // Simulates a step of 48 runs on four upstreams, one of them four times slower,
 // with a policy decision every 250 ms. The step ends with its last item.
 Test(straggler_policy, step_with_a_slow_upstream_completes_sooner_with_moves) {
@@ -76,6 +90,7 @@
                milliseconds(event_intervals_ms[static_cast<std::size_t>(
                    items[i].upstream)]),
                milliseconds(now - items[i].since_ms),
+               0,
                items[i].events_left});
         }
       }
