Look at a service's upstreams once a placement pass

Change: one list of candidates per pass, batch and service; passes that run events cause are at least 5 ms apart; no list of ids while no upstream is ejected; the event timer of a run is set again only when it fires.

--- a/src/batches/item_placement.cc
+++ b/src/batches/item_placement.cc
@@ -16,8 +16,8 @@
 }  // namespace
 
 const PlacementCandidate* ChooseItemUpstream(
-    const std::vector<PlacementCandidate>& candidates, double length_share,
-    double draw) {
+    const std::vector<PlacementCandidate>& candidates, const UpstreamId& avoid,
+    double length_share, double draw) {
   double fastest = std::numeric_limits<double>::max();
   double sum = 0;
   int known = 0;
@@ -39,6 +39,9 @@
         static_cast<double>(index++) / static_cast<double>(candidates.size()) +
             draw,
         1.0);
+    if (candidates.size() > 1 && candidate.id == avoid) {
+      continue;
+    }
     const double interval =
         candidate.event_interval.has_value()
             ? static_cast<double>(candidate.event_interval->count())
--- a/src/batches/item_placement.h
+++ b/src/batches/item_placement.h
@@ -39,12 +39,13 @@
 
 /// Returns the best candidate, or null if there is none. An upstream without a
 /// known event interval counts as average.
+/// @param avoid upstream that is chosen only if there is no other; may be empty
 /// @param length_share expected length of the item, as a share of the longest
 ///     item of its batch
 /// @param draw random number in [0, 1) that breaks ties
 const PlacementCandidate* ChooseItemUpstream(
-    const std::vector<PlacementCandidate>& candidates, double length_share,
-    double draw);
+    const std::vector<PlacementCandidate>& candidates, const UpstreamId& avoid,
+    double length_share, double draw);
 
 }  // namespace mulberryroad::batches
 
--- a/src/batches/item_run.cc
+++ b/src/batches/item_run.cc
@@ -1,5 +1,6 @@
 #include "batches/item_run.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <utility>
 #include <variant>
@@ -126,9 +127,26 @@
   }
 }
 
+// Setting a timer costs more than handling an event, so that a pending timer is
+// left to find out about a later deadline when it fires.
 void ItemRun::RestartEventTimer(milliseconds timeout) {
+  event_deadline_ = clock_.now() + timeout;
+  if (!timer_due_.has_value() || event_deadline_ < *timer_due_) {
+    SetEventTimer();
+  }
+}
+
+void ItemRun::SetEventTimer() {
+  timer_due_ = event_deadline_;
   event_timer_ = loop_.After(
-      timeout, [self = shared_from_this()] { self->InterruptAsFailed(); });
+      std::max(Instant::duration(0), event_deadline_ - clock_.now()),
+      [self = shared_from_this()] {
+        if (self->clock_.now() < self->event_deadline_) {
+          self->SetEventTimer();
+        } else {
+          self->InterruptAsFailed();
+        }
+      });
 }
 
 void ItemRun::OnStart(const serving::StreamStart& start) {
--- a/src/batches/item_run.h
+++ b/src/batches/item_run.h
@@ -102,8 +102,10 @@
   void OnDone(const serving::UpstreamOutcome& outcome);
   /// Interrupts the run and counts a failure of the upstream.
   void InterruptAsFailed();
-  /// Restarts the timer that interrupts the run.
+  /// Sets the time at which the run is interrupted unless an event arrives.
   void RestartEventTimer(std::chrono::milliseconds timeout);
+  /// Sets the timer for `event_deadline_`.
+  void SetEventTimer();
   void Finish(const RunEnd& end);
 
   base::EventLoop& loop_;
@@ -126,6 +128,9 @@
   bool answered_ = false;
   bool ended_ = false;
   base::Timer event_timer_;
+  Instant event_deadline_{};
+  /// When `event_timer_` fires; nullopt before it is first set.
+  std::optional<Instant> timer_due_;
 };
 
 }  // namespace mulberryroad::batches
--- a/src/batches/part_owner.cc
+++ b/src/batches/part_owner.cc
@@ -4,7 +4,6 @@
 #include <utility>
 #include <variant>
 
-#include "batches/item_placement.h"
 #include "batches/straggler_policy.h"
 
 namespace mulberryroad::batches {
@@ -297,9 +296,26 @@
   return usable;
 }
 
+std::vector<PlacementCandidate> PartitionOwner::CandidatesFor(
+    const BatchInfo& batch, const TargetId& service) const {
+  const Instant now = context_.clock.now();
+  std::vector<PlacementCandidate> candidates;
+  for (const serving::Registration* upstream :
+       UsableUpstreams(batch, service)) {
+    candidates.push_back(
+        {upstream->id, upstream->slots, context_.loads.running(upstream->id),
+         context_.loads.latency(upstream->id, now),
+         upstream->failure_domain == context_.own_domain,
+         context_.loads.health().health_state(upstream->id, now) !=
+             serving::HealthState::kHealthy});
+  }
+  return candidates;
+}
+
 std::optional<UpstreamId> PartitionOwner::PlaceItem(const BatchInfo& batch,
                                                     const ItemRef& ref,
-                                                    const UpstreamId& last) {
+                                                    const UpstreamId& last,
+                                                    PlacementPass* pass) {
   const v1::BatchItem* item = FindItem(ref);
   const serving::Route* route =
       item == nullptr
@@ -315,27 +331,27 @@
   if (service == nullptr) {
     return std::nullopt;
   }
-  const Instant now = context_.clock.now();
-  const std::vector<const serving::Registration*> usable =
-      UsableUpstreams(batch, *service);
-  std::vector<PlacementCandidate> candidates;
-  for (const serving::Registration* upstream : usable) {
-    if (usable.size() > 1 && upstream->id == last) {
-      continue;
-    }
-    candidates.push_back(
-        {upstream->id, upstream->slots, context_.loads.running(upstream->id),
-         context_.loads.latency(upstream->id, now),
-         upstream->failure_domain == context_.own_domain,
-         context_.loads.health().health_state(upstream->id, now) !=
-             serving::HealthState::kHealthy});
+  const auto [entry, added] = pass->try_emplace({batch.id, *service});
+  std::vector<PlacementCandidate>& candidates = entry->second;
+  if (added) {
+    candidates = CandidatesFor(batch, *service);
   }
   const PlacementCandidate* chosen = ChooseItemUpstream(
-      candidates, LengthShare(batch, ref), draw(context_.random));
+      candidates, last, LengthShare(batch, ref), draw(context_.random));
   if (chosen == nullptr) {
     return std::nullopt;
   }
-  return chosen->id;
+  const UpstreamId id = chosen->id;
+  // Starts the run at once, so that its load counts in the next placement.
+  StartRun({ref, id});
+  PlacementCandidate& used =
+      candidates[static_cast<std::size_t>(chosen - candidates.data())];
+  ++used.running;
+  if (!context_.loads.HasCapacity(id, used.slots, context_.clock.now())) {
+    std::swap(used, candidates.back());
+    candidates.pop_back();
+  }
+  return id;
 }
 
 double PartitionOwner::ExpectedEvents(const BatchInfo& batch,
@@ -434,15 +450,13 @@
     scorer_->Cancel(item);
     ListResult(item, v1::ITEM_STATE_TERMINATED, {}, "");
   }
-  scheduler_.Place(now, [this](const BatchInfo& batch, const ItemRef& item,
-                               const UpstreamId& last) {
-    std::optional<UpstreamId> upstream = PlaceItem(batch, item, last);
-    if (upstream.has_value()) {
-      // Starts the run at once, so that its load counts in the next placement.
-      StartRun({item, *upstream});
-    }
-    return upstream;
-  });
+  PlacementPass pass;
+  scheduler_.Place(now,
+                   [this, &pass](const BatchInfo& batch, const ItemRef& item,
+                                 const UpstreamId& last) {
+                     return PlaceItem(batch, item, last, &pass);
+                   });
+  last_pass_ = context_.clock.now();
 }
 
 void PartitionOwner::StartRun(const PlacedItem& start) {
@@ -596,18 +610,22 @@
   completed_[item] = std::move(progress);
 }
 
-// Posted to the loop because the caller may be a method of a run; one call
-// covers all run events of the same loop iteration.
+// Posted to the loop because the caller may be a method of a run. One pass
+// covers all run events of an interval, as it looks at all upstreams of the
+// service.
 void PartitionOwner::PostSchedule() {
   if (std::exchange(schedule_posted_, true)) {
     return;
   }
-  context_.loop.Post([weak = weak_from_this()] {
-    if (const auto owner = weak.lock()) {
-      owner->schedule_posted_ = false;
-      owner->ScheduleItems();
-    }
-  });
+  schedule_timer_ = context_.loop.After(
+      std::max(Instant::duration(0),
+               last_pass_ + kMinPassInterval - context_.clock.now()),
+      [weak = weak_from_this()] {
+        if (const auto owner = weak.lock()) {
+          owner->schedule_posted_ = false;
+          owner->ScheduleItems();
+        }
+      });
 }
 
 }  // namespace mulberryroad::batches
--- a/src/batches/part_owner.h
+++ b/src/batches/part_owner.h
@@ -12,6 +12,7 @@
 #include "base/event_loop.h"
 #include "batches/batch_context.h"
 #include "batches/batch_table.h"
+#include "batches/item_placement.h"
 #include "batches/item_run.h"
 #include "batches/item_scheduler.h"
 #include "batches/item_scorer.h"
@@ -46,6 +47,9 @@
   /// each other within seconds, so that a later resubmission is not expected.
   static constexpr std::chrono::milliseconds kLeftoverRetention{30'000};
 
+  /// Minimum time between a pass of `ScheduleItems` and the next one that run
+  /// events cause.
+  static constexpr std::chrono::milliseconds kMinPassInterval{5};
   /// Timeout after which a read of the store is retried.
   static constexpr std::chrono::milliseconds kReadTimeout{500};
   /// Delay of the stop after the last save of progress, in which the save
@@ -111,7 +115,7 @@
     TargetId model;
   };
 
-  /// Posts one call of `ScheduleItems` to the event loop.
+  /// Calls `ScheduleItems` soon, at most once per `kMinPassInterval`.
   void PostSchedule();
   /// Keeps the runs of a closing batch for the next one, or cancels them.
   void OrphanRuns(const std::string& id);
@@ -139,10 +143,18 @@
   std::vector<const serving::Registration*> UsableUpstreams(
       const BatchInfo& batch, const TargetId& service) const;
   void MoveStragglersOf(const std::string& id);
-  /// Chooses an upstream for an item; nullopt if none can take it now.
+  /// Candidates of one pass of `ScheduleItems`, by batch and service. A service
+  /// has up to thousands of upstreams, too many to look at for each item.
+  using PlacementPass = std::map<std::pair<std::string, TargetId>,
+                                 std::vector<PlacementCandidate>>;
+  std::vector<PlacementCandidate> CandidatesFor(const BatchInfo& batch,
+                                                const TargetId& service) const;
+  /// Starts a run of an item at the best upstream.
+  /// @return the upstream; nullopt if none can take the item now
   std::optional<UpstreamId> PlaceItem(const BatchInfo& batch,
                                       const ItemRef& item,
-                                      const UpstreamId& last);
+                                      const UpstreamId& last,
+                                      PlacementPass* pass);
   /// Returns the estimated number of events of an item; 0 if unknown.
   double ExpectedEvents(const BatchInfo& batch, const ItemRef& item) const;
   /// Returns the expected length of an item as a share of the longest item of
@@ -219,6 +231,9 @@
   /// By item id.
   std::map<std::string, Leftover> leftovers_;
   base::Timer hand_over_timer_;
+  base::Timer schedule_timer_;
+  /// When `ScheduleItems` last ran.
+  Instant last_pass_{};
   bool schedule_posted_ = false;
   bool stopped_ = false;
 };
--- a/src/serving/upstream_health.cc
+++ b/src/serving/upstream_health.cc
@@ -118,6 +118,11 @@
   return suspect ? HealthState::kSuspect : HealthState::kHealthy;
 }
 
+bool UpstreamHealth::has_ejected() const {
+  return std::ranges::any_of(
+      statistics_, [](const auto& entry) { return entry.second.ejected; });
+}
+
 std::set<UpstreamId> UpstreamHealth::ExcludedUpstreams(
     const std::vector<UpstreamId>& service, Instant now) const {
   std::vector<std::pair<double, UpstreamId>> ejected;
--- a/src/serving/upstream_health.h
+++ b/src/serving/upstream_health.h
@@ -70,6 +70,9 @@
   std::set<UpstreamId> ExcludedUpstreams(const std::vector<UpstreamId>& service,
                                          Instant now) const;
 
+  /// Returns whether any upstream is ejected or on trial.
+  bool has_ejected() const;
+
   /// Emitted when an upstream is ejected.
   sigc::signal<void(const Ejection&)>& on_ejected() { return on_ejected_; }
   /// Emitted when an ejected upstream has passed its trials.
--- a/src/serving/upstreams.cc
+++ b/src/serving/upstreams.cc
@@ -204,6 +204,9 @@
 std::set<UpstreamId> ExcludedUpstreams(
     const std::vector<const Registration*>& service, const UpstreamLoads& loads,
     Instant now) {
+  if (!loads.health().has_ejected()) {
+    return {};
+  }
   std::vector<UpstreamId> ids;
   ids.reserve(service.size());
   for (const Registration* upstream : service) {
