Never use a connection again after an answer of another request

Cause: a server that sends a second copy of an answer late leaves all answers of its connection one behind. The caller got "may have run", as the id did not match, but the connection went back to the pool, and so did each next request on it. A comment in a stream, which keeps it alive, counted as an event out of order and interrupted a sound run; in a caller's stream it forgot where to resume.

Change: a response that names another request ends the use of its connection; comments are forwarded and otherwise ignored.

Shown first by upstream_client::connection_is_not_reused_after_a_foreign_answer and partition_owner::comments_of_a_stream_are_no_events, which failed. Held already: answers that break off are never complete (eight forms), and a run goes on at an upstream that only stops reporting.

--- a/src/batches/item_run.cc
+++ b/src/batches/item_run.cc
@@ -162,7 +162,8 @@
 }
 
 void ItemRun::OnEvent(const serving::StreamEvent& event) {
-  if (ended_) {
+  if (ended_ || (event.id.empty() && event.data.empty())) {
+    // A comment keeps the connection alive; it is no progress.
     return;
   }
   if (!progress_.AppendEvent(event)) {
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -337,8 +337,10 @@
       return;
     }
     const auto connection = response.headers.find("connection");
-    const bool close =
-        !has_length || (connection != response.headers.end() &&
+    const bool foreign = self->request_.is_own_response &&
+                         !self->request_.is_own_response(response);
+    const bool close = !has_length || foreign ||
+                       (connection != response.headers.end() &&
                         internal::LowerCase(connection->second) == "close");
     self->keep_alive_ = ParseKeepAlive(response);
     self->pool_->loop().Post([self_ref = self->shared_from_this(), close,
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -32,6 +32,14 @@
 /// headers and interim responses.
 inline constexpr std::size_t kMaxResponseHeadBytes = 64U << 10U;
 
+/// A complete response. Header names are in lower case. The body is empty if it
+/// was delivered in chunks.
+struct Response {
+  int status = 0;
+  std::map<std::string, std::string> headers;
+  std::string body;
+};
+
 struct ClientRequest {
   Endpoint endpoint;
   Method method = Method::kGet;
@@ -49,20 +57,16 @@
   std::chrono::milliseconds timeout{10'000};
   /// Maximum size of the response body. A longer one ends the call as failed.
   std::size_t max_response_bytes = kDefaultMaxResponseBytes;
+  /// If set, called with a response; false if it is not the response to this
+  /// request. Its connection is then not used again, as the own response may
+  /// still arrive on it.
+  std::function<bool(const Response&)> is_own_response;
   /// If set, called when the request is about to be written, which is after its
   /// connection is established. If it returns false, no byte is sent and the
   /// request fails as not run.
   std::function<bool()> may_write;
 };
 
-/// A complete response. Header names are in lower case. The body is empty if it
-/// was delivered in chunks.
-struct Response {
-  int status = 0;
-  std::map<std::string, std::string> headers;
-  std::string body;
-};
-
 /// A request that received no complete response.
 struct Failure {
   /// kNotRun if no byte was sent to the server, else kMayHaveRun.
--- a/src/serving/request_session.cc
+++ b/src/serving/request_session.cc
@@ -241,7 +241,9 @@
   if (finished_ || number != streaming_attempt_) {
     return;
   }
-  last_event_id_ = event.id;
+  if (!event.id.empty()) {
+    last_event_id_ = event.id;
+  }
   exchange_->Write(event.bytes);
 }
 
--- a/test/endless_answer_test.cc
+++ b/test/endless_answer_test.cc
@@ -68,7 +68,10 @@
   std::signal(SIGPIPE, SIG_IGN);
   for (const Case& test_case : EndlessAnswers()) {
     base::EventLoop loop;
-    fakes::RawServer server(loop, test_case.first, test_case.repeated);
+    fakes::RawServer server(loop, [&test_case](int) {
+      return fakes::RawAnswer{test_case.first, fakes::AfterAnswer::kRepeat,
+                              test_case.repeated};
+    });
     http::Client client(loop);
     platform_adapter::UpstreamClient upstreams(client);
     serving::Registration upstream = fakes::MakeUpstream("u1", "desk");
@@ -105,11 +108,12 @@
 Test(endless_answer, event_without_end_fails_the_stream) {
   std::signal(SIGPIPE, SIG_IGN);
   base::EventLoop loop;
-  fakes::RawServer server(
-      loop,
-      "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
-      "Server-Seal: s\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata: ",
-      std::string(64 << 10, 'x'));
+  fakes::RawServer server(loop, [](int) {
+    return fakes::RawAnswer{
+        "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Seal: s\r\n\r\n"
+        "id: 1\ndata: a\n\nid: 2\ndata: ",
+        fakes::AfterAnswer::kRepeat, std::string(64 << 10, 'x')};
+  });
   http::Client client(loop);
   platform_adapter::UpstreamClient upstreams(client);
   serving::Registration upstream = fakes::MakeUpstream("u1", "engines");
--- a/test/part_owner_test.cc
+++ b/test/part_owner_test.cc
@@ -52,6 +52,55 @@
   owner->Stop();
 }
 
+// The upstream lost the store, or is slow to report, and still generates.
+Test(partition_owner, run_goes_on_at_an_upstream_that_stops_reporting) {
+  for (const bool store_unstable : {false, true}) {
+    Fixture fixture;
+    const auto owner = fixture.StartOwner(1);
+    fixture.Submit("b1", {"i1"}, 4);
+    cr_assert(fakes::RunUntil(fixture.loop, [&fixture] {
+      return fixture.upstreams.requests.size() == 1;
+    }));
+    const auto run = fixture.upstreams.requests[0];
+    FakeUpstreams::SendEvents(*run, 2, 5);
+    fixture.directory.Remove(run->upstream, store_unstable,
+                             fixture.clock.now());
+    fixture.directory.Expire(fixture.clock.now() + milliseconds(5'000));
+    owner->ScheduleItems();
+    owner->MoveStragglers();
+    fakes::RunFor(fixture.loop, milliseconds(100));
+    cr_assert(!run->cancelled);
+    cr_assert_eq(fixture.upstreams.requests.size(), 1,
+                 "the item must not run a second time elsewhere");
+    run->options.stream->on_event({"", "3", "e3", std::nullopt});
+    run->done(serving::CompleteResponse{200, {}, {}});
+    cr_assert(fixture.WaitForResults("b1", 1));
+    owner->Stop();
+  }
+}
+
+// A stream that sends only comments is alive, but makes no progress.
+Test(partition_owner, comments_of_a_stream_are_no_events) {
+  Fixture fixture;
+  const auto owner = fixture.StartOwner(1);
+  fixture.Submit("b1", {"i1"}, 4);
+  cr_assert(fakes::RunUntil(fixture.loop, [&fixture] {
+    return fixture.upstreams.requests.size() == 1;
+  }));
+  const auto run = fixture.upstreams.requests[0];
+  run->options.stream->on_start({200, {}, 5});
+  const base::Timer comments = fixture.loop.Every(milliseconds(50), [&run] {
+    if (!run->cancelled) {
+      run->options.stream->on_event({": ping\n\n", "", "", std::nullopt});
+    }
+  });
+  fakes::RunFor(fixture.loop, milliseconds(200));
+  cr_assert(!run->cancelled, "a comment must not interrupt the run");
+  cr_assert(fakes::RunUntil(fixture.loop, [&run] { return run->cancelled; }),
+            "a run without events must end");
+  owner->Stop();
+}
+
 Test(partition_owner, single_version_sample_restarts_under_another_version) {
   Fixture fixture(/*single_version=*/true);
   int calls = 0;
--- /dev/null
+++ b/test/upstream_client_test.cc
@@ -0,0 +1,136 @@
+// Tests of the client of upstreams against answers that are broken, late or
+// another request's.
+
+#include "platform/upstream_client.h"
+
+#include <criterion/criterion.h>
+
+#include <csignal>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fakes/fake_upstreams.h"
+#include "fakes/loop_wait.h"
+#include "fakes/raw_server.h"
+
+namespace mulberryroad::platform_adapter {
+namespace {
+
+using fakes::AfterAnswer;
+using fakes::RawAnswer;
+using std::chrono::milliseconds;
+
+struct Fixture {
+  base::EventLoop loop;
+  fakes::RawServer server;
+  http::Client client{loop};
+  UpstreamClient upstreams{client};
+
+  explicit Fixture(fakes::RawServer::Answerer answerer)
+      : server(loop, std::move(answerer)) {
+    std::signal(SIGPIPE, SIG_IGN);
+  }
+
+  /// Sends a request and waits for its outcome.
+  serving::UpstreamOutcome Send(const std::string& id) {
+    serving::Registration upstream = fakes::MakeUpstream("u1", "desk");
+    upstream.endpoint = server.endpoint();
+    serving::OutgoingRequest request;
+    request.id = RequestId(id);
+    request.host = "h";
+    request.target = "/";
+    serving::CallOptions options;
+    options.deadline = milliseconds(2'000);
+    std::optional<serving::UpstreamOutcome> outcome;
+    upstreams.Send(upstream, request, std::move(options),
+                   [&outcome](serving::UpstreamOutcome result) {
+                     outcome = std::move(result);
+                   });
+    cr_assert(
+        fakes::RunUntil(loop, [&outcome] { return outcome.has_value(); }));
+    return *outcome;
+  }
+};
+
+std::string Head(const std::string& id, const std::string& framing) {
+  return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Seal: s\r\n" +
+         framing + "\r\n";
+}
+std::string WholeAnswer(const std::string& id) {
+  return Head(id, "Content-Length: 5\r\n") + "whole";
+}
+
+struct BrokenAnswer {
+  const char* name;
+  RawAnswer answer;
+  bool complete;
+};
+
+Test(upstream_client, answer_that_breaks_off_is_never_complete) {
+  const std::string chunked = Head("r1", "Transfer-Encoding: chunked\r\n");
+  const std::vector<BrokenAnswer> cases = {
+      {"whole", {WholeAnswer("r1")}, true},
+      {"body shorter than its length",
+       {Head("r1", "Content-Length: 5\r\n") + "who", AfterAnswer::kClose},
+       false},
+      {"chunk cut", {chunked + "5\r\nwho", AfterAnswer::kClose}, false},
+      {"last chunk missing",
+       {chunked + "5\r\nwhole\r\n", AfterAnswer::kClose},
+       false},
+      {"no length, ended in order",
+       {Head("r1", "") + "whole", AfterAnswer::kClose},
+       true},
+      {"no length, reset",
+       {Head("r1", "") + "who", AfterAnswer::kReset},
+       false},
+      {"head cut", {"HTTP/1.1 200 OK\r\nReq", AfterAnswer::kClose}, false},
+      {"no answer", {"garbage\r\n\r\n", AfterAnswer::kClose}, false},
+  };
+  for (const BrokenAnswer& test_case : cases) {
+    Fixture fixture([&test_case](int) { return test_case.answer; });
+    const serving::UpstreamOutcome outcome = fixture.Send("r1");
+    cr_expect_eq(std::holds_alternative<serving::CompleteResponse>(outcome),
+                 test_case.complete, "%s", test_case.name);
+    cr_expect(test_case.complete ||
+                  std::holds_alternative<serving::MayHaveRun>(outcome),
+              "%s: the request may have run", test_case.name);
+  }
+}
+
+// A server sends a second copy of an answer when its connection is in use
+// again. The caller must not get it, and the answers on that connection stay
+// one behind, so that nobody may use it any more.
+Test(upstream_client, late_copy_of_an_answer_reaches_no_caller) {
+  Fixture fixture([](int request) -> RawAnswer {
+    switch (request) {
+      case 1:
+        return {WholeAnswer("r1")};
+      case 2:
+        return {WholeAnswer("r1") + WholeAnswer("r2")};
+      default:
+        return {WholeAnswer("r3")};
+    }
+  });
+  cr_assert(
+      std::holds_alternative<serving::CompleteResponse>(fixture.Send("r1")));
+  cr_assert(std::holds_alternative<serving::MayHaveRun>(fixture.Send("r2")));
+  cr_assert(
+      std::holds_alternative<serving::CompleteResponse>(fixture.Send("r3")));
+  cr_assert_eq(fixture.server.accepted(), 2);
+}
+
+Test(upstream_client, connection_is_not_reused_after_a_foreign_answer) {
+  Fixture fixture([](int request) -> RawAnswer {
+    // The answer to the second request is still to come.
+    return {WholeAnswer(request == 2 ? "r1" : "r" + std::to_string(request))};
+  });
+  fixture.Send("r1");
+  cr_assert(std::holds_alternative<serving::MayHaveRun>(fixture.Send("r2")));
+  cr_assert(
+      std::holds_alternative<serving::CompleteResponse>(fixture.Send("r3")));
+  cr_assert_eq(fixture.server.accepted(), 2);
+}
+
+}  // namespace
+}  // namespace mulberryroad::platform_adapter
