Let an upstream on trial get items

Cause: placement by speed counted an upstream on trial as suspect, so that it got an item only if no other had a free slot, and stayed ejected. Found in the read-through; item_placement::upstream_on_trial_gets_an_item fails without the change.

--- a/src/batches/part_owner.cc
+++ b/src/batches/part_owner.cc
@@ -302,12 +302,16 @@
   std::vector<PlacementCandidate> candidates;
   for (const serving::Registration* upstream :
        UsableUpstreams(batch, service)) {
-    candidates.push_back(
-        {upstream->id, upstream->slots, context_.loads.running(upstream->id),
-         context_.loads.latency(upstream->id, now),
-         upstream->failure_domain == context_.own_domain,
-         context_.loads.health().health_state(upstream->id, now) !=
-             serving::HealthState::kHealthy});
+    const serving::HealthState health =
+        context_.loads.health().health_state(upstream->id, now);
+    // An upstream on trial is not avoided: it gets one item at a time, which
+    // shows whether it has recovered.
+    candidates.push_back({upstream->id, upstream->slots,
+                          context_.loads.running(upstream->id),
+                          context_.loads.latency(upstream->id, now),
+                          upstream->failure_domain == context_.own_domain,
+                          health == serving::HealthState::kSuspect ||
+                              health == serving::HealthState::kEjected});
   }
   return candidates;
 }
--- a/test/item_placement_test.cc
+++ b/test/item_placement_test.cc
@@ -123,5 +123,27 @@
   cr_assert_leq(refusals, 3, "%d refusals", refusals);
 }
 
+// An ejected upstream returns only after trial requests, also while the others
+// have free slots.
+Test(item_placement, upstream_on_trial_gets_an_item) {
+  Step step;
+  const Instant ejected_at = step.clock.now() - milliseconds(3'000);
+  for (int i = 0; i < serving::UpstreamHealth::kConsecutiveFailures; ++i) {
+    step.loads.health().OnRequestFailed(UpstreamId("u1"), ejected_at);
+  }
+  cr_assert_eq(
+      step.loads.health().health_state(UpstreamId("u1"), step.clock.now()),
+      serving::HealthState::kTrial);
+  std::set<UpstreamId> used;
+  step.upstreams.script = [&](ReceivedRequest& received) {
+    used.insert(received.upstream);
+  };
+  step.PartitionOwnerFixture::Submit("b1", {"i1", "i2"}, 5);
+  cr_assert(fakes::RunUntil(
+      step.loop, [&step] { return step.upstreams.requests.size() == 2; }));
+  fakes::RunFor(step.loop, milliseconds(20));
+  cr_assert(used.contains(UpstreamId("u1")));
+}
+
 }  // namespace
 }  // namespace mulberryroad::batches
