One trial item a pass, and an end for items that wait for a score

Cause: with one list of candidates a placement pass, an upstream on trial could get two items. Owners whose items only wait for a score were not scheduled, so that an item without a route for its scorer stayed open past the end of its retention. Found in the read-through; tests for both.

--- a/src/batches/batch_host.cc
+++ b/src/batches/batch_host.cc
@@ -43,7 +43,8 @@
   });
   schedule_timer_ = context_.loop.Every(kScheduleInterval, [this] {
     for (const auto& [partition, owner] : owners_) {
-      if (owner->waiting() > 0) {
+      // Items that wait for a score can reach the end of their retention.
+      if (owner->waiting() > 0 || owner->scoring() > 0) {
         owner->ScheduleItems();
       }
     }
--- a/src/batches/part_owner.cc
+++ b/src/batches/part_owner.cc
@@ -351,7 +351,10 @@
   PlacementCandidate& used =
       candidates[static_cast<std::size_t>(chosen - candidates.data())];
   ++used.running;
-  if (!context_.loads.HasCapacity(id, used.slots, context_.clock.now())) {
+  const Instant now = context_.clock.now();
+  const bool trial_in_flight = context_.loads.health().health_state(id, now) ==
+                               serving::HealthState::kEjected;
+  if (trial_in_flight || !context_.loads.HasCapacity(id, used.slots, now)) {
     std::swap(used, candidates.back());
     candidates.pop_back();
   }
--- a/test/item_placement_test.cc
+++ b/test/item_placement_test.cc
@@ -125,7 +125,7 @@
 
 // An ejected upstream returns only after trial requests, also while the others
 // have free slots.
-Test(item_placement, upstream_on_trial_gets_an_item) {
+Test(item_placement, upstream_on_trial_gets_one_item_at_a_time) {
   Step step;
   const Instant ejected_at = step.clock.now() - milliseconds(3'000);
   for (int i = 0; i < serving::UpstreamHealth::kConsecutiveFailures; ++i) {
@@ -134,15 +134,13 @@
   cr_assert_eq(
       step.loads.health().health_state(UpstreamId("u1"), step.clock.now()),
       serving::HealthState::kTrial);
-  std::set<UpstreamId> used;
+  int on_trial = 0;
   step.upstreams.script = [&](ReceivedRequest& received) {
-    used.insert(received.upstream);
+    on_trial += received.upstream == UpstreamId("u1") ? 1 : 0;
   };
-  step.PartitionOwnerFixture::Submit("b1", {"i1", "i2"}, 5);
-  cr_assert(fakes::RunUntil(
-      step.loop, [&step] { return step.upstreams.requests.size() == 2; }));
-  fakes::RunFor(step.loop, milliseconds(20));
-  cr_assert(used.contains(UpstreamId("u1")));
+  step.PartitionOwnerFixture::Submit("b1", {"i1", "i2", "i3"}, 5);
+  fakes::RunFor(step.loop, milliseconds(50));
+  cr_assert_eq(on_trial, 1, "%d items", on_trial);
 }
 
 }  // namespace
--- a/test/item_scheduler_test.cc
+++ b/test/item_scheduler_test.cc
@@ -154,5 +154,19 @@
   cr_assert(scheduler.TakeOverdue(Instant{} + milliseconds(40'001)).empty());
 }
 
+Test(item_scheduler, item_without_a_score_is_overdue_at_the_end_of_retention) {
+  ItemScheduler scheduler;
+  BatchInfo batch = MakeBatch({{"a", 10}}, 0);
+  batch.items[0].needs_score = true;
+  scheduler.Open(batch);
+  scheduler.MarkRunning({"batch", 0}, UpstreamId("u1"));
+  cr_assert(std::holds_alternative<AwaitScore>(
+      scheduler.OnRunEnd({"batch", 0}, RunCompleted{}, Instant{})));
+  cr_assert(scheduler.TakeOverdue(Instant{}).empty());
+  cr_assert_eq(scheduler.TakeOverdue(batch.retention_end).size(), 1);
+  cr_assert(!scheduler.OnScoreEnd({"batch", 0}),
+            "a score after the end of retention must be ignored");
+}
+
 }  // namespace
 }  // namespace mulberryroad::batches
