--- /dev/null
+++ b/src/batches/part_owner_runs.cc
@@ -0,0 +1,329 @@
+// Runs of a partition owner: chooses upstreams, starts runs, moves them to
+// faster upstreams, and lists the items whose runs or scorer calls have ended.
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "batches/part_owner.h"
+#include "batches/straggler_policy.h"
+
+namespace mulberryroad::batches {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+}  // namespace
+
+std::vector<const serving::Registration*> PartitionOwner::UsableUpstreams(
+    const BatchInfo& batch, const TargetId& service) const {
+  const Instant now = context_.clock.now();
+  std::vector<const serving::Registration*> usable =
+      context_.directory.Ready(service);
+  std::erase_if(usable, [&batch](const serving::Registration* upstream) {
+    const auto version = upstream->versions.find(batch.model);
+    return version == upstream->versions.end() ||
+           version->second < batch.min_version;
+  });
+  // Waiting for a slot is better than using an upstream whose runs fail.
+  usable = serving::UsableUpstreams(usable, context_.loads, now);
+  std::erase_if(usable, [this, now](const serving::Registration* upstream) {
+    return !context_.loads.HasCapacity(upstream->id, upstream->slots, now);
+  });
+  return usable;
+}
+
+std::vector<PlacementCandidate> PartitionOwner::CandidatesFor(
+    const BatchInfo& batch, const TargetId& service) const {
+  const Instant now = context_.clock.now();
+  std::vector<PlacementCandidate> candidates;
+  for (const serving::Registration* upstream :
+       UsableUpstreams(batch, service)) {
+    const serving::HealthState health =
+        context_.loads.health().health_state(upstream->id, now);
+    // An upstream on trial is not avoided: it gets one item at a time, which
+    // shows whether it has recovered.
+    candidates.push_back({upstream->id, upstream->slots,
+                          context_.loads.running(upstream->id),
+                          context_.loads.latency(upstream->id, now),
+                          upstream->failure_domain == context_.own_domain,
+                          health == serving::HealthState::kSuspect ||
+                              health == serving::HealthState::kEjected});
+  }
+  return candidates;
+}
+
+std::optional<UpstreamId> PartitionOwner::PlaceItem(const BatchInfo& batch,
+                                                    const ItemRef& ref,
+                                                    const UpstreamId& last,
+                                                    PlacementPass* pass) {
+  const v1::BatchItem* item = FindItem(ref);
+  const serving::Route* route =
+      item == nullptr
+          ? nullptr
+          : context_.catalog.FindRoute(table_.find(batch.id)->accepted->host(),
+                                       item->path());
+  if (route == nullptr || route->services.empty()) {
+    return std::nullopt;
+  }
+  std::uniform_real_distribution<double> draw(0.0, 1.0);
+  const TargetId* service =
+      serving::ChooseService(*route, draw(context_.random));
+  if (service == nullptr) {
+    return std::nullopt;
+  }
+  const auto [entry, added] = pass->try_emplace({batch.id, *service});
+  std::vector<PlacementCandidate>& candidates = entry->second;
+  if (added) {
+    candidates = CandidatesFor(batch, *service);
+  }
+  const PlacementCandidate* chosen = ChooseItemUpstream(
+      candidates, last, LengthShare(batch, ref), draw(context_.random));
+  if (chosen == nullptr) {
+    return std::nullopt;
+  }
+  const UpstreamId id = chosen->id;
+  // Starts the run at once, so that its load counts in the next placement.
+  StartRun({ref, id});
+  PlacementCandidate& used =
+      candidates[static_cast<std::size_t>(chosen - candidates.data())];
+  ++used.running;
+  const Instant now = context_.clock.now();
+  const bool trial_in_flight = context_.loads.health().health_state(id, now) ==
+                               serving::HealthState::kEjected;
+  if (trial_in_flight || !context_.loads.HasCapacity(id, used.slots, now)) {
+    std::swap(used, candidates.back());
+    candidates.pop_back();
+  }
+  return id;
+}
+
+double PartitionOwner::ExpectedEvents(const BatchInfo& batch,
+                                      const ItemRef& item) const {
+  return completed_hint_ > 0 ? batch.items[item.index].expected_tokens *
+                                   completed_events_ / completed_hint_
+                             : 0.0;
+}
+
+double PartitionOwner::LengthShare(const BatchInfo& batch,
+                                   const ItemRef& item) const {
+  double longest = 0;
+  for (const ItemInfo& other : batch.items) {
+    longest = std::max(longest, other.expected_tokens);
+  }
+  const auto progress = progress_.find(item);
+  const double events = progress == progress_.end()
+                            ? 0.0
+                            : static_cast<double>(progress->second.last_event);
+  if (longest <= 0 || (events > 0 && events >= ExpectedEvents(batch, item))) {
+    // Nothing is known, or the output is longer than estimated.
+    return 1.0;
+  }
+  return batch.items[item.index].expected_tokens / longest;
+}
+
+void PartitionOwner::MoveStragglers() {
+  std::set<std::string> batches;
+  for (const auto& [item, run] : runs_) {
+    batches.insert(item.batch);
+  }
+  for (const std::string& id : batches) {
+    MoveStragglersOf(id);
+  }
+}
+
+void PartitionOwner::MoveStragglersOf(const std::string& id) {
+  const BatchInfo* batch = scheduler_.find(id);
+  const v1::BatchRecord& record = *table_.find(id)->accepted;
+  const serving::Route* route =
+      context_.catalog.FindRoute(record.host(), record.route());
+  if (route != nullptr && route->single_version) {
+    // A moved sample would start again if the other upstream has another
+    // version.
+    return;
+  }
+  const Instant now = context_.clock.now();
+  std::vector<RunningItem> running;
+  std::vector<FreeUpstream> free;
+  for (auto run = runs_.lower_bound({id, 0});
+       run != runs_.end() && run->first.batch == id; ++run) {
+    running.push_back(
+        {run->first, run->second.run->upstream(),
+         context_.loads.latency(run->second.run->upstream(), now),
+         duration_cast<milliseconds>(now - run->second.run->started()),
+         static_cast<double>(run->second.run->progress().last_event),
+         ExpectedEvents(*batch, run->first)});
+  }
+  const serving::Registration* current =
+      context_.directory.find(running.front().upstream);
+  if (current == nullptr) {
+    return;
+  }
+  for (const serving::Registration* upstream :
+       UsableUpstreams(*batch, current->service)) {
+    if (context_.loads.health().health_state(upstream->id, now) ==
+        serving::HealthState::kHealthy) {
+      free.push_back({upstream->id, context_.loads.latency(upstream->id, now),
+                      upstream->slots - context_.loads.running(upstream->id)});
+    }
+  }
+  for (const ItemRef& item : RunsToMove(std::move(running), free)) {
+    context_.metrics.Count("item_moves_total", {});
+    runs_.at(item).run->InterruptForMove();
+  }
+}
+
+void PartitionOwner::StartRun(const PlacedItem& start) {
+  const v1::BatchItem& item = *FindItem(start.item);
+  const v1::BatchRecord& record = *table_.find(start.item.batch)->accepted;
+  const serving::Registration& upstream =
+      *context_.directory.find(start.upstream);
+  serving::OutgoingRequest request;
+  request.id = RequestId(item.id());
+  request.method = http::Method::kPost;
+  request.host = record.host();
+  request.target = item.path();
+  for (const v1::StoredHeader& header : item.headers()) {
+    request.headers.push_back({header.name(), header.value()});
+  }
+  request.body = item.body();
+  request.organisation = OrganisationId(record.organisation());
+  const serving::Route* route =
+      context_.catalog.FindRoute(record.host(), item.path());
+  ItemProgress progress = std::move(progress_[start.item]);
+  std::uint64_t expected_version = 0;
+  if (route != nullptr && route->single_version) {
+    expected_version = upstream.versions.at(TargetId(record.model()));
+    if (progress.last_event > 0 && progress.version != expected_version) {
+      // A single-version sample cannot resume under another version: restarts
+      // it from the beginning.
+      progress = {};
+      DeleteItemProgress(start.item);
+    }
+  }
+  context_.log.Write(
+      "item.start",
+      {{"request", item.id()},
+       {"batch", start.item.batch},
+       {"upstream", start.upstream.value()},
+       {"running",
+        static_cast<std::int64_t>(context_.loads.running(start.upstream))},
+       {"resume_after", static_cast<std::int64_t>(progress.last_event)},
+       {"manifest", static_cast<std::int64_t>(context_.catalog.version())}});
+  const auto shared_item = std::make_shared<ItemRef>(start.item);
+  auto run = std::make_shared<ItemRun>(
+      context_.loop, context_.clock, context_.caller, context_.loads,
+      start.upstream, std::move(progress),
+      scheduler_.find(start.item.batch)->retention_end, RunTimeouts{},
+      [weak = weak_from_this()] {
+        if (const auto owner = weak.lock()) {
+          owner->PostSchedule();
+        }
+      },
+      [weak = weak_from_this(), shared_item, item_id = item.id(),
+       id = start.upstream](const RunEnd& end, ItemProgress final_progress) {
+        if (const auto owner = weak.lock()) {
+          owner->OnRunEnd(*shared_item, item_id, id, end,
+                          std::move(final_progress));
+        }
+      });
+  runs_[start.item] = {run, shared_item};
+  run->Start(upstream, request, expected_version);
+}
+
+void PartitionOwner::OnRunEnd(const ItemRef& item, const std::string& item_id,
+                              const UpstreamId& upstream, const RunEnd& end,
+                              ItemProgress progress) {
+  if (stopped_) {
+    return;
+  }
+  if (orphans_.contains(item_id)) {
+    OnOrphanEnd(item_id, std::move(progress));
+    return;
+  }
+  runs_.erase(item);
+  static constexpr const char* kOutcomeNames[] = {
+      "completed", "failed", "impossible", "refused", "interrupted", "moved"};
+  const v1::BatchItem* stored = FindItem(item);
+  const BatchInfo* batch = scheduler_.find(item.batch);
+  if (stored == nullptr || batch == nullptr) {
+    return;
+  }
+  const bool completed = std::holds_alternative<RunCompleted>(end);
+  const bool stale =
+      completed && !progress.meets_min_version(batch->min_version);
+  context_.log.Write(
+      "item.end",
+      {{"request", stored->id()},
+       {"batch", item.batch},
+       {"upstream", upstream.value()},
+       {"outcome", stale ? "stale" : kOutcomeNames[end.index()]},
+       {"events", static_cast<std::int64_t>(progress.events.size())},
+       {"version", static_cast<std::int64_t>(progress.version)}});
+  context_.metrics.Count("item_runs_total",
+                         {{"outcome", kOutcomeNames[end.index()]}});
+  const ItemDecision step = scheduler_.OnRunEnd(
+      item, stale ? RunEnd(RunInterrupted{}) : end, context_.clock.now());
+  if (completed && !stale) {
+    OnOutputComplete(item, std::move(progress), step);
+  } else if (std::holds_alternative<ListTerminated>(step)) {
+    ListResult(item, v1::ITEM_STATE_TERMINATED, {}, "");
+  } else if (stale) {
+    DeleteItemProgress(item);
+  } else {
+    progress_[item] = std::move(progress);
+  }
+  PostSchedule();
+}
+
+void PartitionOwner::OnOutputComplete(const ItemRef& item,
+                                      ItemProgress progress,
+                                      const ItemDecision& decision) {
+  if (std::holds_alternative<ListCompleted>(decision)) {
+    ListCompletedItem(item, std::move(progress), "");
+  } else if (std::holds_alternative<AwaitScore>(decision)) {
+    const v1::BatchItem& stored = *FindItem(item);
+    const BatchInfo& batch = *scheduler_.find(item.batch);
+    const serving::Route* route = context_.catalog.FindRoute(
+        stored.scorer().host(), stored.scorer().path());
+    SaveCompleteOutput(item, progress);
+    progress_[item] = std::move(progress);
+    scorer_->Add({item,
+                  std::max(batch.max_attempts,
+                           route == nullptr ? 1 : route->max_attempts),
+                  batch.deadline},
+                 stored, batch.retention_end);
+  }
+}
+
+void PartitionOwner::OnScoreEnd(const ItemRef& item,
+                                const ItemScoreResult& result) {
+  if (stopped_ || !scheduler_.OnScoreEnd(item)) {
+    return;
+  }
+  const auto found = progress_.find(item);
+  ItemProgress progress = std::move(found->second);
+  progress_.erase(found);
+  if (const auto* scored = std::get_if<ItemScored>(&result)) {
+    ListCompletedItem(item, std::move(progress), scored->score);
+  } else {
+    ListResult(item, v1::ITEM_STATE_TERMINATED, {}, "");
+  }
+}
+
+void PartitionOwner::ListCompletedItem(const ItemRef& item,
+                                       ItemProgress progress,
+                                       const std::string& score) {
+  const double hint =
+      scheduler_.find(item.batch)->items[item.index].expected_tokens;
+  if (hint > 0) {
+    completed_hint_ += hint;
+    completed_events_ += static_cast<double>(progress.last_event);
+  }
+  ListResult(item, v1::ITEM_STATE_COMPLETED, progress, score);
+  completed_[item] = std::move(progress);
+}
+
+}  // namespace mulberryroad::batches
