--- a/src/batches/item_scorer.cc
+++ b/src/batches/item_scorer.cc
@@ -136,8 +136,8 @@
   ScorerLimit& limit = context_.scorer_limits[*service];
   const bool repeat = earlier_calls > 0;
   if (!limit.TryStart(repeat, max_in_flight)) {
-    // Only repeats may be blocked while first calls are not, and they come
-    // last.
+    // First calls are placed before repeats, so that a blocked repeat does not
+    // keep a first call from being sent.
     full->insert(*service);
     return std::nullopt;
   }
