Log the rate limits that upstreams name, and the upstream of each request

Change: UpstreamStatements keeps the limit that each process of an upstream names; `upstream.limit` and `upstream_limit_changes_total` report its changes, `request.end` names the upstream of the last attempt. Nothing decides by the limit yet.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -147,6 +147,7 @@
   http::Client client_;
   StoreRelay store_relay_;
   platform_adapter::StoreClient store_;
+  serving::UpstreamStatements statements_;
   platform_adapter::UpstreamClient upstream_client_;
   platform_adapter::DutyClient duty_client_;
   serving::Catalog catalog_;
@@ -189,10 +190,10 @@
       store_relay_(loop_, clock_, log_, metrics_, client_, random_,
                    settings_.store_address, SeedPeers(settings_)),
       store_(store_relay_, settings_.store_address),
-      upstream_client_(client_),
+      upstream_client_(client_, clock_, statements_),
       duty_client_(client_, settings_.duty_services_address),
       upstream_watch_(clock_, log_, metrics_, directory_, request_loads_,
-                      item_loads_),
+                      item_loads_, statements_),
       serving_{loop_,
                clock_,
                log_,
@@ -455,8 +456,10 @@
   usage_.Start();
   capacity_.Start();
   batch_host_.Start();
-  expire_timer_ =
-      loop_.Every(kExpireInterval, [this] { directory_.Expire(clock_.now()); });
+  expire_timer_ = loop_.Every(kExpireInterval, [this] {
+    directory_.Expire(clock_.now());
+    statements_.Expire(clock_.now());
+  });
   return true;
 }
 
--- a/src/node/upstream_watch.cc
+++ b/src/node/upstream_watch.cc
@@ -11,15 +11,33 @@
                              base::Metrics& metrics,
                              serving::UpstreamDirectory& directory,
                              serving::UpstreamLoads& request_loads,
-                             serving::UpstreamLoads& item_loads)
+                             serving::UpstreamLoads& item_loads,
+                             serving::UpstreamStatements& statements)
     : clock_(clock),
       log_(log),
       metrics_(metrics),
       directory_(directory),
       request_loads_(request_loads),
-      item_loads_(item_loads) {
+      item_loads_(item_loads),
+      statements_(statements) {
   LogHealth(request_loads_, "requests");
   LogHealth(item_loads_, "items");
+  LogLimits();
+}
+
+void UpstreamWatch::LogLimits() {
+  statements_.on_limit_changed().connect(
+      [this](const serving::LimitChange& change) {
+        metrics_.Count(
+            "upstream_limit_changes_total",
+            {{"limited",
+              change.requests_per_second.has_value() ? "true" : "false"}});
+        log_.Write(
+            "upstream.limit",
+            {{"upstream", change.upstream.value()},
+             {"limited", change.requests_per_second.has_value()},
+             {"requests_per_second", change.requests_per_second.value_or(0)}});
+      });
 }
 
 void UpstreamWatch::LogHealth(serving::UpstreamLoads& loads,
@@ -91,6 +109,7 @@
   }
   request_loads_.Reset(registration.id);
   item_loads_.Reset(registration.id);
+  statements_.OnRestarted(registration.id, registration.started);
   return true;
 }
 
--- a/src/node/upstream_watch.h
+++ b/src/node/upstream_watch.h
@@ -11,6 +11,7 @@
 #include "base/structured_log.h"
 #include "mulberryroad/clock.h"
 #include "platform/partition_store.h"
+#include "serving/upstream_statements.h"
 #include "serving/upstreams.h"
 
 namespace mulberryroad::node {
@@ -23,7 +24,8 @@
   UpstreamWatch(const Clock& clock, base::StructuredLog& log,
                 base::Metrics& metrics, serving::UpstreamDirectory& directory,
                 serving::UpstreamLoads& request_loads,
-                serving::UpstreamLoads& item_loads);
+                serving::UpstreamLoads& item_loads,
+                serving::UpstreamStatements& statements);
 
   /// Replaces the directory by a snapshot of all registrations.
   /// @param store_unstable true if the store was recently unreachable, so that
@@ -41,6 +43,8 @@
   /// Logs and counts ejections, and logs returns.
   /// @param work kind of work counted in the loads, for logs and metrics
   void LogHealth(serving::UpstreamLoads& loads, const std::string& work);
+  /// Logs and counts changes of the rate limits.
+  void LogLimits();
   /// Discards the load data of an upstream whose process has restarted.
   /// @return true if it has restarted
   bool ResetLoadIfRestarted(const serving::Registration& registration);
@@ -51,6 +55,7 @@
   serving::UpstreamDirectory& directory_;
   serving::UpstreamLoads& request_loads_;
   serving::UpstreamLoads& item_loads_;
+  serving::UpstreamStatements& statements_;
   bool has_snapshot_ = false;
 };
 
--- a/src/serving/request_session.cc
+++ b/src/serving/request_session.cc
@@ -113,6 +113,7 @@
   }
   const int number = next_attempt_number_++;
   tried_upstreams_.insert(upstream->id);
+  last_upstream_ = upstream->id;
   policy_.OnSent();
   context_.loads.OnRequestSent(upstream->id, context_.clock.now());
   Attempt& attempt = attempts_[number];
@@ -307,6 +308,7 @@
       {{"request", request_.outgoing.id.value()},
        {"organisation", request_.outgoing.organisation.value()},
        {"service", request_.service.value()},
+       {"upstream", last_upstream_.value()},
        {"manifest", static_cast<std::int64_t>(context_.catalog.version())},
        {"tries", static_cast<std::int64_t>(policy_.attempts())},
        {"status", static_cast<std::int64_t>(status)},
--- a/src/serving/request_session.h
+++ b/src/serving/request_session.h
@@ -124,6 +124,8 @@
   std::map<int, Attempt> attempts_;
   int next_attempt_number_ = 0;
   std::set<UpstreamId> tried_upstreams_;
+  /// Upstream of the latest attempt; empty before the first.
+  UpstreamId last_upstream_;
   bool finished_ = false;
   /// Whether the request was counted for usage.
   bool usage_counted_ = false;
--- /dev/null
+++ b/src/serving/upstream_statements.h
@@ -0,0 +1,86 @@
+// What upstreams state about themselves in their responses. Pure: no I/O and no
+// clock.
+
+#ifndef MULBERRYROAD_SRC_SERVING_UPSTREAM_STATEMENTS_H_
+#define MULBERRYROAD_SRC_SERVING_UPSTREAM_STATEMENTS_H_
+
+#include <sigc++/signal.h>
+
+#include <chrono>
+#include <map>
+#include <optional>
+
+#include "mulberryroad/clock.h"
+#include "mulberryroad/ids.h"
+
+namespace mulberryroad::serving {
+
+/// What one response states about the upstream that sent it.
+struct Statement {
+  /// Requests per second that the upstream accepts from all nodes together;
+  /// nullopt if the response names no limit.
+  std::optional<double> requests_per_second;
+  /// Whether the absence of a limit in this response means that there is none.
+  bool complete = false;
+};
+
+/// A change of the rate limit of an upstream, for the log.
+struct LimitChange {
+  UpstreamId upstream;
+  /// nullopt if the upstream has no limit any more.
+  std::optional<double> requests_per_second;
+};
+
+/// The latest statements of the upstreams, each of them valid for one process
+/// of its upstream. Used on the event loop's thread.
+class UpstreamStatements {
+ public:
+  /// Records the statement of a response.
+  /// @param started start time of the upstream's process, as registered when
+  ///     the request was sent; a statement of an earlier process is ignored
+  void OnResponse(const UpstreamId& id, std::chrono::milliseconds started,
+                  const Statement& statement, Instant now);
+  /// Records a limit that another node learned.
+  /// @param requests_per_second nullopt if the upstream named none
+  /// @param learned time at which the other node received the response;
+  ///     statements that are not newer than the known one are ignored
+  void OnReported(const UpstreamId& id,
+                  std::optional<double> requests_per_second, Instant learned);
+  /// Discards the statements of earlier processes of an upstream.
+  void OnRestarted(const UpstreamId& id, std::chrono::milliseconds started);
+  /// Discards statements that are older than kMaxAge.
+  void Expire(Instant now);
+
+  /// Returns the requests per second that the upstream accepts from all nodes
+  /// together, or nullopt without a limit.
+  std::optional<double> limit(const UpstreamId& id) const;
+  /// Returns the time of the latest statement about the limit.
+  std::optional<Instant> limit_learned(const UpstreamId& id) const;
+  /// Returns the number of upstreams with a statement.
+  std::size_t size() const { return entries_.size(); }
+
+  /// Emitted when a limit is named for the first time, changes or ends.
+  sigc::signal<void(const LimitChange&)>& on_limit_changed() {
+    return on_limit_changed_;
+  }
+
+  /// An upstream that did not answer for this long has most likely ended.
+  static constexpr std::chrono::minutes kMaxAge{10};
+
+ private:
+  struct Entry {
+    std::chrono::milliseconds started{0};
+    std::optional<double> requests_per_second;
+    Instant learned{};
+  };
+
+  void SetLimit(const UpstreamId& id, Entry* entry,
+                std::optional<double> requests_per_second, Instant learned);
+
+  std::map<UpstreamId, Entry> entries_;
+  sigc::signal<void(const LimitChange&)> on_limit_changed_;
+};
+
+}  // namespace mulberryroad::serving
+
+#endif  // MULBERRYROAD_SRC_SERVING_UPSTREAM_STATEMENTS_H_
--- a/test/upstream_client_test.cc
+++ b/test/upstream_client_test.cc
@@ -25,7 +25,9 @@
   base::EventLoop loop;
   fakes::RawServer server;
   http::Client client{loop};
-  UpstreamClient upstreams{client};
+  SystemClock clock;
+  serving::UpstreamStatements statements;
+  UpstreamClient upstreams{client, clock, statements};
 
   explicit Fixture(fakes::RawServer::Answerer answerer)
       : server(loop, std::move(answerer)) {
