Test that fails: nodes together exceed the limit of an upstream

Nodes send an upstream more than the rate limit that it names. Change: the upstream stand-in names a limit; a process test with four nodes and two upstreams counts the runs in each 4 s from 3 s after the first answer.

--- a/test/fakes/platform/fake_replica.cc
+++ b/test/fakes/platform/fake_replica.cc
@@ -148,12 +148,21 @@
 }
 
 void FakeReplica::Refuse(const Exchange& exchange, int status) {
-  exchange->Reply(
-      status, "{}",
+  Reply(
+      exchange, status, "{}",
       {{"Not-Executed", "1"},
        {"Request-Id", exchange->request().header("request-id").value_or("")}});
 }
 
+void FakeReplica::Reply(const Exchange& exchange, int status,
+                        const std::string& body, http::Headers headers) const {
+  if (options_.requests_per_second > 0) {
+    headers.push_back(
+        {"Server-Limit", std::to_string(options_.requests_per_second)});
+  }
+  exchange->Reply(status, body, headers);
+}
+
 void FakeReplica::Serve(const Exchange& exchange) {
   const http::Request& request = exchange->request();
   const std::string id = request.header("request-id").value_or("");
@@ -198,13 +207,13 @@
       return;
     }
     if (exchange->request().path == kFailingScorerPath) {
-      exchange->Reply(kServerError, "{}", {{"Request-Id", id}});
+      Reply(exchange, kServerError, "{}", {{"Request-Id", id}});
       return;
     }
-    exchange->Reply(kOk, AnswerText(id),
-                    {{"Request-Id", id},
-                     {"Server-Seal", options_.id + "." + id},
-                     {"Content-Type", "text/plain"}});
+    Reply(exchange, kOk, AnswerText(id),
+          {{"Request-Id", id},
+           {"Server-Seal", options_.id + "." + id},
+           {"Content-Type", "text/plain"}});
   });
 }
 
--- a/test/fakes/platform/fake_replica.h
+++ b/test/fakes/platform/fake_replica.h
@@ -35,6 +35,8 @@
   std::vector<std::string> models;
   /// Share of plain answers that are lost or cut after the run.
   double fault_share = 0;
+  /// Rate limit that all answers name, in requests per second; 0 for none.
+  double requests_per_second = 0;
 };
 
 /// Text of an item's event; the same at every replica.
@@ -75,6 +77,9 @@
   void Register();
   void Serve(const Exchange& exchange);
   void Refuse(const Exchange& exchange, int status);
+  /// Answers a request, with the rate limit if there is one.
+  void Reply(const Exchange& exchange, int status, const std::string& body,
+             http::Headers headers) const;
   void RunPlain(const Exchange& exchange, const std::string& id);
   void RunStream(const Exchange& exchange, const std::string& id);
   void NextEvent(std::shared_ptr<Stream> stream);
--- /dev/null
+++ b/test/process/upstream_limit_process_test.cc
@@ -0,0 +1,64 @@
+// Upstreams that name a rate limit in their answers.
+
+#include <cmath>
+#include <cstdint>
+
+#include "process/upstream_run.h"
+
+namespace mulberryroad::process {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr double kLimit = 2;  // Requests per second of each upstream.
+constexpr milliseconds kWindow{4'000};
+constexpr milliseconds kSettleTime{3'000};
+constexpr double kTolerance = 1.5;
+constexpr int kAllowedBurst = 5;
+
+/// Returns the highest number of runs within kWindow among those that start
+/// later than `from_ms`.
+int MostRunsInWindow(const std::vector<nlohmann::json>& runs,
+                     std::int64_t from_ms) {
+  std::vector<std::int64_t> times;
+  for (const nlohmann::json& run : runs) {
+    if (const auto at = run["at_ms"].get<std::int64_t>(); at > from_ms) {
+      times.push_back(at);
+    }
+  }
+  int most = 0;
+  std::size_t first = 0;
+  for (std::size_t last = 0; last < times.size(); ++last) {
+    while (times[last] - times[first] >= kWindow.count()) {
+      ++first;
+    }
+    most = std::max(most, static_cast<int>(last - first) + 1);
+  }
+  return most;
+}
+
+// Four nodes get sixteen times the requests that two upstreams accept.
+Test(upstream_limit, nodes_together_exceed_the_limit_of_an_upstream) {
+  soak::DeploymentOptions options;
+  options.engines = 0;
+  options.services = 2;
+  options.service_requests_per_second = kLimit;
+  UpstreamRun run("upstream-limit", options);
+  run.Start();
+  run.traffic().Start();
+  run.RunFor(kSettleTime + 3 * kWindow);
+  run.traffic().Stop();
+  const int allowed =
+      static_cast<int>(std::floor(kTolerance * kLimit * 4)) + kAllowedBurst;
+  for (const std::string& log : run.deployment().UpstreamLogs()) {
+    const auto runs = UpstreamRun::ReadRuns(log);
+    cr_assert(!runs.empty());
+    const auto first = runs.front()["at_ms"].get<std::int64_t>();
+    const int most = MostRunsInWindow(runs, first + kSettleTime.count());
+    cr_expect_leq(most, allowed, "%s got %d requests in 4 s; allowed %d",
+                  log.c_str(), most, allowed);
+  }
+}
+
+}  // namespace
+}  // namespace mulberryroad::process
--- a/test/soak/deployment.cc
+++ b/test/soak/deployment.cc
@@ -35,7 +35,8 @@
               {"platform", ToString(options.platform)},
               {"slots", options.slots},
               {"models", options.models},
-              {"fault_share", options.fault_share}}
+              {"fault_share", options.fault_share},
+              {"requests_per_second", options.requests_per_second}}
       .dump();
 }
 
@@ -74,6 +75,8 @@
       upstream.options.models = {"m0", "m1"};
     } else {
       upstream.options.fault_share = kFaultyAnswers;
+      upstream.options.requests_per_second =
+          options_.service_requests_per_second;
     }
     upstream.link = std::make_unique<Proxy>(loop_, advertised, listen);
     if (!upstream.link->Listen()) {
--- a/test/soak/deployment.h
+++ b/test/soak/deployment.h
@@ -30,6 +30,8 @@
   std::size_t nodes = 4;
   std::size_t engines = 3;
   std::size_t services = 2;
+  /// Rate limit that each plain service names; 0 for none.
+  double service_requests_per_second = 0;
 };
 
 /// A node of the system under test.
--- a/test/soak/soak_run.cc
+++ b/test/soak/soak_run.cc
@@ -33,47 +33,6 @@
 constexpr std::size_t kComparedAtOnce = 12;
 constexpr milliseconds kCompareLimit{5'000};
 
-json Manifest(int version, bool with_withdrawn_key) {
-  const auto route = [](const char* name, const char* prefix, const char* kind,
-                        const char* service, int attempts, bool open) {
-    return json{{"name", name},
-                {"host", kHost},
-                {"pathPrefix", prefix},
-                {"kind", kind},
-                {"timeoutMs", 2'000},
-                {"targetLatencyMs", 150},
-                {"resultDeadlineMs", 7'500},
-                {"retentionS", 60},
-                {"service", service},
-                {"maxAttempts", attempts},
-                {"authExempt", open}};
-  };
-  json keys_of_a = {kKeyOfA};
-  if (with_withdrawn_key) {
-    keys_of_a.push_back(kWithdrawnKey);
-  }
-  return {{"version", version},
-          {"routes",
-           {route("reports", "/reports/", "idempotent", "desk", 2, false),
-            route("orders", "/orders/", "non_idempotent", "desk", 1, false),
-            route("open", "/open/", "idempotent", "desk", 2, true),
-            route("scores", "/scores/", "idempotent", "desk", 2, false),
-            route("steps-a", "/steps-a/", "rollout", "engines", 3, false),
-            route("steps-b", "/steps-b/", "rollout", "engines", 3, false)}},
-          {"services",
-           {{{"name", "desk"}},
-            {{"name", "engines"},
-             {"engine", {{"models", {{{"name", "m0"}}, {{"name", "m1"}}}}}}}}},
-          {"limits",
-           {{"maxHeaderBytes", 16'384},
-            {"maxBodyBytes", 4'194'304},
-            {"headerTimeoutMs", 3'000},
-            {"idleTimeoutMs", 15'000}}},
-          {"tenants",
-           {{{"name", "org-a"}, {"apiKeys", keys_of_a}},
-            {{"name", "org-b"}, {"apiKeys", {kKeyOfB}}}}}};
-}
-
 class SoakRun {
  public:
   explicit SoakRun(const SoakOptions& options)
@@ -89,7 +48,7 @@
       return {{"violations", {"harness: a port is taken"}}};
     }
     Wait(milliseconds(300), [] { return false; });
-    deployment_.Put("config", Manifest(1, /*with_withdrawn_key=*/true));
+    deployment_.Put("config", MakeManifest(1, /*with_withdrawn_key=*/true));
     const bool started = Wait(kStartLimit, [this] {
       return std::all_of(deployment_.nodes().begin(), deployment_.nodes().end(),
                          [](const NodeUnderTest& node) { return node.ready; });
@@ -137,7 +96,8 @@
       }
       if (!withdrawn && elapsed() >= withdrawal) {
         withdrawn = true;
-        deployment_.Put("config", Manifest(3, /*with_withdrawn_key=*/false));
+        deployment_.Put("config",
+                        MakeManifest(3, /*with_withdrawn_key=*/false));
       }
       return false;
     });
@@ -320,6 +280,47 @@
 
 }  // namespace
 
+json MakeManifest(int version, bool with_withdrawn_key) {
+  const auto route = [](const char* name, const char* prefix, const char* kind,
+                        const char* service, int attempts, bool open) {
+    return json{{"name", name},
+                {"host", kHost},
+                {"pathPrefix", prefix},
+                {"kind", kind},
+                {"timeoutMs", 2'000},
+                {"targetLatencyMs", 150},
+                {"resultDeadlineMs", 7'500},
+                {"retentionS", 60},
+                {"service", service},
+                {"maxAttempts", attempts},
+                {"authExempt", open}};
+  };
+  json keys_of_a = {kKeyOfA};
+  if (with_withdrawn_key) {
+    keys_of_a.push_back(kWithdrawnKey);
+  }
+  return {{"version", version},
+          {"routes",
+           {route("reports", "/reports/", "idempotent", "desk", 2, false),
+            route("orders", "/orders/", "non_idempotent", "desk", 1, false),
+            route("open", "/open/", "idempotent", "desk", 2, true),
+            route("scores", "/scores/", "idempotent", "desk", 2, false),
+            route("steps-a", "/steps-a/", "rollout", "engines", 3, false),
+            route("steps-b", "/steps-b/", "rollout", "engines", 3, false)}},
+          {"services",
+           {{{"name", "desk"}},
+            {{"name", "engines"},
+             {"engine", {{"models", {{{"name", "m0"}}, {{"name", "m1"}}}}}}}}},
+          {"limits",
+           {{"maxHeaderBytes", 16'384},
+            {"maxBodyBytes", 4'194'304},
+            {"headerTimeoutMs", 3'000},
+            {"idleTimeoutMs", 15'000}}},
+          {"tenants",
+           {{{"name", "org-a"}, {"apiKeys", keys_of_a}},
+            {{"name", "org-b"}, {"apiKeys", {kKeyOfB}}}}}};
+}
+
 json PlaySeed(const SoakOptions& options) { return SoakRun(options).Run(); }
 
 std::string DrawLatency(const json& report) {
--- a/test/soak/soak_run.h
+++ b/test/soak/soak_run.h
@@ -18,6 +18,11 @@
   FaultLimits limits;
 };
 
+/// Returns the manifest of a run: the operator's routes, services and keys.
+/// @param with_withdrawn_key whether it has the key that is withdrawn in the
+///     middle of a run
+nlohmann::json MakeManifest(int version, bool with_withdrawn_key);
+
 /// Plays one seed.
 /// @return a report: seed, faults, checks, figures and violations
 nlohmann::json PlaySeed(const SoakOptions& options);
