Keep to the rate limits of upstreams across all nodes

Callers saw: overloaded upstreams. Cause: nodes did not read the limit, which counts for all nodes together. Change: requests to a limited upstream need a permit. The owner of the upstream's partition grants them from a token bucket; callers come before items and scorer calls; a caller that cannot get one is rejected at once with the expected time as Retry-After. Attempts, hedges, items and scorer calls pass the same place. Why it works: the bucket of an upstream is in one place, so that the sum over all nodes is bounded whatever their number, and a node without a current membership grants nothing.

--- a/src/batches/batch_context.h
+++ b/src/batches/batch_context.h
@@ -15,6 +15,7 @@
 #include "mulberryroad/store.pb.h"
 #include "platform/partition_store.h"
 #include "serving/catalog.h"
+#include "serving/permit_source.h"
 #include "serving/upstream_caller.h"
 #include "serving/upstreams.h"
 
@@ -42,6 +43,7 @@
   /// requests to the same services.
   serving::UpstreamLoads& request_loads;
   ScorerLimits& scorer_limits;
+  serving::PermitSource& permits;
   serving::UpstreamCaller& caller;
   FailureDomainId own_domain;
   std::mt19937_64& random;
--- a/src/batches/batch_host.cc
+++ b/src/batches/batch_host.cc
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr char kGroup[] = "batch-owners";
 constexpr char kSparePrefix[] = "spare:";
 
 }  // namespace
@@ -64,7 +63,7 @@
 
 void BatchHost::CheckForRegularOwners() {
   context_.store.ListOwners(
-      kGroup, kJoinTimeout,
+      kOwnersGroup, kJoinTimeout,
       [this, alive = alive_](const platform::OwnersOutcome& outcome) {
         const auto* owners = std::get_if<platform::PartitionOwners>(&outcome);
         if (!*alive || has_left_ || owners == nullptr) {
@@ -90,7 +89,7 @@
 // their partitions only after kMembershipTtl.
 void BatchHost::ReleasePredecessor() {
   context_.store.ListOwners(
-      kGroup, kJoinTimeout,
+      kOwnersGroup, kJoinTimeout,
       [this, alive = alive_](const platform::OwnersOutcome& outcome) {
         const auto* owners = std::get_if<platform::PartitionOwners>(&outcome);
         if (!*alive || has_left_ || owners == nullptr) {
@@ -106,7 +105,7 @@
         }
         for (const std::string& member : old_members) {
           context_.log.Write("batches.predecessor_left", {{"member", member}});
-          context_.store.Leave(kGroup, member, kJoinTimeout);
+          context_.store.Leave(kOwnersGroup, member, kJoinTimeout);
         }
         if (!old_members.empty()) {
           Join();
@@ -119,25 +118,28 @@
     owner->HandOver();
   }
   owners_.clear();
-  context_.store.Leave(kGroup, member_, kJoinTimeout);
+  context_.store.Leave(kOwnersGroup, member_, kJoinTimeout);
 }
 
 void BatchHost::Join() {
   if (has_left_ || !active_ || std::exchange(joining_, true)) {
     return;
   }
-  context_.store.Join(
-      kGroup, member_, kBatchTopic, kMembershipTtl, generation_, kJoinTimeout,
-      [this, alive = alive_](const platform::JoinOutcome& outcome) {
-        if (!*alive || has_left_) {
-          return;
-        }
-        joining_ = false;
-        const auto* share = std::get_if<platform::GroupAssignment>(&outcome);
-        if (share != nullptr && active_) {
-          OnAssignment(*share);
-        }
-      });
+  context_.store.Join(kOwnersGroup, member_, kBatchTopic, kMembershipTtl,
+                      generation_, kJoinTimeout,
+                      [this, alive = alive_, sent = context_.clock.now()](
+                          const platform::JoinOutcome& outcome) {
+                        if (!*alive || has_left_) {
+                          return;
+                        }
+                        joining_ = false;
+                        const auto* share =
+                            std::get_if<platform::GroupAssignment>(&outcome);
+                        if (share != nullptr && active_) {
+                          renewed_at_ = sent;
+                          OnAssignment(*share);
+                        }
+                      });
 }
 
 void BatchHost::OnAssignment(const platform::GroupAssignment& share) {
--- a/src/batches/batch_host.h
+++ b/src/batches/batch_host.h
@@ -13,6 +13,9 @@
 
 namespace mulberryroad::batches {
 
+/// Group of the nodes that own batch partitions.
+inline constexpr char kOwnersGroup[] = "batch-owners";
+
 /// Must be used on the thread of the event loop.
 class BatchHost {
  public:
@@ -30,6 +33,14 @@
   /// Leaves the group permanently; other nodes take over the partitions.
   void Leave();
 
+  /// Returns whether this node runs a batch partition.
+  bool holds(int partition) const {
+    return owners_.contains({kBatchTopic, partition});
+  }
+  /// Returns the time at which the latest successful renewal of the membership
+  /// was sent; nullopt before the first. The partitions are reassigned at the
+  /// earliest kMembershipTtl later.
+  std::optional<Instant> renewed_at() const { return renewed_at_; }
   /// Number of partitions that this node runs.
   std::size_t partitions() const { return owners_.size(); }
   /// Number of item runs in progress.
@@ -76,6 +87,7 @@
   bool active_;
   std::uint64_t generation_ = 0;
   bool joining_ = false;
+  std::optional<Instant> renewed_at_;
   bool has_left_ = false;
   std::map<platform::PartitionId, std::shared_ptr<PartitionOwner>> owners_;
   /// Epoch of the last owner of each partition in this process. An epoch is not
--- a/src/batches/item_scorer.cc
+++ b/src/batches/item_scorer.cc
@@ -26,7 +26,9 @@
 ItemScorer::ItemScorer(
     BatchContext& context,
     std::function<void(const ItemRef&, ItemScoreResult)> on_result)
-    : context_(context), on_result_(std::move(on_result)) {}
+    : context_(context),
+      on_result_(std::move(on_result)),
+      permits_(context.permits, [this] { PostSchedule(); }) {}
 
 void ItemScorer::Add(const PendingScore& pending, const v1::BatchItem& stored,
                      Instant give_up) {
@@ -156,6 +158,8 @@
   const Instant now = context_.clock.now();
   std::vector<const serving::Registration*> usable = serving::UsableUpstreams(
       context_.directory.Ready(service), context_.request_loads, now);
+  permits_.Request(
+      serving::UpstreamsWithoutPermit(usable, context_.request_loads, now));
   std::erase_if(usable, [this, now](const serving::Registration* upstream) {
     return !context_.request_loads.HasCapacity(
         upstream->id, ScorerSlots(upstream->slots), now);
--- a/src/batches/item_scorer.h
+++ b/src/batches/item_scorer.h
@@ -99,6 +99,7 @@
   std::map<ItemRef, Call> calls_;
   base::Timer timer_;
   bool schedule_posted_ = false;
+  serving::BackgroundPermits permits_;
 };
 
 }  // namespace mulberryroad::batches
--- a/src/batches/part_owner.cc
+++ b/src/batches/part_owner.cc
@@ -23,7 +23,8 @@
     : context_(context),
       partition_(std::move(partition)),
       epoch_(epoch),
-      on_lost_(std::move(on_lost)) {}
+      on_lost_(std::move(on_lost)),
+      permits_(context.permits, [this] { PostSchedule(); }) {}
 
 void PartitionOwner::Start() {
   context_.log.Write("part.acquire",
--- a/src/batches/part_owner.h
+++ b/src/batches/part_owner.h
@@ -139,7 +139,11 @@
   void ExpireLeftovers();
   void OpenBatch(const std::string& id, const Batch& batch);
   void CloseBatch(const std::string& id);
-  /// Returns the upstreams that can take an item of the batch now.
+  /// Returns the upstreams that have a suitable weight version and no recent
+  /// failures.
+  std::vector<const serving::Registration*> SuitableUpstreams(
+      const BatchInfo& batch, const TargetId& service) const;
+  /// Returns the suitable upstreams that can take an item of the batch now.
   std::vector<const serving::Registration*> UsableUpstreams(
       const BatchInfo& batch, const TargetId& service) const;
   void MoveStragglersOf(const std::string& id);
@@ -147,8 +151,9 @@
   /// has up to thousands of upstreams, too many to look at for each item.
   using PlacementPass = std::map<std::pair<std::string, TargetId>,
                                  std::vector<PlacementCandidate>>;
+  /// Also asks for a permit if rate limits keep upstreams from taking an item.
   std::vector<PlacementCandidate> CandidatesFor(const BatchInfo& batch,
-                                                const TargetId& service) const;
+                                                const TargetId& service);
   /// Starts a run of an item at the best upstream.
   /// @return the upstream; nullopt if none can take the item now
   std::optional<UpstreamId> PlaceItem(const BatchInfo& batch,
@@ -195,6 +200,7 @@
   BatchTable table_;
   ItemScheduler scheduler_;
   std::shared_ptr<ItemScorer> scorer_;
+  serving::BackgroundPermits permits_;
   std::map<ItemRef, Running> runs_;
   /// Extent of the stored progress of an unfinished item.
   struct StoredProgress {
--- a/src/batches/part_owner_runs.cc
+++ b/src/batches/part_owner_runs.cc
@@ -17,7 +17,7 @@
 
 }  // namespace
 
-std::vector<const serving::Registration*> PartitionOwner::UsableUpstreams(
+std::vector<const serving::Registration*> PartitionOwner::SuitableUpstreams(
     const BatchInfo& batch, const TargetId& service) const {
   const Instant now = context_.clock.now();
   std::vector<const serving::Registration*> usable =
@@ -28,7 +28,14 @@
            version->second < batch.min_version;
   });
   // Waiting for a slot is better than using an upstream whose runs fail.
-  usable = serving::UsableUpstreams(usable, context_.loads, now);
+  return serving::UsableUpstreams(usable, context_.loads, now);
+}
+
+std::vector<const serving::Registration*> PartitionOwner::UsableUpstreams(
+    const BatchInfo& batch, const TargetId& service) const {
+  const Instant now = context_.clock.now();
+  std::vector<const serving::Registration*> usable =
+      SuitableUpstreams(batch, service);
   std::erase_if(usable, [this, now](const serving::Registration* upstream) {
     return !context_.loads.HasCapacity(upstream->id, upstream->slots, now);
   });
@@ -36,8 +43,10 @@
 }
 
 std::vector<PlacementCandidate> PartitionOwner::CandidatesFor(
-    const BatchInfo& batch, const TargetId& service) const {
+    const BatchInfo& batch, const TargetId& service) {
   const Instant now = context_.clock.now();
+  permits_.Request(serving::UpstreamsWithoutPermit(
+      SuitableUpstreams(batch, service), context_.loads, now));
   std::vector<PlacementCandidate> candidates;
   for (const serving::Registration* upstream :
        UsableUpstreams(batch, service)) {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -20,6 +20,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "node/peer_view.h"
+#include "node/permit_exchange.h"
 #include "node/store_relay.h"
 #include "node/upstream_watch.h"
 #include "platform/batch_codec.h"
@@ -129,6 +130,7 @@
   std::optional<std::string> refusal_reason() const;
   bool store_unstable() const;
   bool store_unreachable() const;
+  bool OwnsPartition(int partition) const;
   bool ready() const;
   base::DrainSteps MakeDrainSteps();
   void CountUsage(const OrganisationId& organisation);
@@ -145,16 +147,17 @@
   std::string process_;
   std::mt19937_64 random_;
   http::Client client_;
+  serving::UpstreamStatements statements_;
   StoreRelay store_relay_;
   platform_adapter::StoreClient store_;
-  serving::UpstreamStatements statements_;
   platform_adapter::UpstreamClient upstream_client_;
   platform_adapter::DutyClient duty_client_;
   serving::Catalog catalog_;
   serving::UpstreamDirectory directory_;
   serving::UpstreamLoads request_loads_;
-  serving::UpstreamLoads item_loads_{kItemLatencyMaxAge};
+  serving::UpstreamLoads item_loads_;
   batches::ScorerLimits scorer_limits_;
+  PermitExchange permits_;
   UpstreamWatch upstream_watch_;
   serving::ServingContext serving_;
   batches::BatchContext batch_context_;
@@ -192,6 +195,11 @@
       store_(store_relay_, settings_.store_address),
       upstream_client_(client_, clock_, statements_),
       duty_client_(client_, settings_.duty_services_address),
+      request_loads_(statements_),
+      item_loads_(statements_, kItemLatencyMaxAge),
+      permits_(loop_, clock_, log_, metrics_, client_, store_, random_,
+               statements_, settings_.partitions,
+               [this](int partition) { return OwnsPartition(partition); }),
       upstream_watch_(clock_, log_, metrics_, directory_, request_loads_,
                       item_loads_, statements_),
       serving_{loop_,
@@ -201,6 +209,7 @@
                catalog_,
                directory_,
                request_loads_,
+               permits_,
                upstream_client_,
                settings_.failure_domain,
                random_,
@@ -216,6 +225,7 @@
                      item_loads_,
                      request_loads_,
                      scorer_limits_,
+                     permits_,
                      upstream_client_,
                      settings_.failure_domain,
                      random_,
@@ -224,7 +234,8 @@
                      settings_.result_retention + kResultRetentionMargin},
       batch_client_(std::make_shared<batches::BatchClient>(
           loop_, clock_, store_, settings_.partitions)),
-      batch_host_(batch_context_, process_, IsSmallVm(settings_)),
+      batch_host_(batch_context_, MemberName(process_, settings_.peer_address),
+                  IsSmallVm(settings_)),
       usage_counts_(process_, settings_.usage_window),
       lease_(loop_, clock_, log_, store_,
              duties::DutyLease(
@@ -358,6 +369,18 @@
           clock_.now() >= *contact + ReachabilityTracker::kMaxContactAge);
 }
 
+// Returns true if this node owns a batch partition and no other node does: the
+// membership was renewed recently, or the store is unreachable for all nodes
+// and assigns no partitions.
+bool Node::Impl::OwnsPartition(int partition) const {
+  const auto renewed_at = batch_host_.renewed_at();
+  const bool current =
+      renewed_at.has_value() &&
+      clock_.now() < *renewed_at + batches::BatchHost::kMembershipTtl;
+  return batch_host_.holds(partition) &&
+         (current || peers_.reachability() == StoreReachability::kOutage);
+}
+
 // Result of the readiness check. A node that does not reach the store stays
 // ready if its peers do not reach it either, since no other node could serve
 // the callers better.
@@ -410,6 +433,8 @@
                  [this] { return static_cast<double>(batch_host_.waiting()); });
   metrics_.Gauge("items_scoring",
                  [this] { return static_cast<double>(batch_host_.scoring()); });
+  metrics_.Gauge("upstream_statements",
+                 [this] { return static_cast<double>(statements_.size()); });
   metrics_.Gauge("log_lines_dropped",
                  [this] { return static_cast<double>(log_.dropped()); });
   metrics_.Gauge("manifest_version",
@@ -431,6 +456,7 @@
     peer_server_.emplace(loop_, http::ServerLimits{});
     peers_.Register(*peer_server_);
     store_relay_.Register(*peer_server_);
+    permits_.Register(*peer_server_);
     if (!peer_server_->Listen(*settings_.peer_address)) {
       *reason = "cannot listen on " + ToString(*settings_.peer_address);
       return false;
@@ -456,6 +482,7 @@
   usage_.Start();
   capacity_.Start();
   batch_host_.Start();
+  permits_.Start();
   expire_timer_ = loop_.Every(kExpireInterval, [this] {
     directory_.Expire(clock_.now());
     statements_.Expire(clock_.now());
--- a/src/serving/request_session.cc
+++ b/src/serving/request_session.cc
@@ -72,6 +72,15 @@
   return duration_cast<milliseconds>(request_.deadline - context_.clock.now());
 }
 
+std::vector<const Registration*> RequestSession::UntriedUpstreams() const {
+  std::vector<const Registration*> untried =
+      context_.directory.Ready(request_.service);
+  std::erase_if(untried, [this](const Registration* upstream) {
+    return tried_upstreams_.contains(upstream->id);
+  });
+  return untried;
+}
+
 const Registration* RequestSession::ChooseUntried() {
   std::uniform_real_distribution<double> draw(0.0, 1.0);
   return ChooseUpstream(context_.directory.Ready(request_.service),
@@ -98,16 +107,13 @@
 void RequestSession::SendAttempt() {
   const Registration* upstream = ChooseUntried();
   if (upstream == nullptr) {
-    if (policy_.in_flight() > 0) {
-      return;
-    }
-    if (policy_.known_not_run()) {
-      ReplyNotRun("the service has no upstream that accepts requests",
-                  kRetryAfterNoUpstream);
+    std::vector<UpstreamId> limited = UpstreamsWithoutPermit(
+        UntriedUpstreams(), context_.loads, context_.clock.now());
+    if (!limited.empty()) {
+      AcquirePermit(std::move(limited));
     } else {
-      FailRequest(
-          kBadGateway,
-          "no untried upstream is left; an earlier attempt may have run");
+      EndWithoutUpstream("the service has no upstream that accepts requests",
+                         kRetryAfterNoUpstream);
     }
     return;
   }
@@ -127,6 +133,54 @@
   ScheduleHedge();
 }
 
+void RequestSession::EndWithoutUpstream(const std::string& reason,
+                                        milliseconds retry) {
+  if (policy_.in_flight() > 0) {
+    return;
+  }
+  if (policy_.known_not_run()) {
+    ReplyNotRun(reason, retry);
+  } else {
+    FailRequest(kBadGateway,
+                "no untried upstream is left; an earlier attempt may have run");
+  }
+}
+
+void RequestSession::AcquirePermit(std::vector<UpstreamId> upstreams) {
+  if (std::exchange(awaiting_permit_, true)) {
+    return;
+  }
+  const auto max_wait =
+      duration_cast<milliseconds>(request_.target_latency * kPermitWaitShare);
+  context_.permits.Acquire(
+      std::move(upstreams), RequestPriority::kCaller,
+      std::min(max_wait, time_left()),
+      [self = shared_from_this()](const PermitResult& result) {
+        self->awaiting_permit_ = false;
+        if (self->finished_) {
+          return;
+        }
+        if (const auto* denied = std::get_if<PermitDenied>(&result)) {
+          self->OnPermitDenied(*denied);
+        } else {
+          self->SendAttempt();
+        }
+      });
+}
+
+void RequestSession::OnPermitDenied(const PermitDenied& denied) {
+  context_.log.Write("request.limited",
+                     {{"request", request_.outgoing.id.value()},
+                      {"service", request_.service.value()},
+                      {"upstream", denied.upstream.value()},
+                      {"requests_per_second", denied.requests_per_second},
+                      {"learned_ms_ago", denied.learned_ago.count()},
+                      {"decided_by", denied.decided_by},
+                      {"retry_ms", denied.retry_after.count()}});
+  EndWithoutUpstream("the rate limits of the service's upstreams are used up",
+                     denied.retry_after);
+}
+
 void RequestSession::ScheduleHedge() {
   if (streaming() || !policy_.may_hedge()) {
     return;
@@ -188,7 +242,7 @@
   attempts_.erase(found);
   RecordOutcome(ended, outcome);
   const AttemptStep step =
-      policy_.OnOutcome(outcome, ChooseUntried() != nullptr);
+      policy_.OnOutcome(outcome, !UntriedUpstreams().empty());
   if (!std::holds_alternative<Deliver>(step)) {
     context_.log.Write(
         "request.try_failed",
@@ -278,7 +332,13 @@
 }
 
 void RequestSession::OnDeadline() {
-  if (!finished_) {
+  if (finished_) {
+    return;
+  }
+  if (policy_.known_not_run()) {
+    ReplyNotRun("the deadline passed before an upstream could run the request",
+                kRetryAfterFull);
+  } else {
     FailRequest(kGatewayTimeout,
                 "the deadline passed without a complete response");
   }
--- a/src/serving/request_session.h
+++ b/src/serving/request_session.h
@@ -19,6 +19,7 @@
 #include "mulberryroad/clock.h"
 #include "serving/attempt_policy.h"
 #include "serving/catalog.h"
+#include "serving/permit_source.h"
 #include "serving/upstream_caller.h"
 #include "serving/upstreams.h"
 
@@ -34,6 +35,7 @@
   const Catalog& catalog;
   const UpstreamDirectory& directory;
   UpstreamLoads& loads;
+  PermitSource& permits;
   UpstreamCaller& caller;
   FailureDomainId own_domain;
   std::mt19937_64& random;
@@ -80,6 +82,9 @@
   /// Retry-After delay when a service has no upstreams: registrations take
   /// about this long to reach all nodes.
   static constexpr std::chrono::milliseconds kRetryAfterNoUpstream{500};
+  /// Longest wait for a rate limit, as a share of the target latency. A caller
+  /// that would wait longer does better to return later.
+  static constexpr double kPermitWaitShare = 0.5;
 
  private:
   /// An attempt in flight.
@@ -89,10 +94,21 @@
     std::shared_ptr<http::Call> call;
   };
 
-  /// Sends an attempt to the next upstream. Without one it ends the request,
-  /// unless another attempt is in flight.
+  /// Sends an attempt to the next upstream, once a permit is granted if all of
+  /// them have a rate limit. Without one it ends the request, unless another
+  /// attempt is in flight.
   void SendAttempt();
-  /// Returns the best upstream that was not tried yet, or null.
+  /// Ends the request, unless another attempt is in flight.
+  /// @param retry Retry-After delay if the request was not run
+  void EndWithoutUpstream(const std::string& reason,
+                          std::chrono::milliseconds retry);
+  /// Asks for a permit to send the next attempt to one of these upstreams.
+  void AcquirePermit(std::vector<UpstreamId> upstreams);
+  void OnPermitDenied(const PermitDenied& denied);
+  /// Returns the upstreams of the service that were not tried yet.
+  std::vector<const Registration*> UntriedUpstreams() const;
+  /// Returns the best upstream that was not tried yet and may get a request
+  /// now, or null.
   const Registration* ChooseUntried();
   CallOptions MakeCallOptions(int number);
   void OnAttemptDone(int number, UpstreamOutcome outcome);
@@ -127,6 +143,8 @@
   /// Upstream of the latest attempt; empty before the first.
   UpstreamId last_upstream_;
   bool finished_ = false;
+  /// Whether a permit for the next attempt is being asked for.
+  bool awaiting_permit_ = false;
   /// Whether the request was counted for usage.
   bool usage_counted_ = false;
   /// Number of the attempt whose events are forwarded to the caller; -1 before
--- a/src/serving/upstream_statements.cc
+++ b/src/serving/upstream_statements.cc
@@ -1,14 +1,15 @@
 #include "serving/upstream_statements.h"
 
+#include <algorithm>
+
 namespace mulberryroad::serving {
 
-void UpstreamStatements::SetLimit(const UpstreamId& id, Entry* entry,
-                                  std::optional<double> requests_per_second,
+void UpstreamStatements::SetLimit(const LimitChange& change, Entry* entry,
                                   Instant learned) {
   entry->learned = learned;
-  if (entry->requests_per_second != requests_per_second) {
-    entry->requests_per_second = requests_per_second;
-    on_limit_changed_.emit({id, requests_per_second});
+  if (entry->requests_per_second != change.requests_per_second) {
+    entry->requests_per_second = change.requests_per_second;
+    on_limit_changed_.emit(change);
   }
 }
 
@@ -23,11 +24,13 @@
   if (started < entry.started) {
     return;
   }
-  if (started > entry.started) {
-    entry = {started, std::nullopt, now};
+  // A limit that another node reported has no start time yet.
+  if (started > entry.started && entry.started.count() != 0) {
+    SetLimit({id, std::nullopt}, &entry, now);
   }
+  entry.started = started;
   if (statement.requests_per_second.has_value() || statement.complete) {
-    SetLimit(id, &entry, statement.requests_per_second, now);
+    SetLimit({id, statement.requests_per_second}, &entry, now);
   }
 }
 
@@ -36,7 +39,7 @@
                                     Instant learned) {
   Entry& entry = entries_[id];
   if (learned > entry.learned) {
-    SetLimit(id, &entry, requests_per_second, learned);
+    SetLimit({id, requests_per_second, /*reported=*/true}, &entry, learned);
   }
 }
 
@@ -44,11 +47,43 @@
                                      std::chrono::milliseconds started) {
   const auto found = entries_.find(id);
   if (found != entries_.end() && found->second.started < started) {
-    SetLimit(id, &found->second, std::nullopt, found->second.learned);
+    SetLimit({id, std::nullopt}, &found->second, found->second.learned);
     found->second.started = started;
   }
 }
 
+void UpstreamStatements::AddPermit(const UpstreamId& id, Instant usable_until) {
+  const auto found = entries_.find(id);
+  if (found != entries_.end()) {
+    std::deque<Instant>& permits = found->second.permits;
+    permits.insert(
+        std::upper_bound(permits.begin(), permits.end(), usable_until),
+        usable_until);
+  }
+}
+
+void UpstreamStatements::OnRequestSent(const UpstreamId& id, Instant now) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) {
+    return;
+  }
+  std::deque<Instant>& permits = found->second.permits;
+  while (!permits.empty() && permits.front() < now) {
+    permits.pop_front();
+  }
+  if (!permits.empty()) {
+    permits.pop_front();
+  }
+}
+
+bool UpstreamStatements::MaySend(const UpstreamId& id, Instant now) const {
+  const auto found = entries_.find(id);
+  return found == entries_.end() ||
+         !found->second.requests_per_second.has_value() ||
+         (!found->second.permits.empty() &&
+          found->second.permits.back() >= now);
+}
+
 void UpstreamStatements::Expire(Instant now) {
   std::erase_if(entries_, [now](const auto& entry) {
     return entry.second.learned + kMaxAge < now;
--- a/src/serving/upstream_statements.h
+++ b/src/serving/upstream_statements.h
@@ -7,6 +7,7 @@
 #include <sigc++/signal.h>
 
 #include <chrono>
+#include <deque>
 #include <map>
 #include <optional>
 
@@ -19,7 +20,7 @@
 struct Statement {
   /// Requests per second that the upstream accepts from all nodes together;
   /// nullopt if the response names no limit.
-  std::optional<double> requests_per_second;
+  std::optional<double> requests_per_second = {};
   /// Whether the absence of a limit in this response means that there is none.
   bool complete = false;
 };
@@ -29,10 +30,13 @@
   UpstreamId upstream;
   /// nullopt if the upstream has no limit any more.
   std::optional<double> requests_per_second;
+  /// Whether another node reported it.
+  bool reported = false;
 };
 
 /// The latest statements of the upstreams, each of them valid for one process
-/// of its upstream. Used on the event loop's thread.
+/// of its upstream, and this node's permits to send requests to those with a
+/// limit. Used on the event loop's thread.
 class UpstreamStatements {
  public:
   /// Records the statement of a response.
@@ -51,6 +55,15 @@
   /// Discards statements that are older than kMaxAge.
   void Expire(Instant now);
 
+  /// Adds a permit for one request.
+  void AddPermit(const UpstreamId& id, Instant usable_until);
+  /// Records that a request was sent, which uses up a permit if the upstream
+  /// has a limit.
+  void OnRequestSent(const UpstreamId& id, Instant now);
+  /// Returns whether a request may be sent: the upstream has no limit, or this
+  /// node holds a permit.
+  bool MaySend(const UpstreamId& id, Instant now) const;
+
   /// Returns the requests per second that the upstream accepts from all nodes
   /// together, or nullopt without a limit.
   std::optional<double> limit(const UpstreamId& id) const;
@@ -72,10 +85,11 @@
     std::chrono::milliseconds started{0};
     std::optional<double> requests_per_second;
     Instant learned{};
+    /// Ends of the permits, in ascending order.
+    std::deque<Instant> permits;
   };
 
-  void SetLimit(const UpstreamId& id, Entry* entry,
-                std::optional<double> requests_per_second, Instant learned);
+  void SetLimit(const LimitChange& change, Entry* entry, Instant learned);
 
   std::map<UpstreamId, Entry> entries_;
   sigc::signal<void(const LimitChange&)> on_limit_changed_;
--- a/src/serving/upstreams.cc
+++ b/src/serving/upstreams.cc
@@ -114,6 +114,7 @@
   ++load.running;
   ++load.unanswered;
   health_.OnRequestSent(id, now);
+  statements_.OnRequestSent(id, now);
   if (load.refusals > 0) {
     load.probing = true;
     load.full_until = std::max(load.full_until, now + kFullBackoff);
@@ -178,6 +179,9 @@
 
 bool UpstreamLoads::HasCapacity(const UpstreamId& id, std::uint32_t slots,
                                 Instant now) const {
+  if (!MaySend(id, now)) {
+    return false;
+  }
   const auto found = loads_.find(id);
   if (found == loads_.end()) {
     return slots > 0;
@@ -228,6 +232,18 @@
   return in_use;
 }
 
+std::vector<UpstreamId> UpstreamsWithoutPermit(
+    const std::vector<const Registration*>& upstreams,
+    const UpstreamLoads& loads, Instant now) {
+  std::vector<UpstreamId> result;
+  for (const Registration* upstream : upstreams) {
+    if (!loads.MaySend(upstream->id, now)) {
+      result.push_back(upstream->id);
+    }
+  }
+  return result;
+}
+
 const Registration* ChooseUpstream(
     const std::vector<const Registration*>& ready, const UpstreamLoads& loads,
     const std::set<UpstreamId>& tried, const FailureDomainId& own_domain,
@@ -248,7 +264,7 @@
   for (const Registration* upstream : ready) {
     const double tie_break =
         std::fmod(static_cast<double>(index++) / count + draw, 1.0);
-    if (tried.contains(upstream->id)) {
+    if (tried.contains(upstream->id) || !loads.MaySend(upstream->id, now)) {
       continue;
     }
     const double slots = std::max<std::uint32_t>(upstream->slots, 1);
--- a/src/serving/upstreams.h
+++ b/src/serving/upstreams.h
@@ -17,6 +17,7 @@
 #include "mulberryroad/endpoint.h"
 #include "mulberryroad/ids.h"
 #include "serving/upstream_health.h"
+#include "serving/upstream_statements.h"
 
 namespace mulberryroad::serving {
 
@@ -79,11 +80,14 @@
 /// the event loop's thread.
 class UpstreamLoads {
  public:
+  /// @param statements rate limits of the upstreams and permits for requests;
+  ///     requests that are recorded here use them up
   /// @param latency_max_age time without a sample after which a latency average
   ///     expires
   explicit UpstreamLoads(
+      UpstreamStatements& statements,
       std::chrono::milliseconds latency_max_age = kLatencyMaxAge)
-      : latency_max_age_(latency_max_age) {}
+      : statements_(statements), latency_max_age_(latency_max_age) {}
 
   /// Records that a request was sent to the upstream.
   void OnRequestSent(const UpstreamId& id, Instant now);
@@ -112,11 +116,17 @@
   /// Returns whether the upstream counts as full: for a time after a refusal,
   /// and while a probe request is in flight.
   bool full(const UpstreamId& id, Instant now) const;
+  /// Returns whether a request may be sent to the upstream under its rate
+  /// limit.
+  bool MaySend(const UpstreamId& id, Instant now) const {
+    return statements_.MaySend(id, now);
+  }
   /// Returns whether one more queued request may be sent to the upstream: it
-  /// has a free slot, is not full, and the number of requests sent but not yet
-  /// accepted or refused is below the window. The window starts small and grows
-  /// with each acceptance, doubling per round trip, since an upstream that is
-  /// loading weights refuses all requests of a burst.
+  /// has a free slot, is not full, its rate limit allows it, and the number of
+  /// requests sent but not yet accepted or refused is below the window. The
+  /// window starts small and grows with each acceptance, doubling per round
+  /// trip, since an upstream that is loading weights refuses all requests of a
+  /// burst.
   bool HasCapacity(const UpstreamId& id, std::uint32_t slots,
                    Instant now) const;
   /// Returns the moving average of the latency samples, or nullopt without a
@@ -127,6 +137,8 @@
   UpstreamHealth& health() { return health_; }
   const UpstreamHealth& health() const { return health_; }
 
+  const UpstreamStatements& statements() const { return statements_; }
+
  private:
   /// State of one upstream.
   struct Load {
@@ -148,6 +160,7 @@
     Instant measured_at{};
   };
 
+  UpstreamStatements& statements_;
   std::chrono::milliseconds latency_max_age_;
   std::map<UpstreamId, Load> loads_;
   UpstreamHealth health_;
@@ -159,10 +172,16 @@
     const std::vector<const Registration*>& service, const UpstreamLoads& loads,
     Instant now);
 
-/// Chooses the upstream for a request: among those without recent failures the
-/// one with the lowest share of used slots, weighted by latency. Among similar
-/// ones an upstream in `own_domain` is preferred. Excluded upstreams are chosen
-/// only if no other is left.
+/// Returns those upstreams to which a request may be sent only with a permit
+/// that this node does not hold.
+std::vector<UpstreamId> UpstreamsWithoutPermit(
+    const std::vector<const Registration*>& upstreams,
+    const UpstreamLoads& loads, Instant now);
+
+/// Chooses the upstream for a request: among those whose rate limit allows it
+/// and without recent failures the one with the lowest share of used slots,
+/// weighted by latency. Among similar ones an upstream in `own_domain` is
+/// preferred. Excluded upstreams are chosen only if no other is left.
 /// @param tried upstreams that must not be used again
 /// @param own_domain failure domain of this node
 /// @param draw random number in [0, 1) that breaks ties
--- a/test/batch_owners_test.cc
+++ b/test/batch_owners_test.cc
@@ -7,6 +7,7 @@
 #include "base/metrics.h"
 #include "base/structured_log.h"
 #include "batches/batch_host.h"
+#include "fakes/fake_permits.h"
 #include "fakes/fake_upstreams.h"
 #include "fakes/loop_wait.h"
 #include "fakes/memory_store.h"
@@ -25,18 +26,27 @@
   fakes::FakeUpstreams upstreams{loop};
   serving::Catalog catalog;
   serving::UpstreamDirectory directory;
-  serving::UpstreamLoads loads;
-  serving::UpstreamLoads request_loads;
+  serving::UpstreamStatements statements;
+  serving::UpstreamLoads loads{statements};
+  serving::UpstreamLoads request_loads{statements};
+  fakes::FakePermits permits;
   ScorerLimits scorer_limits;
   std::mt19937_64 random{1};
-  BatchContext context{
-      loop,          clock,
-      log,           metrics,
-      store,         catalog,
-      directory,     loads,
-      request_loads, scorer_limits,
-      upstreams,     FailureDomainId("d1"),
-      random,        [](const v1::BatchItem&) { return ItemHeaders{}; }};
+  BatchContext context{loop,
+                       clock,
+                       log,
+                       metrics,
+                       store,
+                       catalog,
+                       directory,
+                       loads,
+                       request_loads,
+                       scorer_limits,
+                       permits,
+                       upstreams,
+                       FailureDomainId("d1"),
+                       random,
+                       [](const v1::BatchItem&) { return ItemHeaders{}; }};
 };
 
 platform::GroupAssignment Share(std::uint64_t generation) {
--- a/test/fakes/part_owner_fixture.h
+++ b/test/fakes/part_owner_fixture.h
@@ -14,6 +14,7 @@
 
 #include "batches/batch_client.h"
 #include "batches/part_owner.h"
+#include "fakes/fake_permits.h"
 #include "fakes/fake_upstreams.h"
 #include "fakes/loop_wait.h"
 #include "fakes/memory_store.h"
@@ -48,20 +49,29 @@
   fakes::MemoryStore store{loop};
   serving::Catalog catalog;
   serving::UpstreamDirectory directory;
-  serving::UpstreamLoads loads;
-  serving::UpstreamLoads request_loads;
+  serving::UpstreamStatements statements;
+  serving::UpstreamLoads loads{statements};
+  serving::UpstreamLoads request_loads{statements};
+  fakes::FakePermits permits;
   ScorerLimits scorer_limits;
   fakes::FakeUpstreams upstreams{loop};
   std::mt19937_64 random{1};
-  BatchContext context{
-      loop,          clock,
-      log,           metrics,
-      store,         catalog,
-      directory,     loads,
-      request_loads, scorer_limits,
-      upstreams,     FailureDomainId("d1"),
-      random,        [](const v1::BatchItem&) { return ItemHeaders{}; },
-      kPartitions};
+  BatchContext context{loop,
+                       clock,
+                       log,
+                       metrics,
+                       store,
+                       catalog,
+                       directory,
+                       loads,
+                       request_loads,
+                       scorer_limits,
+                       permits,
+                       upstreams,
+                       FailureDomainId("d1"),
+                       random,
+                       [](const v1::BatchItem&) { return ItemHeaders{}; },
+                       kPartitions};
   std::shared_ptr<BatchClient> client =
       std::make_shared<BatchClient>(loop, clock, store, kPartitions);
   /// True once an owner reported that another one took over.
--- a/test/fakes/serving_fixture.h
+++ b/test/fakes/serving_fixture.h
@@ -12,6 +12,7 @@
 #include <utility>
 #include <variant>
 
+#include "fakes/fake_permits.h"
 #include "fakes/fake_upstreams.h"
 #include "fakes/free_port.h"
 #include "fakes/loop_wait.h"
@@ -29,7 +30,9 @@
   base::Metrics metrics;
   serving::Catalog catalog;
   serving::UpstreamDirectory directory;
-  serving::UpstreamLoads loads;
+  serving::UpstreamStatements statements;
+  serving::UpstreamLoads loads{statements};
+  FakePermits permits;
   FakeUpstreams upstreams{loop};
   std::mt19937_64 random{1};
   serving::ServingContext context{loop,
@@ -39,6 +42,7 @@
                                   catalog,
                                   directory,
                                   loads,
+                                  permits,
                                   upstreams,
                                   FailureDomainId("d1"),
                                   random,
--- a/test/serving_test.cc
+++ b/test/serving_test.cc
@@ -105,7 +105,8 @@
   const Registration local = fakes::MakeUpstream("u1", "s", "d1");
   const Registration remote = fakes::MakeUpstream("u2", "s", "d2");
   const std::vector<const Registration*> ready = {&local, &remote};
-  UpstreamLoads loads;
+  UpstreamStatements statements;
+  UpstreamLoads loads{statements};
   const auto choose = [&](const std::set<UpstreamId>& tried, int now) {
     const Registration* chosen = ChooseUpstream(
         ready, loads, tried, FailureDomainId("d1"), At(now), 0.5);
@@ -125,7 +126,8 @@
 Test(choose_upstream, slow_upstream_gets_fewer_requests) {
   const Registration fast = fakes::MakeUpstream("u1", "s");
   const Registration slow = fakes::MakeUpstream("u2", "s");
-  UpstreamLoads loads;
+  UpstreamStatements statements;
+  UpstreamLoads loads{statements};
   loads.RecordLatency(fast.id, milliseconds(25), At(0));
   loads.RecordLatency(slow.id, milliseconds(100), At(0));
   int to_fast = 0;
@@ -140,7 +142,8 @@
 
 Test(upstream_loads, consecutive_refusals_back_off_and_then_send_one_probe) {
   const UpstreamId id("u");
-  UpstreamLoads loads;
+  UpstreamStatements statements;
+  UpstreamLoads loads{statements};
   for (int i = 0; i < 5; ++i) {
     loads.OnRequestSent(id, At(0));
   }
@@ -161,7 +164,8 @@
 }
 
 Test(upstream_loads, latency_expires_without_requests) {
-  UpstreamLoads loads;
+  UpstreamStatements statements;
+  UpstreamLoads loads{statements};
   const UpstreamId id("u1");
   loads.RecordLatency(id, milliseconds(100), At(0));
   cr_assert(loads.latency(id, At(3'999)).has_value());
--- a/test/upstream_health_test.cc
+++ b/test/upstream_health_test.cc
@@ -183,7 +183,8 @@
   for (const Registration& upstream : upstreams) {
     ready.push_back(&upstream);
   }
-  UpstreamLoads loads;
+  UpstreamStatements statements;
+  UpstreamLoads loads{statements};
   std::mt19937_64 random{3};
   std::uniform_real_distribution<double> draw(0.0, 1.0);
   struct Completion {
