--- a/test/fakes/platform/fake_replica.cc
+++ b/test/fakes/platform/fake_replica.cc
@@ -202,6 +202,9 @@
 void FakeReplica::RunPlain(const Exchange& exchange, const std::string& id) {
   steps_.After(kWorkTime, [this, exchange, id] {
     --running_;
+    if (exchange->request().body.starts_with(kCrashingBody)) {
+      std::_Exit(EXIT_FAILURE);
+    }
     if (Draw(options_.fault_share)) {
       exchange->Abort();
       return;
--- a/test/fakes/platform/fake_replica.h
+++ b/test/fakes/platform/fake_replica.h
@@ -43,6 +43,8 @@
 std::string EventText(const std::string& item, std::uint64_t event);
 /// Path at which a plain service answers every request with status 500.
 inline constexpr char kFailingScorerPath[] = "/scores/fails";
+/// Start of a body under which a plain service ends.
+inline constexpr char kCrashingBody[] = "crash";
 /// Body of a plain answer.
 std::string AnswerText(const std::string& request);
 
