Refuse requests that crash their upstreams

Cause: a node forgets a request with its attempt, and no other node learns of the crashes, so that each repeat starts with all its retries. Change: nodes count the upstream processes that closed the connection under a content (caller, method, host, path, query, body) and share the counts through the store. After three, the caller gets 502 at once. Crashes with a common cause do not count, a response clears the content, items are exempt. Why it works: the content is what a repeat has in common with the request before; the store carries it to each node within the time of a read, also over a restart.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -19,6 +19,7 @@
 #include "duties/weight_orders.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "node/crash_exchange.h"
 #include "node/peer_view.h"
 #include "node/permit_exchange.h"
 #include "node/store_relay.h"
@@ -53,6 +54,8 @@
 // exits.
 constexpr milliseconds kFinalFlushTime{150};
 constexpr milliseconds kExpireInterval{100};
+// The owner of this batch partition deletes expired crash reports.
+constexpr int kCleaningPartition = 0;
 // The settings file may change without a SIGHUP. The interval can be long,
 // since the seeds are needed only while the store is unreachable.
 constexpr milliseconds kReloadInterval{10'000};
@@ -158,6 +161,8 @@
   serving::UpstreamLoads item_loads_;
   batches::ScorerLimits scorer_limits_;
   PermitExchange permits_;
+  serving::CrashEvidence crash_evidence_;
+  CrashExchange crashes_;
   UpstreamWatch upstream_watch_;
   serving::ServingContext serving_;
   batches::BatchContext batch_context_;
@@ -200,6 +205,9 @@
       permits_(loop_, clock_, log_, metrics_, client_, store_, random_,
                statements_, settings_.partitions,
                [this](int partition) { return OwnsPartition(partition); }),
+      crashes_(loop_, clock_, log_, metrics_, store_, crash_evidence_,
+               settings_.node.value(),
+               [this] { return OwnsPartition(kCleaningPartition); }),
       upstream_watch_(clock_, log_, metrics_, directory_, request_loads_,
                       item_loads_, statements_),
       serving_{loop_,
@@ -210,7 +218,10 @@
                directory_,
                request_loads_,
                permits_,
+               crash_evidence_,
+               crashes_,
                upstream_client_,
+               settings_.node.value(),
                settings_.failure_domain,
                random_,
                [this](const OrganisationId& id) { CountUsage(id); },
@@ -433,6 +444,9 @@
                  [this] { return static_cast<double>(batch_host_.waiting()); });
   metrics_.Gauge("items_scoring",
                  [this] { return static_cast<double>(batch_host_.scoring()); });
+  metrics_.Gauge("crashing_contents", [this] {
+    return static_cast<double>(crash_evidence_.size());
+  });
   metrics_.Gauge("upstream_statements",
                  [this] { return static_cast<double>(statements_.size()); });
   metrics_.Gauge("log_lines_dropped",
@@ -483,6 +497,7 @@
   capacity_.Start();
   batch_host_.Start();
   permits_.Start();
+  crashes_.Start();
   expire_timer_ = loop_.Every(kExpireInterval, [this] {
     directory_.Expire(clock_.now());
     statements_.Expire(clock_.now());
--- a/src/serving/request_session.cc
+++ b/src/serving/request_session.cc
@@ -104,7 +104,39 @@
   return options;
 }
 
+const std::string& RequestSession::content() {
+  if (content_.empty()) {
+    content_ = ContentDigest(request_.outgoing);
+  }
+  return content_;
+}
+
+bool RequestSession::FailIfCrashing() {
+  if (context_.crashes.empty() || !context_.crashes.IsCrashing(content())) {
+    return false;
+  }
+  const std::vector<Crash> crashes = context_.crashes.crashes(content());
+  const Crash& newest = *std::max_element(
+      crashes.begin(), crashes.end(),
+      [](const Crash& a, const Crash& b) { return a.at < b.at; });
+  context_.metrics.Count("crashing_requests_total", {});
+  context_.log.Write("request.crashing",
+                     {{"request", request_.outgoing.id.value()},
+                      {"content", content()},
+                      {"crashes", static_cast<std::int64_t>(crashes.size())},
+                      {"newest_upstream", newest.upstream.id.value()},
+                      {"seen_by", newest.node},
+                      {"newest_ms_ago", duration_cast<milliseconds>(
+                                            context_.clock.now() - newest.at)
+                                            .count()}});
+  FailRequest(kBadGateway, "the request crashes the upstreams that run it");
+  return true;
+}
+
 void RequestSession::SendAttempt() {
+  if (FailIfCrashing()) {
+    return;
+  }
   const Registration* upstream = ChooseUntried();
   if (upstream == nullptr) {
     std::vector<UpstreamId> limited = UpstreamsWithoutPermit(
@@ -124,6 +156,7 @@
   context_.loads.OnRequestSent(upstream->id, context_.clock.now());
   Attempt& attempt = attempts_[number];
   attempt.upstream = upstream->id;
+  attempt.upstream_started = upstream->started;
   attempt.sent = context_.clock.now();
   attempt.call = context_.caller.Send(
       *upstream, request_.outgoing, MakeCallOptions(number),
@@ -199,6 +232,14 @@
   });
 }
 
+void RequestSession::RecordConnectionLost(const Attempt& ended) {
+  connection_lost_ = true;
+  context_.crashes.OnConnectionLost(content(),
+                                    {{ended.upstream, ended.upstream_started},
+                                     context_.node,
+                                     context_.clock.now()});
+}
+
 void RequestSession::RecordOutcome(const Attempt& ended,
                                    const UpstreamOutcome& outcome) {
   const Instant now = context_.clock.now();
@@ -210,6 +251,9 @@
       refused || std::holds_alternative<CompleteResponse>(outcome));
   if (const auto* complete = std::get_if<CompleteResponse>(&outcome)) {
     loads.OnAccepted(ended.upstream, now);
+    if (!context_.crashes.empty()) {
+      context_.crash_reporter.Withdraw(content());
+    }
     if (complete->status < kFirstServerError) {
       if (!streaming()) {
         loads.health().OnResponseStarted(ended.upstream, now);
@@ -226,6 +270,10 @@
     loads.OnRefused(ended.upstream, now);
   } else {
     loads.health().OnRequestFailed(ended.upstream, now);
+    const auto* lost = std::get_if<MayHaveRun>(&outcome);
+    if (lost != nullptr && lost->connection_lost) {
+      RecordConnectionLost(ended);
+    }
   }
   const bool ran = !std::holds_alternative<NotRun>(outcome);
   if (ran && !std::exchange(usage_counted_, true)) {
@@ -248,7 +296,7 @@
         "request.try_failed",
         {{"request", request_.outgoing.id.value()},
          {"upstream", ended.upstream.value()},
-         {"content", ContentDigest(request_.outgoing)},
+         {"content", content()},
          {"outcome", DescribeOutcome(outcome)},
          {"tries", static_cast<std::int64_t>(policy_.attempts())},
          {"took_ms",
@@ -358,6 +406,9 @@
 
 void RequestSession::Finish(const std::string& outcome, int status) {
   finished_ = true;
+  if (connection_lost_) {
+    context_.crash_reporter.Report(content(), request_.outgoing.id);
+  }
   deadline_timer_.Cancel();
   hedge_timer_.Cancel();
   const auto took = context_.clock.now() - started_;
--- a/src/serving/request_session.h
+++ b/src/serving/request_session.h
@@ -19,6 +19,8 @@
 #include "mulberryroad/clock.h"
 #include "serving/attempt_policy.h"
 #include "serving/catalog.h"
+#include "serving/crash_evidence.h"
+#include "serving/crash_reporter.h"
 #include "serving/permit_source.h"
 #include "serving/upstream_caller.h"
 #include "serving/upstreams.h"
@@ -36,7 +38,10 @@
   const UpstreamDirectory& directory;
   UpstreamLoads& loads;
   PermitSource& permits;
+  CrashEvidence& crashes;
+  CrashReporter& crash_reporter;
   UpstreamCaller& caller;
+  std::string node;
   FailureDomainId own_domain;
   std::mt19937_64& random;
   /// Counts a request that an upstream began to run, for usage reports. Called
@@ -90,6 +95,8 @@
   /// An attempt in flight.
   struct Attempt {
     UpstreamId upstream;
+    /// Start time of the upstream's process.
+    std::chrono::milliseconds upstream_started{0};
     Instant sent;
     std::shared_ptr<http::Call> call;
   };
@@ -114,6 +121,13 @@
   void OnAttemptDone(int number, UpstreamOutcome outcome);
   /// Updates load, health and usage with the outcome of an attempt.
   void RecordOutcome(const Attempt& ended, const UpstreamOutcome& outcome);
+  /// Records that the upstream may have crashed under the request.
+  void RecordConnectionLost(const Attempt& ended);
+  /// Ends the request if its content has crashed too many upstreams.
+  /// @return true if it ended
+  bool FailIfCrashing();
+  /// Returns the digest of the request's content.
+  const std::string& content();
   void ScheduleHedge();
   void OnStreamStart(int number, const StreamStart& start);
   void OnStreamEvent(int number, const StreamEvent& event);
@@ -140,6 +154,9 @@
   std::map<int, Attempt> attempts_;
   int next_attempt_number_ = 0;
   std::set<UpstreamId> tried_upstreams_;
+  /// Digest of the request's content; empty until it is needed.
+  std::string content_;
+  bool connection_lost_ = false;
   /// Upstream of the latest attempt; empty before the first.
   UpstreamId last_upstream_;
   bool finished_ = false;
--- a/test/fakes/serving_fixture.h
+++ b/test/fakes/serving_fixture.h
@@ -12,6 +12,7 @@
 #include <utility>
 #include <variant>
 
+#include "fakes/fake_crash_reporter.h"
 #include "fakes/fake_permits.h"
 #include "fakes/fake_upstreams.h"
 #include "fakes/free_port.h"
@@ -33,6 +34,8 @@
   serving::UpstreamStatements statements;
   serving::UpstreamLoads loads{statements};
   FakePermits permits;
+  serving::CrashEvidence crashes;
+  FakeCrashReporter crash_reporter{crashes};
   FakeUpstreams upstreams{loop};
   std::mt19937_64 random{1};
   serving::ServingContext context{loop,
@@ -43,7 +46,10 @@
                                   directory,
                                   loads,
                                   permits,
+                                  crashes,
+                                  crash_reporter,
                                   upstreams,
+                                  "node-1",
                                   FailureDomainId("d1"),
                                   random,
                                   [](const OrganisationId&) {},
