--- a/src/serving/limit_allocator.cc
+++ b/src/serving/limit_allocator.cc
@@ -23,7 +23,7 @@
     const std::vector<LimitedUpstream>& candidates, RequestPriority priority,
     milliseconds max_wait, Instant now) {
   const bool background = priority == RequestPriority::kBackground;
-  const LimitedUpstream* best = nullptr;
+  const LimitedUpstream* best = &candidates.front();
   Instant best_time = Instant::max();
   for (const LimitedUpstream& candidate : candidates) {
     const nanoseconds interval = IntervalOf(candidate);
--- a/test/endless_answer_test.cc
+++ b/test/endless_answer_test.cc
@@ -73,7 +73,9 @@
                               test_case.repeated};
     });
     http::Client client(loop);
-    platform_adapter::UpstreamClient upstreams(client);
+    SystemClock clock;
+    serving::UpstreamStatements statements;
+    platform_adapter::UpstreamClient upstreams(client, clock, statements);
     serving::Registration upstream = fakes::MakeUpstream("u1", "desk");
     upstream.endpoint = server.endpoint();
     serving::OutgoingRequest request;
@@ -115,7 +117,9 @@
         fakes::AfterAnswer::kRepeat, std::string(64 << 10, 'x')};
   });
   http::Client client(loop);
-  platform_adapter::UpstreamClient upstreams(client);
+  SystemClock clock;
+  serving::UpstreamStatements statements;
+  platform_adapter::UpstreamClient upstreams(client, clock, statements);
   serving::Registration upstream = fakes::MakeUpstream("u1", "engines");
   upstream.endpoint = server.endpoint();
   serving::OutgoingRequest request;
