--- a/test/fakes/platform/fake_replica.cc
+++ b/test/fakes/platform/fake_replica.cc
@@ -156,11 +156,19 @@
 
 void FakeReplica::Reply(const Exchange& exchange, int status,
                         const std::string& body, http::Headers headers) const {
+  exchange->Reply(status, body, WithStatements(std::move(headers)));
+}
+
+http::Headers FakeReplica::WithStatements(http::Headers headers) const {
   if (options_.requests_per_second > 0) {
     headers.push_back(
         {"Server-Limit", std::to_string(options_.requests_per_second)});
   }
-  exchange->Reply(status, body, headers);
+  if (options_.leaving_after.count() > 0 &&
+      WallMillis() >= started_ms_ + options_.leaving_after.count()) {
+    headers.push_back({"Server-Leaving", "1"});
+  }
+  return headers;
 }
 
 void FakeReplica::Serve(const Exchange& exchange) {
@@ -228,11 +236,12 @@
   stream->next = NumberOf(exchange->request(), "last-event-id") + 1;
   stream->last = EventsOf(exchange->request());
   stream->version = versions_[stream->model];
-  exchange->StartStream(kOk,
-                        {{"Request-Id", id},
-                         {"Server-Seal", options_.id + "." + id},
-                         {"Content-Type", "text/event-stream"},
-                         {"Weight-Versions", std::to_string(stream->version)}});
+  exchange->StartStream(
+      kOk,
+      WithStatements({{"Request-Id", id},
+                      {"Server-Seal", options_.id + "." + id},
+                      {"Content-Type", "text/event-stream"},
+                      {"Weight-Versions", std::to_string(stream->version)}}));
   stream->timer =
       loop_.Every(kEventTime, [this, stream] { NextEvent(stream); });
 }
--- a/test/fakes/platform/fake_replica.h
+++ b/test/fakes/platform/fake_replica.h
@@ -37,6 +37,9 @@
   double fault_share = 0;
   /// Rate limit that all answers name, in requests per second; 0 for none.
   double requests_per_second = 0;
+  /// Time after the start from which all answers say that it leaves, while its
+  /// registration does not; 0 for never.
+  std::chrono::milliseconds leaving_after{0};
 };
 
 /// Text of an item's event; the same at every replica.
@@ -79,7 +82,7 @@
   void Register();
   void Serve(const Exchange& exchange);
   void Refuse(const Exchange& exchange, int status);
-  /// Answers a request, with the rate limit if there is one.
+  /// Answers a request, with what the upstream states about itself.
   void Reply(const Exchange& exchange, int status, const std::string& body,
              http::Headers headers) const;
   void RunPlain(const Exchange& exchange, const std::string& id);
@@ -90,6 +93,8 @@
   void Note(const nlohmann::json& line) const;
   nlohmann::json Models() const;
   bool Draw(double share);
+  /// Adds what the upstream states about itself.
+  http::Headers WithStatements(http::Headers headers) const;
 
   base::EventLoop& loop_;
   ReplicaOptions options_;
--- a/test/fakes/programs/fake_replica.cc
+++ b/test/fakes/programs/fake_replica.cc
@@ -41,6 +41,8 @@
   options.slots = json.value("slots", options.slots);
   options.models = json.value("models", options.models);
   options.fault_share = json.value("fault_share", options.fault_share);
+  options.leaving_after =
+      std::chrono::milliseconds(json.value("leaving_after_ms", 0));
   options.requests_per_second =
       json.value("requests_per_second", options.requests_per_second);
   mulberryroad::base::EventLoop loop;
--- a/test/soak/deployment.cc
+++ b/test/soak/deployment.cc
@@ -36,7 +36,8 @@
               {"slots", options.slots},
               {"models", options.models},
               {"fault_share", options.fault_share},
-              {"requests_per_second", options.requests_per_second}}
+              {"requests_per_second", options.requests_per_second},
+              {"leaving_after_ms", options.leaving_after.count()}}
       .dump();
 }
 
@@ -71,6 +72,9 @@
     upstream.options.listen = listen;
     upstream.options.advertised = advertised;
     upstream.options.platform = platform_address_;
+    if (i == 0) {
+      upstream.options.leaving_after = options_.first_upstream_leaves_after;
+    }
     if (engine) {
       upstream.options.models = {"m0", "m1"};
     } else {
--- a/test/soak/deployment.h
+++ b/test/soak/deployment.h
@@ -32,6 +32,9 @@
   std::size_t services = 2;
   /// Rate limit that each plain service names; 0 for none.
   double service_requests_per_second = 0;
+  /// Time after its start from which the first upstream says in its answers
+  /// that it leaves; 0 for never.
+  std::chrono::milliseconds first_upstream_leaves_after{0};
 };
 
 /// A node of the system under test.
