Believe upstreams that say in their answers that they leave

Change: an answer with the header marks the upstream's process as draining in the directory, from which callers' requests, retries, hedges, items, scorer calls and orders choose; its idle connections are closed. Any answer of the process counts, also an error, a refusal, the head of a stream and the answer to an order. Its successor under the same id is free; the mark outlasts a removal from the store by ten minutes.

--- a/src/duties/weight_orders.cc
+++ b/src/duties/weight_orders.cc
@@ -61,7 +61,7 @@
     return;
   }
   orders_.ReadState(
-      {upstream->id, upstream->endpoint},
+      {upstream->id, upstream->started, upstream->endpoint},
       [this, alive = alive_,
        load](const std::variant<platform::UpstreamState,
                                 platform::PlatformFailure>& state) {
@@ -107,7 +107,7 @@
   metrics_.Count("weight_orders_total", {});
   orders_.ChangeVersion(
       {node_, *epoch, [this, epoch] { return epoch_() == epoch; }},
-      {upstream->id, upstream->endpoint},
+      {upstream->id, upstream->started, upstream->endpoint},
       {load.model, load.version, SwapModeFor(upstream->service), after_orders},
       [this, alive = alive_, load,
        after_orders](const platform::OrderOutcome& outcome) {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -129,6 +129,8 @@
  private:
   store::TailHandler MakeOperatorHandler();
   store::TailHandler MakeRegistrationHandler();
+  /// Closes idle connections to upstreams that say that they leave.
+  void CloseConnectionsToLeaving();
   void ApplyOperatorRecord(const platform::KeyedRecord& record);
   std::optional<std::string> refusal_reason() const;
   bool store_unstable() const;
@@ -199,7 +201,8 @@
                    settings_.store_address, SeedPeers(settings_)),
       store_(store_relay_, settings_.store_address),
       upstream_client_(client_, clock_, statements_),
-      duty_client_(client_, settings_.duty_services_address),
+      duty_client_(client_, clock_, statements_,
+                   settings_.duty_services_address),
       request_loads_(statements_),
       item_loads_(statements_, kItemLatencyMaxAge),
       permits_(loop_, clock_, log_, metrics_, client_, store_, random_,
@@ -455,7 +458,22 @@
                  [this] { return static_cast<double>(catalog_.version()); });
 }
 
+void Node::Impl::CloseConnectionsToLeaving() {
+  statements_.on_leaving().connect(
+      [this](const serving::LeavingUpstream& leaving) {
+        const serving::Registration* upstream =
+            directory_.find(leaving.upstream);
+        if (upstream != nullptr) {
+          // Not inside the callback of one of the client's connections.
+          loop_.Post([this, endpoint = upstream->endpoint] {
+            client_.CloseIdleConnections(endpoint);
+          });
+        }
+      });
+}
+
 bool Node::Impl::Start(std::string* reason) {
+  CloseConnectionsToLeaving();
   RegisterReadiness();
   ingress_.Register(callers_);
   if (!callers_.Listen(settings_.caller_address)) {
--- a/src/node/upstream_watch.cc
+++ b/src/node/upstream_watch.cc
@@ -23,6 +23,17 @@
   LogHealth(request_loads_, "requests");
   LogHealth(item_loads_, "items");
   LogLimits();
+  FollowLeaving();
+}
+
+void UpstreamWatch::FollowLeaving() {
+  statements_.on_leaving().connect(
+      [this](const serving::LeavingUpstream& leaving) {
+        metrics_.Count("upstreams_leaving_total", {});
+        log_.Write("upstream.leaving", {{"upstream", leaving.upstream.value()},
+                                        {"started", leaving.started.count()}});
+        directory_.MarkLeaving(leaving.upstream, leaving.started, clock_.now());
+      });
 }
 
 void UpstreamWatch::LogLimits() {
--- a/src/node/upstream_watch.h
+++ b/src/node/upstream_watch.h
@@ -45,6 +45,8 @@
   void LogHealth(serving::UpstreamLoads& loads, const std::string& work);
   /// Logs and counts changes of the rate limits.
   void LogLimits();
+  /// Marks upstreams that say that they leave, in the directory.
+  void FollowLeaving();
   /// Discards the load data of an upstream whose process has restarted.
   /// @return true if it has restarted
   bool ResetLoadIfRestarted(const serving::Registration& registration);
--- a/src/platform/duty_services.h
+++ b/src/platform/duty_services.h
@@ -68,6 +68,8 @@
 /// The upstream that an order is sent to.
 struct OrderTarget {
   UpstreamId id;
+  /// Start time of its process, as registered.
+  std::chrono::milliseconds started{0};
   Endpoint endpoint;
 };
 
--- a/src/serving/upstream_statements.cc
+++ b/src/serving/upstream_statements.cc
@@ -1,6 +1,7 @@
 #include "serving/upstream_statements.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mulberryroad::serving {
 
@@ -17,7 +18,8 @@
                                     std::chrono::milliseconds started,
                                     const Statement& statement, Instant now) {
   const auto found = entries_.find(id);
-  if (found == entries_.end() && !statement.requests_per_second.has_value()) {
+  if (found == entries_.end() && !statement.leaving &&
+      !statement.requests_per_second.has_value()) {
     return;
   }
   Entry& entry = entries_[id];
@@ -27,8 +29,15 @@
   // A limit that another node reported has no start time yet.
   if (started > entry.started && entry.started.count() != 0) {
     SetLimit({id, std::nullopt}, &entry, now);
+    entry.leaving = false;
   }
   entry.started = started;
+  if (statement.leaving) {
+    entry.learned = now;
+    if (!std::exchange(entry.leaving, true)) {
+      on_leaving_.emit({id, started});
+    }
+  }
   if (statement.requests_per_second.has_value() || statement.complete) {
     SetLimit({id, statement.requests_per_second}, &entry, now);
   }
@@ -49,6 +58,7 @@
   if (found != entries_.end() && found->second.started < started) {
     SetLimit({id, std::nullopt}, &found->second, found->second.learned);
     found->second.started = started;
+    found->second.leaving = false;
   }
 }
 
--- a/src/serving/upstream_statements.h
+++ b/src/serving/upstream_statements.h
@@ -21,6 +21,8 @@
   /// Requests per second that the upstream accepts from all nodes together;
   /// nullopt if the response names no limit.
   std::optional<double> requests_per_second = {};
+  /// Whether the upstream will stop and takes no new requests.
+  bool leaving = false;
   /// Whether the absence of a limit in this response means that there is none.
   bool complete = false;
 };
@@ -34,6 +36,12 @@
   bool reported = false;
 };
 
+/// The process of an upstream that said that it leaves.
+struct LeavingUpstream {
+  UpstreamId upstream;
+  std::chrono::milliseconds started{0};
+};
+
 /// The latest statements of the upstreams, each of them valid for one process
 /// of its upstream, and this node's permits to send requests to those with a
 /// limit. Used on the event loop's thread.
@@ -72,6 +80,11 @@
   /// Returns the number of upstreams with a statement.
   std::size_t size() const { return entries_.size(); }
 
+  /// Emitted when a process of an upstream says for the first time that it
+  /// leaves.
+  sigc::signal<void(const LeavingUpstream&)>& on_leaving() {
+    return on_leaving_;
+  }
   /// Emitted when a limit is named for the first time, changes or ends.
   sigc::signal<void(const LimitChange&)>& on_limit_changed() {
     return on_limit_changed_;
@@ -85,6 +98,7 @@
     std::chrono::milliseconds started{0};
     std::optional<double> requests_per_second;
     Instant learned{};
+    bool leaving = false;
     /// Ends of the permits, in ascending order.
     std::deque<Instant> permits;
   };
@@ -93,6 +107,7 @@
 
   std::map<UpstreamId, Entry> entries_;
   sigc::signal<void(const LimitChange&)> on_limit_changed_;
+  sigc::signal<void(const LeavingUpstream&)> on_leaving_;
 };
 
 }  // namespace mulberryroad::serving
--- a/src/serving/upstreams.cc
+++ b/src/serving/upstreams.cc
@@ -39,6 +39,11 @@
 
 void UpstreamDirectory::Put(Registration registration) {
   removal_times_.erase(registration.id);
+  const auto leaving = leaving_.find(registration.id);
+  if (leaving != leaving_.end() &&
+      leaving->second.started == registration.started) {
+    registration.draining = true;
+  }
   entries_[registration.id] = std::move(registration);
 }
 
@@ -73,7 +78,21 @@
   }
 }
 
+void UpstreamDirectory::MarkLeaving(const UpstreamId& id,
+                                    std::chrono::milliseconds started,
+                                    Instant now) {
+  leaving_[id] = {started, now};
+  const auto entry = entries_.find(id);
+  if (entry != entries_.end() && entry->second.started == started) {
+    entry->second.draining = true;
+  }
+}
+
 void UpstreamDirectory::Expire(Instant now) {
+  std::erase_if(leaving_, [this, now](const auto& leaving) {
+    return !entries_.contains(leaving.first) &&
+           leaving.second.learned + kLeavingMaxAge < now;
+  });
   for (auto entry = removal_times_.begin(); entry != removal_times_.end();) {
     if (entry->second <= now) {
       entries_.erase(entry->first);
--- a/src/serving/upstreams.h
+++ b/src/serving/upstreams.h
@@ -47,6 +47,10 @@
 /// expires, so that a slow upstream is tried again.
 inline constexpr std::chrono::milliseconds kLatencyMaxAge{4'000};
 
+/// How long a process that said it leaves is remembered once its entry is gone:
+/// the entry may return after an outage of the store.
+inline constexpr std::chrono::minutes kLeavingMaxAge{10};
+
 /// The current registrations. Used on the event loop's thread.
 class UpstreamDirectory {
  public:
@@ -60,7 +64,12 @@
   /// Replaces all entries by a full listing. Entries that are not listed are
   /// removed as by Remove.
   void Replace(std::vector<Registration> all, bool store_unstable, Instant now);
-  /// Drops the removed entries whose grace period is over.
+  /// Records that a process of an upstream said that it leaves: its entry
+  /// counts as draining, whatever its registration says.
+  void MarkLeaving(const UpstreamId& id, std::chrono::milliseconds started,
+                   Instant now);
+  /// Drops the removed entries whose grace period is over, and statements of
+  /// upstreams that are gone.
   void Expire(Instant now);
 
   /// Returns an entry, or null. Valid until the directory changes.
@@ -74,6 +83,11 @@
   std::map<UpstreamId, Registration> entries_;
   /// End of the grace period of each removed entry that is still kept.
   std::map<UpstreamId, Instant> removal_times_;
+  struct Leaving {
+    std::chrono::milliseconds started{0};
+    Instant learned{};
+  };
+  std::map<UpstreamId, Leaving> leaving_;
 };
 
 /// Load and health of upstreams as seen by this node's own requests. Used on
