Share the statements of upstreams among nodes

Change: SharedRecords carries records of two kinds, crashes and statements, through one keyed topic; a changed statement is written by the node that received it. UpstreamStatements keeps one statement for each process, whether received or reported.

--- a/src/node/crash_exchange.cc
+++ b/src/node/crash_exchange.cc
@@ -1,10 +1,9 @@
 #include "node/crash_exchange.h"
 
-#include <algorithm>
 #include <cstdlib>
 #include <optional>
 #include <utility>
-#include <variant>
+#include <vector>
 
 #include "mulberryroad/crash.pb.h"
 
@@ -14,11 +13,7 @@
 
 using std::chrono::milliseconds;
 
-const platform::PartitionId& CrashPartition() {
-  static const auto* const partition =
-      new platform::PartitionId{"keyed.crashes", 0};
-  return *partition;
-}
+constexpr char kCrashKind[] = "crash";
 
 std::string KeyOf(const std::string& content,
                   const serving::UpstreamProcess& upstream) {
@@ -48,58 +43,44 @@
 
 CrashExchange::CrashExchange(base::EventLoop& loop, const Clock& clock,
                              base::StructuredLog& log, base::Metrics& metrics,
-                             platform::PartitionStore& store,
+                             SharedRecords& shared,
                              serving::CrashEvidence& evidence, std::string node,
                              std::function<bool()> cleans)
     : loop_(loop),
       clock_(clock),
       log_(log),
       metrics_(metrics),
-      store_(store),
+      shared_(shared),
       evidence_(evidence),
       node_(std::move(node)),
-      cleans_(std::move(cleans)),
-      tail_(std::make_shared<store::KeyedTail>(
-          loop, clock, log, store, CrashPartition(),
-          store::TailTiming{.poll_wait = kPollWait}, MakeHandler())) {}
-
-CrashExchange::~CrashExchange() {
-  *alive_ = false;
-  tail_->Stop();
+      cleans_(std::move(cleans)) {
+  shared_.Subscribe(
+      kCrashKind,
+      [this](const std::string& key, const std::optional<std::string>& value) {
+        Apply(key, value);
+      });
 }
 
+CrashExchange::~CrashExchange() { *alive_ = false; }
+
 void CrashExchange::Start() {
-  tail_->Start();
   expire_timer_ = loop_.Every(kExpireInterval, [this] { Expire(); });
 }
 
-store::TailHandler CrashExchange::MakeHandler() {
-  store::TailHandler handler;
-  handler.on_snapshot =
-      [this](const std::vector<platform::KeyedRecord>& records) {
-        for (const platform::KeyedRecord& record : records) {
-          Apply(record);
-        }
-      };
-  handler.on_record = [this](const platform::KeyedRecord& record) {
-    Apply(record);
-  };
-  return handler;
-}
-
-void CrashExchange::Apply(const platform::KeyedRecord& record) {
-  const auto key = ParseKey(record.key);
+void CrashExchange::Apply(const std::string& key_text,
+                          const std::optional<std::string>& value) {
+  const auto key = ParseKey(key_text);
   if (!key.has_value()) {
-    log_.Write("crash.malformed", {{"key", record.key}});
+    log_.Write("crash.malformed", {{"key", key_text}});
     return;
   }
-  if (!record.value.has_value()) {
+  if (!value.has_value()) {
     evidence_.OnWithdrawn(key->content, key->upstream);
     return;
   }
   v1::CrashRecord crash;
-  if (!crash.ParseFromString(*record.value)) {
-    log_.Write("crash.malformed", {{"key", record.key}});
+  if (!crash.ParseFromString(*value)) {
+    log_.Write("crash.malformed", {{"key", key_text}});
     return;
   }
   evidence_.OnReported(key->content,
@@ -136,9 +117,9 @@
     crash.set_node(node_);
     crash.set_request(request.value());
     metrics_.Count("crash_reports_total", {});
-    Enqueue({KeyOf(content, seen.upstream), crash.SerializeAsString()});
+    shared_.Put(kCrashKind, KeyOf(content, seen.upstream),
+                crash.SerializeAsString());
   }
-  Flush();
 }
 
 void CrashExchange::Withdraw(const std::string& content) {
@@ -147,50 +128,11 @@
     return;
   }
   for (const serving::UpstreamProcess& upstream : reported) {
-    Enqueue({KeyOf(content, upstream), std::nullopt});
+    shared_.Put(kCrashKind, KeyOf(content, upstream), std::nullopt);
   }
   log_.Write("crash.withdrawn",
              {{"content", content},
               {"crashes", static_cast<std::int64_t>(reported.size())}});
-  Flush();
-}
-
-void CrashExchange::Enqueue(platform::KeyedRecord record) {
-  if (queue_.size() >= kMaxQueued) {
-    log_.Write("crash.discarded", {{"key", queue_.front().key}});
-    queue_.pop_front();
-  }
-  queue_.push_back(std::move(record));
-}
-
-void CrashExchange::Flush() {
-  if (queue_.empty() || std::exchange(appending_, true)) {
-    return;
-  }
-  const std::size_t count = std::min(queue_.size(), kMaxBatch);
-  const auto end = queue_.begin() + static_cast<std::ptrdiff_t>(count);
-  std::vector<platform::KeyedRecord> records(queue_.begin(), end);
-  queue_.erase(queue_.begin(), end);
-  store_.Append(
-      CrashPartition(), records, std::monostate{}, kAppendTimeout,
-      [this, alive = alive_, records](const platform::AppendOutcome& outcome) {
-        if (!*alive) {
-          return;
-        }
-        appending_ = false;
-        if (std::holds_alternative<platform::Appended>(outcome)) {
-          Flush();
-          return;
-        }
-        // An append that was executed without an answer may be repeated: its
-        // records name the same keys.
-        queue_.insert(queue_.begin(), records.begin(), records.end());
-        const auto* failure = std::get_if<platform::PlatformFailure>(&outcome);
-        log_.Write("crash.append_failed",
-                   {{"records", static_cast<std::int64_t>(records.size())},
-                    {"reason", failure == nullptr ? "" : failure->reason}});
-        retry_timer_ = loop_.After(kRetryDelay, [this] { Flush(); });
-      });
 }
 
 void CrashExchange::Expire() {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -22,6 +22,8 @@
 #include "node/crash_exchange.h"
 #include "node/peer_view.h"
 #include "node/permit_exchange.h"
+#include "node/shared_records.h"
+#include "node/statement_exchange.h"
 #include "node/store_relay.h"
 #include "node/upstream_watch.h"
 #include "platform/batch_codec.h"
@@ -54,7 +56,7 @@
 // exits.
 constexpr milliseconds kFinalFlushTime{150};
 constexpr milliseconds kExpireInterval{100};
-// The owner of this batch partition deletes expired crash reports.
+// The owner of this batch partition deletes expired shared records.
 constexpr int kCleaningPartition = 0;
 // The settings file may change without a SIGHUP. The interval can be long,
 // since the seeds are needed only while the store is unreachable.
@@ -163,6 +165,8 @@
   serving::UpstreamLoads item_loads_;
   batches::ScorerLimits scorer_limits_;
   PermitExchange permits_;
+  SharedRecords shared_;
+  StatementExchange statement_exchange_;
   serving::CrashEvidence crash_evidence_;
   CrashExchange crashes_;
   UpstreamWatch upstream_watch_;
@@ -208,7 +212,11 @@
       permits_(loop_, clock_, log_, metrics_, client_, store_, random_,
                statements_, settings_.partitions,
                [this](int partition) { return OwnsPartition(partition); }),
-      crashes_(loop_, clock_, log_, metrics_, store_, crash_evidence_,
+      shared_(loop_, clock_, log_, store_),
+      statement_exchange_(loop_, clock_, log_, metrics_, shared_, directory_,
+                          statements_, process_,
+                          [this] { return OwnsPartition(kCleaningPartition); }),
+      crashes_(loop_, clock_, log_, metrics_, shared_, crash_evidence_,
                settings_.node.value(),
                [this] { return OwnsPartition(kCleaningPartition); }),
       upstream_watch_(clock_, log_, metrics_, directory_, request_loads_,
@@ -515,11 +523,11 @@
   capacity_.Start();
   batch_host_.Start();
   permits_.Start();
+  statement_exchange_.Start();
   crashes_.Start();
-  expire_timer_ = loop_.Every(kExpireInterval, [this] {
-    directory_.Expire(clock_.now());
-    statements_.Expire(clock_.now());
-  });
+  shared_.Start();
+  expire_timer_ =
+      loop_.Every(kExpireInterval, [this] { directory_.Expire(clock_.now()); });
   return true;
 }
 
--- a/src/node/permit_exchange.cc
+++ b/src/node/permit_exchange.cc
@@ -87,22 +87,25 @@
 v1::KnownLimit PermitExchange::MakeKnownLimit(const UpstreamId& id) const {
   v1::KnownLimit known;
   known.set_upstream(id.value());
-  const auto limit = statements_.limit(id);
-  known.set_limited(limit.has_value());
-  known.set_requests_per_second(limit.value_or(0));
-  if (const auto learned = statements_.limit_learned(id)) {
+  if (const auto statement = statements_.find(id)) {
+    known.set_limited(statement->requests_per_second.has_value());
+    known.set_requests_per_second(statement->requests_per_second.value_or(0));
+    known.set_started_ms(statement->started.count());
     known.set_age_ms(static_cast<std::uint64_t>(
-        duration_cast<milliseconds>(clock_.now() - *learned).count()));
+        duration_cast<milliseconds>(clock_.now() - statement->learned)
+            .count()));
   }
   return known;
 }
 
 void PermitExchange::RecordKnownLimit(const v1::KnownLimit& limit) {
-  statements_.OnReported(UpstreamId(limit.upstream()),
-                         limit.limited()
-                             ? std::optional(limit.requests_per_second())
-                             : std::nullopt,
-                         clock_.now() - milliseconds(limit.age_ms()));
+  serving::KnownStatement known;
+  known.started = milliseconds(limit.started_ms());
+  if (limit.limited()) {
+    known.requests_per_second = limit.requests_per_second();
+  }
+  known.learned = clock_.now() - milliseconds(limit.age_ms());
+  statements_.OnReported(UpstreamId(limit.upstream()), known);
 }
 
 void PermitExchange::Acquire(
--- a/src/node/upstream_watch.cc
+++ b/src/node/upstream_watch.cc
@@ -114,13 +114,14 @@
 // Load and failure data of the previous process do not apply to the new one.
 bool UpstreamWatch::ResetLoadIfRestarted(
     const serving::Registration& registration) {
+  // A statement can have arrived before the registration.
+  statements_.OnRestarted(registration.id, registration.started);
   const serving::Registration* known = directory_.find(registration.id);
   if (known == nullptr || known->started == registration.started) {
     return false;
   }
   request_loads_.Reset(registration.id);
   item_loads_.Reset(registration.id);
-  statements_.OnRestarted(registration.id, registration.started);
   return true;
 }
 
--- a/src/serving/upstream_statements.cc
+++ b/src/serving/upstream_statements.cc
@@ -5,38 +5,51 @@
 
 namespace mulberryroad::serving {
 
+void UpstreamStatements::SetStarted(const UpstreamId& id,
+                                    std::chrono::milliseconds started,
+                                    bool reported, Entry* entry) {
+  KnownStatement& known = entry->known;
+  if (started <= known.started) {
+    return;
+  }
+  if (known.started.count() != 0) {
+    known.leaving = false;
+    SetLimit({id, std::nullopt, reported}, entry, known.learned);
+  }
+  known.started = started;
+}
+
 void UpstreamStatements::SetLimit(const LimitChange& change, Entry* entry,
                                   Instant learned) {
-  entry->learned = learned;
-  if (entry->requests_per_second != change.requests_per_second) {
-    entry->requests_per_second = change.requests_per_second;
+  entry->known.learned = learned;
+  if (entry->known.requests_per_second != change.requests_per_second) {
+    entry->known.requests_per_second = change.requests_per_second;
     on_limit_changed_.emit(change);
   }
 }
 
+void UpstreamStatements::SetLeaving(const UpstreamId& id, bool reported,
+                                    Entry* entry) {
+  if (!std::exchange(entry->known.leaving, true)) {
+    on_leaving_.emit({id, entry->known.started, reported});
+  }
+}
+
 void UpstreamStatements::OnResponse(const UpstreamId& id,
                                     std::chrono::milliseconds started,
                                     const Statement& statement, Instant now) {
-  const auto found = entries_.find(id);
-  if (found == entries_.end() && !statement.leaving &&
+  if (!entries_.contains(id) && !statement.leaving &&
       !statement.requests_per_second.has_value()) {
     return;
   }
   Entry& entry = entries_[id];
-  if (started < entry.started) {
+  if (started < entry.known.started) {
     return;
   }
-  // A limit that another node reported has no start time yet.
-  if (started > entry.started && entry.started.count() != 0) {
-    SetLimit({id, std::nullopt}, &entry, now);
-    entry.leaving = false;
-  }
-  entry.started = started;
+  SetStarted(id, started, /*reported=*/false, &entry);
   if (statement.leaving) {
-    entry.learned = now;
-    if (!std::exchange(entry.leaving, true)) {
-      on_leaving_.emit({id, started});
-    }
+    entry.known.learned = now;
+    SetLeaving(id, /*reported=*/false, &entry);
   }
   if (statement.requests_per_second.has_value() || statement.complete) {
     SetLimit({id, statement.requests_per_second}, &entry, now);
@@ -44,21 +57,25 @@
 }
 
 void UpstreamStatements::OnReported(const UpstreamId& id,
-                                    std::optional<double> requests_per_second,
-                                    Instant learned) {
+                                    const KnownStatement& known) {
   Entry& entry = entries_[id];
-  if (learned > entry.learned) {
-    SetLimit({id, requests_per_second, /*reported=*/true}, &entry, learned);
+  if (known.learned <= entry.known.learned ||
+      (known.started.count() != 0 && known.started < entry.known.started)) {
+    return;
+  }
+  SetStarted(id, known.started, /*reported=*/true, &entry);
+  SetLimit({id, known.requests_per_second, /*reported=*/true}, &entry,
+           known.learned);
+  if (known.leaving) {
+    SetLeaving(id, /*reported=*/true, &entry);
   }
 }
 
 void UpstreamStatements::OnRestarted(const UpstreamId& id,
                                      std::chrono::milliseconds started) {
   const auto found = entries_.find(id);
-  if (found != entries_.end() && found->second.started < started) {
-    SetLimit({id, std::nullopt}, &found->second, found->second.learned);
-    found->second.started = started;
-    found->second.leaving = false;
+  if (found != entries_.end()) {
+    SetStarted(id, started, /*reported=*/true, &found->second);
   }
 }
 
@@ -89,28 +106,35 @@
 bool UpstreamStatements::MaySend(const UpstreamId& id, Instant now) const {
   const auto found = entries_.find(id);
   return found == entries_.end() ||
-         !found->second.requests_per_second.has_value() ||
+         !found->second.known.requests_per_second.has_value() ||
          (!found->second.permits.empty() &&
           found->second.permits.back() >= now);
 }
 
-void UpstreamStatements::Expire(Instant now) {
-  std::erase_if(entries_, [now](const auto& entry) {
-    return entry.second.learned + kMaxAge < now;
-  });
+std::vector<UpstreamId> UpstreamStatements::TakeExpired(Instant now) {
+  std::vector<UpstreamId> expired;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.known.learned + kMaxAge < now) {
+      expired.push_back(id);
+    }
+  }
+  for (const UpstreamId& id : expired) {
+    entries_.erase(id);
+  }
+  return expired;
 }
 
 std::optional<double> UpstreamStatements::limit(const UpstreamId& id) const {
   const auto found = entries_.find(id);
   return found == entries_.end() ? std::nullopt
-                                 : found->second.requests_per_second;
+                                 : found->second.known.requests_per_second;
 }
 
-std::optional<Instant> UpstreamStatements::limit_learned(
+std::optional<KnownStatement> UpstreamStatements::find(
     const UpstreamId& id) const {
   const auto found = entries_.find(id);
   return found == entries_.end() ? std::nullopt
-                                 : std::optional(found->second.learned);
+                                 : std::optional(found->second.known);
 }
 
 }  // namespace mulberryroad::serving
--- a/src/serving/upstream_statements.h
+++ b/src/serving/upstream_statements.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <vector>
 
 #include "mulberryroad/clock.h"
 #include "mulberryroad/ids.h"
@@ -40,6 +41,19 @@
 struct LeavingUpstream {
   UpstreamId upstream;
   std::chrono::milliseconds started{0};
+  /// Whether another node reported it.
+  bool reported = false;
+};
+
+/// What is known from the responses of a process of an upstream.
+struct KnownStatement {
+  /// Start time of the process; 0 if it is not known.
+  std::chrono::milliseconds started{0};
+  /// nullopt without a limit.
+  std::optional<double> requests_per_second;
+  bool leaving = false;
+  /// Time of the latest response that stated something.
+  Instant learned{};
 };
 
 /// The latest statements of the upstreams, each of them valid for one process
@@ -52,16 +66,14 @@
   ///     the request was sent; a statement of an earlier process is ignored
   void OnResponse(const UpstreamId& id, std::chrono::milliseconds started,
                   const Statement& statement, Instant now);
-  /// Records a limit that another node learned.
-  /// @param requests_per_second nullopt if the upstream named none
-  /// @param learned time at which the other node received the response;
-  ///     statements that are not newer than the known one are ignored
-  void OnReported(const UpstreamId& id,
-                  std::optional<double> requests_per_second, Instant learned);
+  /// Records what another node learned. Ignored if it is of an earlier process
+  /// or not newer than what is known.
+  void OnReported(const UpstreamId& id, const KnownStatement& known);
   /// Discards the statements of earlier processes of an upstream.
   void OnRestarted(const UpstreamId& id, std::chrono::milliseconds started);
-  /// Discards statements that are older than kMaxAge.
-  void Expire(Instant now);
+  /// Discards the statements that are older than kMaxAge.
+  /// @return their upstreams
+  std::vector<UpstreamId> TakeExpired(Instant now);
 
   /// Adds a permit for one request.
   void AddPermit(const UpstreamId& id, Instant usable_until);
@@ -75,8 +87,8 @@
   /// Returns the requests per second that the upstream accepts from all nodes
   /// together, or nullopt without a limit.
   std::optional<double> limit(const UpstreamId& id) const;
-  /// Returns the time of the latest statement about the limit.
-  std::optional<Instant> limit_learned(const UpstreamId& id) const;
+  /// Returns what is known of an upstream, or nullopt.
+  std::optional<KnownStatement> find(const UpstreamId& id) const;
   /// Returns the number of upstreams with a statement.
   std::size_t size() const { return entries_.size(); }
 
@@ -95,15 +107,16 @@
 
  private:
   struct Entry {
-    std::chrono::milliseconds started{0};
-    std::optional<double> requests_per_second;
-    Instant learned{};
-    bool leaving = false;
+    KnownStatement known;
     /// Ends of the permits, in ascending order.
     std::deque<Instant> permits;
   };
 
+  /// Discards what an earlier process stated.
+  void SetStarted(const UpstreamId& id, std::chrono::milliseconds started,
+                  bool reported, Entry* entry);
   void SetLimit(const LimitChange& change, Entry* entry, Instant learned);
+  void SetLeaving(const UpstreamId& id, bool reported, Entry* entry);
 
   std::map<UpstreamId, Entry> entries_;
   sigc::signal<void(const LimitChange&)> on_limit_changed_;
--- a/test/upstream_statements_test.cc
+++ b/test/upstream_statements_test.cc
@@ -46,6 +46,30 @@
   cr_assert(statements.MaySend(id, now), "an earlier process named the limit");
 }
 
+Test(upstream_statements, report_of_another_node_counts_if_it_is_newer) {
+  UpstreamStatements statements;
+  const UpstreamId id("u");
+  KnownStatement known;
+  known.started = milliseconds(5);
+  known.requests_per_second = 2;
+  known.learned = At(milliseconds(0));
+  statements.OnReported(id, known);
+  cr_assert(!statements.MaySend(id, At(milliseconds(0))));
+  statements.OnResponse(id, milliseconds(5), {.complete = true},
+                        At(milliseconds(10)));
+  cr_assert(statements.MaySend(id, At(milliseconds(10))));
+  statements.OnReported(id, known);
+  cr_assert(statements.MaySend(id, At(milliseconds(10))), "an older report");
+  known.learned = At(milliseconds(20));
+  known.started = milliseconds(4);
+  statements.OnReported(id, known);
+  cr_assert(statements.MaySend(id, At(milliseconds(20))),
+            "a report on an earlier process");
+  known.started = milliseconds(5);
+  statements.OnReported(id, known);
+  cr_assert(!statements.MaySend(id, At(milliseconds(20))));
+}
+
 Test(upstream_directory, leaving_upstream_is_used_while_registered_as_ready) {
   UpstreamDirectory directory;
   Registration upstream = fakes::MakeUpstream("u", "desk");
