Use limited upstreams while those without a limit are busy

Cause: a request went to an upstream without a limit whenever there was one, also if it was full, so that what the limited ones allow was left unused. Change: if the best upstream without a limit is busy, a permit for a limited one is asked for first, without waiting; if it is denied, the request goes to the busy one. An answer without end does not count as a lost connection.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -326,9 +326,10 @@
       return;
     }
     if (native == nullptr || evhttp_request_get_response_code(native) == 0) {
-      self->connection_lost_ = self->error_.empty() ||
-                               self->error_ == kConnectionClosed ||
-                               self->error_ == kConnectionFailed;
+      self->connection_lost_ =
+          !self->answer_rejected_ &&
+          (self->error_.empty() || self->error_ == kConnectionClosed ||
+           self->error_ == kConnectionFailed);
       self->FailLater(self->error_.empty() ? std::string(kConnectionFailed)
                                            : self->error_);
       return;
--- a/src/serving/request_session.cc
+++ b/src/serving/request_session.cc
@@ -138,15 +138,17 @@
     return;
   }
   const Registration* upstream = ChooseUntried();
-  if (upstream == nullptr) {
+  if ((upstream == nullptr || IsBusy(*upstream)) && !permit_denied_) {
     std::vector<UpstreamId> limited = UpstreamsWithoutPermit(
         UntriedUpstreams(), context_.loads, context_.clock.now());
     if (!limited.empty()) {
-      AcquirePermit(std::move(limited));
-    } else {
-      EndWithoutUpstream("the service has no upstream that accepts requests",
-                         kRetryAfterNoUpstream);
+      AcquirePermit(std::move(limited), upstream == nullptr);
+      return;
     }
+  }
+  if (upstream == nullptr) {
+    EndWithoutUpstream("the service has no upstream that accepts requests",
+                       kRetryAfterNoUpstream);
     return;
   }
   const int number = next_attempt_number_++;
@@ -179,12 +181,20 @@
   }
 }
 
-void RequestSession::AcquirePermit(std::vector<UpstreamId> upstreams) {
+bool RequestSession::IsBusy(const Registration& upstream) const {
+  return context_.loads.running(upstream.id) >= upstream.slots ||
+         context_.loads.full(upstream.id, context_.clock.now());
+}
+
+void RequestSession::AcquirePermit(std::vector<UpstreamId> upstreams,
+                                   bool may_wait) {
   if (std::exchange(awaiting_permit_, true)) {
     return;
   }
-  const auto max_wait =
-      duration_cast<milliseconds>(request_.target_latency * kPermitWaitShare);
+  const auto max_wait = may_wait
+                            ? duration_cast<milliseconds>(
+                                  request_.target_latency * kPermitWaitShare)
+                            : milliseconds(0);
   context_.permits.Acquire(
       std::move(upstreams), RequestPriority::kCaller,
       std::min(max_wait, time_left()),
@@ -202,6 +212,11 @@
 }
 
 void RequestSession::OnPermitDenied(const PermitDenied& denied) {
+  permit_denied_ = true;
+  if (ChooseUntried() != nullptr) {
+    SendAttempt();
+    return;
+  }
   context_.log.Write("request.limited",
                      {{"request", request_.outgoing.id.value()},
                       {"service", request_.service.value()},
--- a/src/serving/request_session.h
+++ b/src/serving/request_session.h
@@ -101,16 +101,19 @@
     std::shared_ptr<http::Call> call;
   };
 
-  /// Sends an attempt to the next upstream, once a permit is granted if all of
-  /// them have a rate limit. Without one it ends the request, unless another
-  /// attempt is in flight.
+  /// Sends an attempt to the next upstream, once a permit is granted if those
+  /// without a rate limit are busy or there are none. Without one it ends the
+  /// request, unless another attempt is in flight.
   void SendAttempt();
   /// Ends the request, unless another attempt is in flight.
   /// @param retry Retry-After delay if the request was not run
   void EndWithoutUpstream(const std::string& reason,
                           std::chrono::milliseconds retry);
+  /// Returns whether a request would have to wait at the upstream.
+  bool IsBusy(const Registration& upstream) const;
   /// Asks for a permit to send the next attempt to one of these upstreams.
-  void AcquirePermit(std::vector<UpstreamId> upstreams);
+  /// @param may_wait whether the attempt may wait for the permit
+  void AcquirePermit(std::vector<UpstreamId> upstreams, bool may_wait);
   void OnPermitDenied(const PermitDenied& denied);
   /// Returns the upstreams of the service that were not tried yet.
   std::vector<const Registration*> UntriedUpstreams() const;
@@ -162,6 +165,8 @@
   bool finished_ = false;
   /// Whether a permit for the next attempt is being asked for.
   bool awaiting_permit_ = false;
+  /// Whether a permit was denied to this request.
+  bool permit_denied_ = false;
   /// Whether the request was counted for usage.
   bool usage_counted_ = false;
   /// Number of the attempt whose events are forwarded to the caller; -1 before
--- a/test/request_session_test.cc
+++ b/test/request_session_test.cc
@@ -70,5 +70,80 @@
   cr_assert_leq(failed, 3, "%d of %d callers got a failure", failed, kRequests);
 }
 
+void LearnLimit(Fixture* fixture) {
+  fixture->directory.Put(fakes::MakeUpstream("u1", "desk"));
+  fixture->statements.OnResponse(UpstreamId("u1"), milliseconds(0),
+                                 {.requests_per_second = 1},
+                                 fixture->clock.now());
+}
+
+Test(request_session, caller_waits_though_the_limits_are_used_up) {
+  Fixture fixture;
+  LearnLimit(&fixture);
+  const base::Timer deny = fixture.loop.After(milliseconds(20), [&fixture] {
+    cr_assert_eq(fixture.permits.requests.size(), 1);
+    fixture.permits.requests.front().on_result(
+        PermitDenied{.retry_after = milliseconds(700)});
+  });
+  const http::Response response = fixture.Post("/report", {}, "");
+  cr_expect_eq(response.status, 503);
+  cr_expect(response.headers.at("retry-after") == "0.700", "%s",
+            response.headers.at("retry-after").c_str());
+  cr_expect(fixture.upstreams.requests.empty(), "nothing was sent");
+}
+
+Test(request_session, permit_is_used_for_one_request) {
+  Fixture fixture;
+  LearnLimit(&fixture);
+  fixture.upstreams.script = [&fixture](ReceivedRequest& received) {
+    fixture.CompleteAfter(received, milliseconds(1));
+  };
+  const base::Timer grant = fixture.loop.After(milliseconds(20), [&fixture] {
+    fixture.statements.AddPermit(UpstreamId("u1"),
+                                 fixture.clock.now() + milliseconds(200));
+    fixture.permits.requests.front().on_result(PermitGranted{});
+  });
+  cr_expect_eq(fixture.PostReport(), kOk);
+  cr_expect_eq(fixture.upstreams.requests.size(), 1);
+  cr_expect(!fixture.statements.MaySend(UpstreamId("u1"), fixture.clock.now()));
+}
+
+Test(request_session, limited_upstream_is_unused_while_the_others_are_full) {
+  Fixture fixture;
+  LearnLimit(&fixture);
+  const Registration other = fakes::MakeUpstream("u2", "desk");
+  fixture.directory.Put(other);
+  fixture.upstreams.script = [&fixture](ReceivedRequest& received) {
+    fixture.CompleteAfter(received, milliseconds(1));
+  };
+  cr_expect_eq(fixture.PostReport(), kOk);
+  cr_expect(fixture.permits.requests.empty(), "u2 is free");
+  for (std::uint32_t i = 0; i < other.slots; ++i) {
+    fixture.loads.OnRequestSent(other.id, fixture.clock.now());
+  }
+  const base::Timer deny = fixture.loop.After(milliseconds(20), [&fixture] {
+    cr_assert_eq(fixture.permits.requests.size(), 1);
+    fixture.permits.requests.front().on_result(PermitDenied{});
+  });
+  cr_expect_eq(fixture.PostReport(), kOk, "u2 queues the request");
+  cr_expect(fixture.upstreams.requests.back()->upstream == other.id);
+}
+
+Test(request_session, content_that_crashed_upstreams_is_sent_again) {
+  Fixture fixture;
+  for (const char* id : {"u1", "u2", "u3", "u4", "u5"}) {
+    fixture.directory.Put(fakes::MakeUpstream(id, "desk"));
+  }
+  fixture.upstreams.script = [](ReceivedRequest& received) {
+    received.done(MayHaveRun{"closed", /*connection_lost=*/true});
+  };
+  for (int i = 0; i < 5; ++i) {
+    cr_expect_eq(fixture.PostReport(), 502);
+    // Crashes at several upstreams at once would have a common cause.
+    fakes::RunFor(fixture.loop, milliseconds(300));
+  }
+  cr_expect_eq(fixture.upstreams.requests.size(), 3);
+}
+
 }  // namespace
 }  // namespace mulberryroad::serving
--- a/test/upstream_client_test.cc
+++ b/test/upstream_client_test.cc
@@ -100,6 +100,31 @@
   }
 }
 
+Test(upstream_client, only_an_ended_connection_counts_as_a_crash) {
+  struct Case {
+    const char* name;
+    RawAnswer answer;
+    bool connection_lost;
+  };
+  const std::vector<Case> cases = {
+      {"closed without an answer", {"", AfterAnswer::kClose}, true},
+      {"reset without an answer", {"", AfterAnswer::kReset}, true},
+      {"no answer in the protocol", {"garbage\r\n\r\n"}, false},
+      {"head without end",
+       {"HTTP/1.1 200 OK\r\nA: ", AfterAnswer::kRepeat,
+        std::string(4'096, 'x')},
+       false},
+  };
+  for (const Case& test_case : cases) {
+    Fixture fixture([&test_case](int) { return test_case.answer; });
+    const serving::UpstreamOutcome outcome = fixture.Send("r1");
+    const auto* lost = std::get_if<serving::MayHaveRun>(&outcome);
+    cr_assert_not_null(lost, "%s", test_case.name);
+    cr_expect_eq(lost->connection_lost, test_case.connection_lost, "%s: %s",
+                 test_case.name, lost->reason.c_str());
+  }
+}
+
 // A server sends a second copy of an answer when its connection is in use
 // again. The caller must not get it, and the answers on that connection stay
 // one behind, so that nobody may use it any more.
