Ask for background permits only for upstreams with a free slot

Cause: an item that waits because its upstreams are full asked for permits again and again and let them expire, which took what callers could have used. Change: UpstreamLoads tells the free slot from the rate limit; permits are asked for upstreams with a free slot. The process test of limits also checks that 0.85 of what they allow is used.

--- a/src/batches/item_scorer.cc
+++ b/src/batches/item_scorer.cc
@@ -158,12 +158,13 @@
   const Instant now = context_.clock.now();
   std::vector<const serving::Registration*> usable = serving::UsableUpstreams(
       context_.directory.Ready(service), context_.request_loads, now);
-  permits_.Request(
-      serving::UpstreamsWithoutPermit(usable, context_.request_loads, now));
   std::erase_if(usable, [this, now](const serving::Registration* upstream) {
-    return !context_.request_loads.HasCapacity(
+    return !context_.request_loads.HasFreeSlot(
         upstream->id, ScorerSlots(upstream->slots), now);
   });
+  // Those without a permit are not chosen below.
+  permits_.Request(
+      serving::UpstreamsWithoutPermit(usable, context_.request_loads, now));
   const double draw = DrawUnit(context_.random);
   const serving::Registration* untried = serving::ChooseUpstream(
       usable, context_.request_loads, tried, context_.own_domain, now, draw);
--- a/src/batches/part_owner_runs.cc
+++ b/src/batches/part_owner_runs.cc
@@ -45,8 +45,12 @@
 std::vector<PlacementCandidate> PartitionOwner::CandidatesFor(
     const BatchInfo& batch, const TargetId& service) {
   const Instant now = context_.clock.now();
-  permits_.Request(serving::UpstreamsWithoutPermit(
-      SuitableUpstreams(batch, service), context_.loads, now));
+  std::vector<const serving::Registration*> free =
+      SuitableUpstreams(batch, service);
+  std::erase_if(free, [this, now](const serving::Registration* upstream) {
+    return !context_.loads.HasFreeSlot(upstream->id, upstream->slots, now);
+  });
+  permits_.Request(serving::UpstreamsWithoutPermit(free, context_.loads, now));
   std::vector<PlacementCandidate> candidates;
   for (const serving::Registration* upstream :
        UsableUpstreams(batch, service)) {
--- a/src/serving/upstreams.cc
+++ b/src/serving/upstreams.cc
@@ -196,11 +196,8 @@
   return found != loads_.end() && now < found->second.full_until;
 }
 
-bool UpstreamLoads::HasCapacity(const UpstreamId& id, std::uint32_t slots,
+bool UpstreamLoads::HasFreeSlot(const UpstreamId& id, std::uint32_t slots,
                                 Instant now) const {
-  if (!MaySend(id, now)) {
-    return false;
-  }
   const auto found = loads_.find(id);
   if (found == loads_.end()) {
     return slots > 0;
--- a/src/serving/upstreams.h
+++ b/src/serving/upstreams.h
@@ -136,12 +136,17 @@
     return statements_.MaySend(id, now);
   }
   /// Returns whether one more queued request may be sent to the upstream: it
-  /// has a free slot, is not full, its rate limit allows it, and the number of
-  /// requests sent but not yet accepted or refused is below the window. The
+  /// has a free slot, and its rate limit allows it.
+  bool HasCapacity(const UpstreamId& id, std::uint32_t slots,
+                   Instant now) const {
+    return MaySend(id, now) && HasFreeSlot(id, slots, now);
+  }
+  /// Returns whether the upstream has a free slot, is not full, and the number
+  /// of requests sent but not yet accepted or refused is below the window. The
   /// window starts small and grows with each acceptance, doubling per round
   /// trip, since an upstream that is loading weights refuses all requests of a
   /// burst.
-  bool HasCapacity(const UpstreamId& id, std::uint32_t slots,
+  bool HasFreeSlot(const UpstreamId& id, std::uint32_t slots,
                    Instant now) const;
   /// Returns the moving average of the latency samples, or nullopt without a
   /// recent one.
--- a/test/process/upstream_limit_process_test.cc
+++ b/test/process/upstream_limit_process_test.cc
@@ -13,8 +13,11 @@
 constexpr double kLimit = 2;  // Requests per second of each upstream.
 constexpr milliseconds kWindow{4'000};
 constexpr milliseconds kSettleTime{3'000};
+constexpr std::chrono::seconds kRunTime{12};
 constexpr double kTolerance = 1.5;
 constexpr int kAllowedBurst = 5;
+/// Share of the limits that callers must be able to use.
+constexpr double kMinGoodput = 0.85;
 
 /// Returns the highest number of runs within kWindow among those that start
 /// later than `from_ms`.
@@ -46,7 +49,7 @@
   UpstreamRun run("upstream-limit", options);
   run.Start();
   run.traffic().Start();
-  run.RunFor(kSettleTime + 3 * kWindow);
+  run.RunFor(kSettleTime + kRunTime);
   run.traffic().Stop();
   const int allowed =
       static_cast<int>(std::floor(kTolerance * kLimit * 4)) + kAllowedBurst;
@@ -55,6 +58,15 @@
     cr_assert(!runs.empty());
     const auto first = runs.front()["at_ms"].get<std::int64_t>();
     const int most = MostRunsInWindow(runs, first + kSettleTime.count());
+    const auto used = std::count_if(runs.begin(), runs.end(),
+                                    [first](const nlohmann::json& line) {
+                                      return line["at_ms"].get<std::int64_t>() >
+                                             first + kSettleTime.count();
+                                    });
+    cr_expect_geq(static_cast<double>(used),
+                  kMinGoodput * kLimit * kRunTime.count(),
+                  "%s got only %ld requests in %ld s", log.c_str(),
+                  static_cast<long>(used), static_cast<long>(kRunTime.count()));
     cr_expect_leq(most, allowed, "%s got %d requests in 4 s; allowed %d",
                   log.c_str(), most, allowed);
   }
