Two findings of the linter in new code

Cause: a vector that grows in a loop, and a using declaration that is not used. Change: reserve, and removed.

--- a/src/node/statement_exchange.cc
+++ b/src/node/statement_exchange.cc
@@ -8,7 +8,6 @@
 
 namespace {
 
-using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
 constexpr char kStatementKind[] = "statement";
--- a/src/serving/crash_evidence.cc
+++ b/src/serving/crash_evidence.cc
@@ -79,6 +79,7 @@
     return {};
   }
   std::vector<UpstreamProcess> reported;
+  reported.reserve(entry->second.reported.size());
   for (const auto& [upstream, crash] : entry->second.reported) {
     reported.push_back(upstream);
   }
@@ -100,6 +101,7 @@
   std::map<UpstreamProcess, Crash> all = entry->second.seen;
   all.insert(entry->second.reported.begin(), entry->second.reported.end());
   std::vector<Crash> result;
+  result.reserve(all.size());
   for (const auto& [upstream, crash] : all) {
     result.push_back(crash);
   }
