--- a/test/fakes/raw_server.h
+++ b/test/fakes/raw_server.h
@@ -92,7 +92,11 @@
         connection->server->answerer_(++connection->server->requests_);
     // From now on, OnWritten is called whenever the output buffer is drained.
     bufferevent_setcb(events, OnRequest, OnWritten, OnEvent, connection);
-    Write(connection, connection->answer.bytes);
+    if (connection->answer.bytes.empty()) {
+      OnWritten(events, connection);
+    } else {
+      Write(connection, connection->answer.bytes);
+    }
   }
   static void OnWritten(bufferevent* events, void* argument) {
     auto* connection = static_cast<Connection*>(argument);
