--- a/src/node/permit_exchange.h
+++ b/src/node/permit_exchange.h
@@ -32,7 +32,8 @@
 
 namespace mulberryroad::node {
 
-/// Returns the name of a group member that tells its address to the others.
+/// Returns the name with which a process joins the group of owners. It contains
+/// the address, which other members read with MemberAddress().
 /// @param process unique name of the process
 /// @param address address for other nodes; nullopt if it has none
 std::string MemberName(const std::string& process,
@@ -110,7 +111,7 @@
   /// Decides as the owner of the partition.
   v1::PermitReply Decide(const v1::PermitRequest& request);
   void ReplyToPeer(const std::shared_ptr<http::Exchange>& exchange);
-  /// Tells the allocator of an upstream that its limit has ended.
+  /// Reports to the allocator of an upstream that its limit has ended.
   void ReportEnd(const UpstreamId& id);
   void ReadOwners();
 
--- a/src/serving/crash_evidence.h
+++ b/src/serving/crash_evidence.h
@@ -3,8 +3,9 @@
 // Designed for two loads that look alike to a single attempt: one content that
 // comes again and again and ends each upstream that runs it, and hundreds of
 // sound requests that run as a failure domain or a whole service ends. A crash
-// counts against a content only if no other upstreams lost connections at the
-// same time, and a response to the content clears it.
+// does not count against a content if kCommonCauseUpstreams other upstreams
+// lost connections at about the same time, and a response to the content clears
+// it.
 
 #ifndef MULBERRYROAD_SRC_SERVING_CRASH_EVIDENCE_H_
 #define MULBERRYROAD_SRC_SERVING_CRASH_EVIDENCE_H_
--- a/test/process/upstream_limit_process_test.cc
+++ b/test/process/upstream_limit_process_test.cc
@@ -40,7 +40,7 @@
   return most;
 }
 
-// Four nodes get sixteen times the requests that two upstreams accept.
+// Four nodes get 33 requests per second; two upstreams accept 4.
 Test(upstream_limit, nodes_together_exceed_the_limit_of_an_upstream) {
   soak::DeploymentOptions options;
   options.engines = 0;
--- a/test/process/upstream_run.h
+++ b/test/process/upstream_run.h
@@ -1,5 +1,5 @@
-// Runs real nodes against stand-ins of upstreams, for process tests of what
-// upstreams state in their answers.
+// Deployment of node processes and upstream stand-ins, for process tests of the
+// headers and crashes of upstreams.
 
 #ifndef MULBERRYROAD_TEST_PROCESS_UPSTREAM_RUN_H_
 #define MULBERRYROAD_TEST_PROCESS_UPSTREAM_RUN_H_
--- a/test/upstream_statements_test.cc
+++ b/test/upstream_statements_test.cc
@@ -28,7 +28,7 @@
   cr_assert(!statements.MaySend(id, now + milliseconds(201)));
   statements.OnRequestSent(id, now);
   cr_assert(!statements.MaySend(id, now));
-  // A response without a signature does not tell that the limit has ended.
+  // Without a signature, a missing header does not end the limit.
   statements.OnResponse(id, milliseconds(5), {}, now);
   cr_assert(!statements.MaySend(id, now));
   statements.OnResponse(id, milliseconds(5), {.complete = true}, now);
