Name the software version of upstreams in the logs

Change: the registration's version is decoded; upstream, item.start and the new stream.resumed name it. No decision uses it.

--- a/src/batches/part_owner_runs.cc
+++ b/src/batches/part_owner_runs.cc
@@ -221,6 +221,7 @@
       {{"request", item.id()},
        {"batch", start.item.batch},
        {"upstream", start.upstream.value()},
+       {"software", upstream.software},
        {"running",
         static_cast<std::int64_t>(context_.loads.running(start.upstream))},
        {"resume_after", static_cast<std::int64_t>(progress.last_event)},
--- a/src/node/upstream_watch.cc
+++ b/src/node/upstream_watch.cc
@@ -106,6 +106,7 @@
       known->draining != registration->draining) {
     log_.Write("upstream", {{"upstream", id.value()},
                             {"service", registration->service.value()},
+                            {"software", registration->software},
                             {"draining", registration->draining}});
   }
   directory_.Put(*std::move(registration));
--- a/src/serving/request_session.cc
+++ b/src/serving/request_session.cc
@@ -156,6 +156,13 @@
   last_upstream_ = upstream->id;
   policy_.OnSent();
   context_.loads.OnRequestSent(upstream->id, context_.clock.now());
+  if (!last_event_id_.empty()) {
+    context_.log.Write("stream.resumed",
+                       {{"request", request_.outgoing.id.value()},
+                        {"resume_after", last_event_id_},
+                        {"upstream", upstream->id.value()},
+                        {"software", upstream->software}});
+  }
   Attempt& attempt = attempts_[number];
   attempt.upstream = upstream->id;
   attempt.upstream_started = upstream->started;
--- a/src/serving/upstreams.h
+++ b/src/serving/upstreams.h
@@ -34,6 +34,9 @@
   /// Start time that its process reports. A changed value means that the
   /// process was restarted and lost its state.
   std::chrono::milliseconds started{0};
+  /// Version of the software that it runs; empty if the registration names
+  /// none. Upstreams of one service may run several versions side by side.
+  std::string software;
   /// Loaded weight version by model.
   std::map<TargetId, std::uint64_t> versions;
   /// Whether it runs on capacity that may be reclaimed.
