--- a/test/fakes/platform/fake_replica.cc
+++ b/test/fakes/platform/fake_replica.cc
@@ -112,7 +112,7 @@
   json entry = {{"service", options_.service},
                 {"addr", ToString(options_.advertised)},
                 {"zone", options_.failure_domain},
-                {"version", "v1"},
+                {"version", options_.software},
                 {"slots", options_.slots},
                 {"state", draining_ ? "draining" : "ready"},
                 {"coldLeftMs", 0},
@@ -260,8 +260,11 @@
     stream->version = version;
     event = "weight-versions: " + std::to_string(version) + "\n";
   }
-  event += "id: " + std::to_string(stream->next) +
-           "\ndata: " + EventText(stream->item, stream->next) + "\n\n";
+  event +=
+      "id: " + std::to_string(stream->next) +
+      "\ndata: " + EventText(stream->item, stream->next) +
+      (options_.software == kDefaultSoftware ? "" : "@" + options_.software) +
+      "\n\n";
   Note({{"event", stream->item},
         {"at_ms", WallMillis()},
         {"number", stream->next},
--- a/test/fakes/platform/fake_replica.h
+++ b/test/fakes/platform/fake_replica.h
@@ -22,6 +22,8 @@
 
 namespace mulberryroad::fakes {
 
+inline constexpr char kDefaultSoftware[] = "v1";
+
 struct ReplicaOptions {
   std::string id;
   std::string service;
@@ -31,6 +33,9 @@
   Endpoint advertised;
   Endpoint platform;
   std::size_t slots = 8;
+  /// Software version. Events of any version but the default end with "@" and
+  /// the version.
+  std::string software = kDefaultSoftware;
   /// Models of an engine; empty for a plain service.
   std::vector<std::string> models;
   /// Share of plain answers that are lost or cut after the run.
--- a/test/fakes/programs/fake_replica.cc
+++ b/test/fakes/programs/fake_replica.cc
@@ -38,6 +38,7 @@
   options.listen = ReadEndpoint(json, "listen");
   options.advertised = ReadEndpoint(json, "advertised");
   options.platform = ReadEndpoint(json, "platform");
+  options.software = json.value("software", options.software);
   options.slots = json.value("slots", options.slots);
   options.models = json.value("models", options.models);
   options.fault_share = json.value("fault_share", options.fault_share);
--- a/test/process/upstream_run.h
+++ b/test/process/upstream_run.h
@@ -90,6 +90,7 @@
   }
 
   soak::Deployment& deployment() { return deployment_; }
+  base::EventLoop& loop() { return loop_; }
   soak::Traffic& traffic() { return traffic_; }
   http::Client& client() { return client_; }
 
--- a/test/soak/deployment.cc
+++ b/test/soak/deployment.cc
@@ -33,6 +33,7 @@
               {"listen", ToString(options.listen)},
               {"advertised", ToString(options.advertised)},
               {"platform", ToString(options.platform)},
+              {"software", options.software},
               {"slots", options.slots},
               {"models", options.models},
               {"fault_share", options.fault_share},
@@ -77,6 +78,9 @@
     }
     if (engine) {
       upstream.options.models = {"m0", "m1"};
+      if (i < options_.engine_software.size()) {
+        upstream.options.software = options_.engine_software[i];
+      }
     } else {
       upstream.options.fault_share = kFaultyAnswers;
       upstream.options.requests_per_second =
@@ -160,6 +164,18 @@
       options_.work_dir + "/upstream-" + std::to_string(index) + ".log");
 }
 
+void Deployment::EndUpstream(std::size_t index) {
+  upstreams_[index].expected_down = true;
+  upstreams_[index].process->Kill();
+}
+
+void Deployment::ReplaceUpstream(std::size_t index,
+                                 const std::string& software) {
+  EndUpstream(index);
+  upstreams_[index].options.software = software;
+  After(kRestartDelay, [this, index] { StartUpstream(index, true); });
+}
+
 std::vector<std::string> Deployment::UpstreamLogs() const {
   std::vector<std::string> paths;
   for (std::size_t i = 0; i < upstreams_.size(); ++i) {
--- a/test/soak/deployment.h
+++ b/test/soak/deployment.h
@@ -35,6 +35,8 @@
   /// Time after its start from which the first upstream says in its answers
   /// that it leaves; 0 for never.
   std::chrono::milliseconds first_upstream_leaves_after{0};
+  /// Software version of each engine; the default for those without an entry.
+  std::vector<std::string> engine_software;
 };
 
 /// A node of the system under test.
@@ -65,6 +67,11 @@
   void Strike(const Fault& fault);
   /// Ends all faults and starts what is down.
   void Heal();
+  /// Kills an upstream and starts it under a new id with this software
+  /// version.
+  void ReplaceUpstream(std::size_t index, const std::string& software);
+  /// Kills an upstream, which does not start again.
+  void EndUpstream(std::size_t index);
   /// Ends all processes.
   void Stop();
 
--- a/test/soak/soak_run.cc
+++ b/test/soak/soak_run.cc
@@ -295,30 +295,35 @@
                 {"maxAttempts", attempts},
                 {"authExempt", open}};
   };
+  json streams =
+      route("streams", "/streams/", "streaming", "engines", 3, false);
+  streams["resumable"] = true;
+  streams["timeoutMs"] = 20'000;
   json keys_of_a = {kKeyOfA};
   if (with_withdrawn_key) {
     keys_of_a.push_back(kWithdrawnKey);
   }
-  return {{"version", version},
-          {"routes",
-           {route("reports", "/reports/", "idempotent", "desk", 2, false),
-            route("orders", "/orders/", "non_idempotent", "desk", 1, false),
-            route("open", "/open/", "idempotent", "desk", 2, true),
-            route("scores", "/scores/", "idempotent", "desk", 2, false),
-            route("steps-a", "/steps-a/", "rollout", "engines", 3, false),
-            route("steps-b", "/steps-b/", "rollout", "engines", 3, false)}},
-          {"services",
-           {{{"name", "desk"}},
-            {{"name", "engines"},
-             {"engine", {{"models", {{{"name", "m0"}}, {{"name", "m1"}}}}}}}}},
-          {"limits",
-           {{"maxHeaderBytes", 16'384},
-            {"maxBodyBytes", 4'194'304},
-            {"headerTimeoutMs", 3'000},
-            {"idleTimeoutMs", 15'000}}},
-          {"tenants",
-           {{{"name", "org-a"}, {"apiKeys", keys_of_a}},
-            {{"name", "org-b"}, {"apiKeys", {kKeyOfB}}}}}};
+  return {
+      {"version", version},
+      {"routes",
+       {route("reports", "/reports/", "idempotent", "desk", 2, false),
+        route("orders", "/orders/", "non_idempotent", "desk", 1, false),
+        route("open", "/open/", "idempotent", "desk", 2, true),
+        route("scores", "/scores/", "idempotent", "desk", 2, false), streams,
+        route("steps-a", "/steps-a/", "rollout", "engines", 3, false),
+        route("steps-b", "/steps-b/", "rollout", "engines", 3, false)}},
+      {"services",
+       {{{"name", "desk"}},
+        {{"name", "engines"},
+         {"engine", {{"models", {{{"name", "m0"}}, {{"name", "m1"}}}}}}}}},
+      {"limits",
+       {{"maxHeaderBytes", 16'384},
+        {"maxBodyBytes", 4'194'304},
+        {"headerTimeoutMs", 3'000},
+        {"idleTimeoutMs", 15'000}}},
+      {"tenants",
+       {{{"name", "org-a"}, {"apiKeys", keys_of_a}},
+        {{"name", "org-b"}, {"apiKeys", {kKeyOfB}}}}}};
 }
 
 json PlaySeed(const SoakOptions& options) { return SoakRun(options).Run(); }
