Tests that fail: streams end as complete or start again after a break

Measured: a second attempt's 500 or 404 ends the stream as complete; a stream whose events have no ids is sent twice.

--- a/test/request_session_test.cc
+++ b/test/request_session_test.cc
@@ -184,6 +184,20 @@
         {"id: " + id + "\n\n", id, "text", std::nullopt});
   }
 
+  /// Returns whether the response to a request ends before it is complete.
+  bool BreaksOff() {
+    http::ClientRequest request;
+    request.endpoint = address;
+    request.method = http::Method::kPost;
+    request.path = "/stream";
+    request.headers = {{"Request-Id", "r1"}};
+    std::optional<http::Result> result;
+    client.Send(std::move(request),
+                [&result](http::Result done) { result = std::move(done); });
+    cr_assert(fakes::RunUntil(loop, [&result] { return result.has_value(); }));
+    return std::holds_alternative<http::Failure>(*result);
+  }
+
   http::Response Resume(const std::string& stream) {
     return Post(
         "/stream",
@@ -218,6 +232,41 @@
   cr_expect_eq(fixture.origins.completed.size(), 1);
 }
 
+Test(request_session, failure_after_events_ends_a_stream_as_complete) {
+  for (const int status : {kServerError, 404}) {
+    StreamFixture fixture;
+    fixture.List("u1", "v1");
+    fixture.List("u2", "v1");
+    fixture.upstreams.script = [&](ReceivedRequest& received) {
+      if (fixture.upstreams.requests.size() == 1) {
+        received.options.stream->on_start({kOk, {}, 0});
+        StreamFixture::SendEvent(received, "1");
+        received.done(MayHaveRun{"closed"});
+      } else {
+        received.done(CompleteResponse{status, {}, "broken"});
+      }
+    };
+    cr_expect(fixture.BreaksOff(), "status %d", status);
+  }
+}
+
+Test(request_session, stream_without_event_ids_starts_again_after_a_break) {
+  StreamFixture fixture;
+  fixture.List("u1", "v1");
+  fixture.List("u2", "v1");
+  fixture.upstreams.script = [&](ReceivedRequest& received) {
+    received.options.stream->on_start({kOk, {}, 0});
+    received.options.stream->on_event({"data: a\n\n", "", "a", std::nullopt});
+    if (fixture.upstreams.requests.size() == 1) {
+      received.done(MayHaveRun{"closed"});
+    } else {
+      received.done(CompleteResponse{kOk, {}, ""});
+    }
+  };
+  cr_expect(fixture.BreaksOff());
+  cr_expect_eq(fixture.upstreams.requests.size(), 1);
+}
+
 Test(request_session, head_without_events_binds_a_stream_to_its_version) {
   StreamFixture fixture;
   fixture.List("u1", "v1");
