Break a stream off when its next attempt is answered with an error

Callers saw: a stream that ended as complete before its last event, when the attempt that was to resume it got an error as a complete response (500 as the last attempt, 404, 422). Cause: the response of any attempt completed a stream that had started. The class: the outcome of one attempt is taken for that of another. Change: only the attempt whose events are forwarded can complete the stream; otherwise the connection is closed.

--- a/src/serving/request_session.cc
+++ b/src/serving/request_session.cc
@@ -462,7 +462,13 @@
 void RequestSession::DeliverResponse(int number,
                                      const CompleteResponse& response) {
   CancelAttempts();
-  if (stream_started_ || number == streaming_attempt_) {
+  if (stream_started_ && number != streaming_attempt_) {
+    FailRequest(kBadGateway,
+                "an attempt to resume the stream ended with status " +
+                    std::to_string(response.status));
+    return;
+  }
+  if (number == streaming_attempt_) {
     ForwardHead();
     exchange_->Finish();
     if (software_.has_value()) {
