Break off streams without event ids instead of starting them again

Callers saw: events twice, when a resumable stream whose events have no ids broke and was sent again from its start. Cause: a next attempt resumes after the last event id, and there was none. Change: such a stream is broken off. Measured: request_session_test failed before with two attempts in one answer, passes now.

--- a/src/serving/request_session.cc
+++ b/src/serving/request_session.cc
@@ -384,6 +384,11 @@
   const Attempt ended = std::move(found->second);
   attempts_.erase(found);
   RecordOutcome(ended, outcome);
+  if (has_unnumbered_events_ &&
+      !std::holds_alternative<CompleteResponse>(outcome)) {
+    FailRequest(kBadGateway, "a stream without event ids cannot be resumed");
+    return;
+  }
   const AttemptStep step =
       policy_.OnOutcome(outcome, !UntriedUpstreams().empty());
   if (!std::holds_alternative<Deliver>(step)) {
@@ -455,6 +460,8 @@
   ForwardHead();
   if (!event.id.empty()) {
     last_event_id_ = event.id;
+  } else if (!event.data.empty()) {
+    has_unnumbered_events_ = true;
   }
   exchange_->Write(event.bytes);
 }
--- a/src/serving/request_session.h
+++ b/src/serving/request_session.h
@@ -208,6 +208,8 @@
   StreamStart head_;
   /// Whether the head was sent to the caller.
   bool stream_started_ = false;
+  /// Whether an event without an id was forwarded; later ones cannot follow it.
+  bool has_unnumbered_events_ = false;
   /// Software version that generated the events that the caller has; nullopt
   /// before the first.
   std::optional<std::string> software_;
