Resume items only at the software version that began them

Trainers saw: samples whose text was joined from two software versions, in calm releases and after every break. Change: the progress of an item, in memory and in the store, names the software version of its events. Placement and moves keep to it. An item whose version is gone starts again; one whose version is busy waits as long as generating its events again would take.

--- a/src/batches/item_placement.cc
+++ b/src/batches/item_placement.cc
@@ -16,8 +16,14 @@
 }  // namespace
 
 const PlacementCandidate* ChooseItemUpstream(
-    const std::vector<PlacementCandidate>& candidates, const UpstreamId& avoid,
+    const std::vector<PlacementCandidate>& candidates,
+    const std::optional<std::string>& software, const UpstreamId& avoid,
     double length_share, double draw) {
+  const auto fits = [&software](const PlacementCandidate& candidate) {
+    return !software.has_value() || candidate.software == *software;
+  };
+  const auto fitting =
+      std::count_if(candidates.begin(), candidates.end(), fits);
   double fastest = std::numeric_limits<double>::max();
   double sum = 0;
   int known = 0;
@@ -39,7 +45,7 @@
         static_cast<double>(index++) / static_cast<double>(candidates.size()) +
             draw,
         1.0);
-    if (candidates.size() > 1 && candidate.id == avoid) {
+    if (!fits(candidate) || (fitting > 1 && candidate.id == avoid)) {
       continue;
     }
     const double interval =
--- a/src/batches/item_placement.h
+++ b/src/batches/item_placement.h
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "mulberryroad/ids.h"
@@ -28,6 +29,7 @@
   bool local = false;
   /// Failed or was late recently.
   bool suspect = false;
+  std::string software = {};
 };
 
 /// Speed weighs against the share of used slots: for the longest items an
@@ -39,12 +41,14 @@
 
 /// Returns the best candidate, or null if there is none. An upstream without a
 /// known event interval counts as average.
+/// @param software software version that the upstream must run; nullopt for any
 /// @param avoid upstream that is chosen only if there is no other; may be empty
 /// @param length_share expected length of the item, as a share of the longest
 ///     item of its batch
 /// @param draw random number in [0, 1) that breaks ties
 const PlacementCandidate* ChooseItemUpstream(
-    const std::vector<PlacementCandidate>& candidates, const UpstreamId& avoid,
+    const std::vector<PlacementCandidate>& candidates,
+    const std::optional<std::string>& software, const UpstreamId& avoid,
     double length_share, double draw);
 
 }  // namespace mulberryroad::batches
--- a/src/batches/item_run.cc
+++ b/src/batches/item_run.cc
@@ -40,6 +40,7 @@
   }
   record.set_version(version);
   record.set_complete(complete);
+  record.set_software(software);
   for (const std::uint64_t used_version : versions) {
     record.add_versions(used_version);
   }
@@ -47,9 +48,11 @@
 }
 
 bool ItemProgress::AppendRecord(const v1::ProgressRecord& record) {
-  if (record.first_event() != last_event + 1) {
+  if (record.first_event() != last_event + 1 ||
+      (last_event > 0 && record.software() != software)) {
     return false;
   }
+  software = record.software();
   events.insert(events.end(), record.events().begin(), record.events().end());
   last_event = events.size();
   version = record.version();
@@ -90,6 +93,9 @@
                     std::uint64_t expected_version) {
   started_ = clock_.now();
   loads_.OnRequestSent(upstream_, started_);
+  if (progress_.last_event == 0) {
+    progress_.software = upstream.software;
+  }
   serving::CallOptions options;
   options.deadline = duration_cast<milliseconds>(deadline_ - clock_.now());
   options.version = expected_version;
--- a/src/batches/item_run.h
+++ b/src/batches/item_run.h
@@ -31,8 +31,12 @@
   std::uint64_t version = 0;
   /// Weight versions under which the events were generated.
   std::set<std::uint64_t> versions;
+  /// Software version of the upstreams that generated the events.
+  std::string software;
   /// The output ends with the last event.
   bool complete = false;
+  /// Time at which the last run ended.
+  Instant interrupted{};
 
   /// Appends the next event.
   /// @return false if its id is not `last_event` + 1; nothing is changed
@@ -40,8 +44,8 @@
   /// Returns a record of the events with ids above `event`.
   v1::ProgressRecord RecordSince(std::uint64_t event) const;
   /// Appends the events of a record.
-  /// @return false if its first event does not follow the last one; nothing is
-  ///     changed
+  /// @return false if its first event does not follow the last one, or comes
+  ///     from another software version; nothing is changed
   bool AppendRecord(const v1::ProgressRecord& record);
   /// Returns the data of all events, separated by line feeds.
   std::string text() const;
--- a/src/batches/item_scheduler.cc
+++ b/src/batches/item_scheduler.cc
@@ -89,11 +89,14 @@
         continue;
       }
       const ItemRef ref{entry->info.id, index};
-      const std::optional<UpstreamId> upstream =
-          placer(entry->info, ref, item.last);
-      if (!upstream.has_value()) {
+      const Placement placement = placer(entry->info, ref, item.last);
+      if (std::holds_alternative<NoCapacity>(placement)) {
         break;
       }
+      const auto* upstream = std::get_if<UpstreamId>(&placement);
+      if (upstream == nullptr) {
+        continue;
+      }
       item.state = State::kRunning;
       item.last = *upstream;
       starts.push_back({ref, *upstream});
--- a/src/batches/part_owner.h
+++ b/src/batches/part_owner.h
@@ -155,11 +155,16 @@
   std::vector<PlacementCandidate> CandidatesFor(const BatchInfo& batch,
                                                 const TargetId& service);
   /// Starts a run of an item at the best upstream.
-  /// @return the upstream; nullopt if none can take the item now
-  std::optional<UpstreamId> PlaceItem(const BatchInfo& batch,
-                                      const ItemRef& item,
-                                      const UpstreamId& last,
-                                      PlacementPass* pass);
+  Placement PlaceItem(const BatchInfo& batch, const ItemRef& item,
+                      const UpstreamId& last, PlacementPass* pass);
+  /// Discards the events of an interrupted item if it must start again.
+  /// @return false if it waits for an upstream of its software version
+  bool PrepareResume(const BatchInfo& batch, const ItemRef& item,
+                     const TargetId& service,
+                     const std::vector<PlacementCandidate>& candidates);
+  /// Returns the software version to which the events of an item bind it;
+  /// nullopt if it has none.
+  std::optional<std::string> BoundSoftware(const ItemRef& item) const;
   /// Returns the estimated number of events of an item; 0 if unknown.
   double ExpectedEvents(const BatchInfo& batch, const ItemRef& item) const;
   /// Returns the expected length of an item as a share of the longest item of
--- a/src/batches/part_owner_runs.cc
+++ b/src/batches/part_owner_runs.cc
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "batches/part_owner.h"
+#include "batches/resume_policy.h"
 #include "batches/straggler_policy.h"
 
 namespace mulberryroad::batches {
@@ -63,15 +64,69 @@
                           context_.loads.latency(upstream->id, now),
                           upstream->failure_domain == context_.own_domain,
                           health == serving::HealthState::kSuspect ||
-                              health == serving::HealthState::kEjected});
+                              health == serving::HealthState::kEjected,
+                          upstream->software});
   }
   return candidates;
 }
 
-std::optional<UpstreamId> PartitionOwner::PlaceItem(const BatchInfo& batch,
-                                                    const ItemRef& ref,
-                                                    const UpstreamId& last,
-                                                    PlacementPass* pass) {
+std::optional<std::string> PartitionOwner::BoundSoftware(
+    const ItemRef& item) const {
+  const auto found = progress_.find(item);
+  return found == progress_.end() || found->second.last_event == 0
+             ? std::nullopt
+             : std::optional(found->second.software);
+}
+
+bool PartitionOwner::PrepareResume(
+    const BatchInfo& batch, const ItemRef& item, const TargetId& service,
+    const std::vector<PlacementCandidate>& candidates) {
+  const auto software = BoundSoftware(item);
+  if (!software.has_value()) {
+    return true;
+  }
+  const ItemProgress& progress = progress_.at(item);
+  const auto runs_it = [&software](const auto& upstream) {
+    return upstream.software == *software;
+  };
+  const auto suitable = SuitableUpstreams(batch, service);
+  const auto registered =
+      std::find_if(suitable.begin(), suitable.end(),
+                   [&runs_it](const auto* u) { return runs_it(*u); });
+  const bool free = std::any_of(candidates.begin(), candidates.end(), runs_it);
+  const Instant now = context_.clock.now();
+  const auto interval = registered == suitable.end()
+                            ? std::nullopt
+                            : context_.loads.latency((*registered)->id, now);
+  // Upstreams that name no version may run different ones.
+  const bool resumable = registered != suitable.end() && !software->empty();
+  const ResumeDecision decision = DecideResume(
+      {progress.last_event, interval.value_or(kDefaultEventInterval),
+       duration_cast<milliseconds>(now - progress.interrupted)},
+      resumable, free && resumable);
+  if (std::holds_alternative<AwaitVersion>(decision)) {
+    return false;
+  }
+  if (std::holds_alternative<RestartItem>(decision)) {
+    context_.metrics.Count("item_restarts_total", {});
+    context_.log.Write(
+        "item.restarted",
+        {{"request", FindItem(item)->id()},
+         {"batch", item.batch},
+         {"software", *software},
+         {"registered", registered != suitable.end()},
+         {"events", static_cast<std::int64_t>(progress.last_event)},
+         {"waited_ms",
+          duration_cast<milliseconds>(now - progress.interrupted).count()}});
+    progress_.erase(item);
+    DeleteItemProgress(item);
+  }
+  return true;
+}
+
+Placement PartitionOwner::PlaceItem(const BatchInfo& batch, const ItemRef& ref,
+                                    const UpstreamId& last,
+                                    PlacementPass* pass) {
   const v1::BatchItem* item = FindItem(ref);
   const serving::Route* route =
       item == nullptr
@@ -79,23 +134,27 @@
           : context_.catalog.FindRoute(table_.find(batch.id)->accepted->host(),
                                        item->path());
   if (route == nullptr || route->services.empty()) {
-    return std::nullopt;
+    return NoCapacity{};
   }
   std::uniform_real_distribution<double> draw(0.0, 1.0);
   const TargetId* service =
       serving::ChooseService(*route, draw(context_.random));
   if (service == nullptr) {
-    return std::nullopt;
+    return NoCapacity{};
   }
   const auto [entry, added] = pass->try_emplace({batch.id, *service});
   std::vector<PlacementCandidate>& candidates = entry->second;
   if (added) {
     candidates = CandidatesFor(batch, *service);
   }
-  const PlacementCandidate* chosen = ChooseItemUpstream(
-      candidates, last, LengthShare(batch, ref), draw(context_.random));
+  if (!PrepareResume(batch, ref, *service, candidates)) {
+    return ItemWaits{};
+  }
+  const PlacementCandidate* chosen =
+      ChooseItemUpstream(candidates, BoundSoftware(ref), last,
+                         LengthShare(batch, ref), draw(context_.random));
   if (chosen == nullptr) {
-    return std::nullopt;
+    return NoCapacity{};
   }
   const UpstreamId id = chosen->id;
   // Starts the run at once, so that its load counts in the next placement.
@@ -158,19 +217,23 @@
     return;
   }
   const Instant now = context_.clock.now();
-  std::vector<RunningItem> running;
-  std::vector<FreeUpstream> free;
+  // A run can move only among the upstreams of its software version.
+  struct Version {
+    std::vector<RunningItem> running;
+    std::vector<FreeUpstream> free;
+  };
+  std::map<std::string, Version> versions;
   for (auto run = runs_.lower_bound({id, 0});
        run != runs_.end() && run->first.batch == id; ++run) {
-    running.push_back(
+    versions[run->second.run->progress().software].running.push_back(
         {run->first, run->second.run->upstream(),
          context_.loads.latency(run->second.run->upstream(), now),
          duration_cast<milliseconds>(now - run->second.run->started()),
          static_cast<double>(run->second.run->progress().last_event),
          ExpectedEvents(*batch, run->first)});
   }
-  const serving::Registration* current =
-      context_.directory.find(running.front().upstream);
+  const serving::Registration* current = context_.directory.find(
+      runs_.lower_bound({id, 0})->second.run->upstream());
   if (current == nullptr) {
     return;
   }
@@ -178,13 +241,17 @@
        UsableUpstreams(*batch, current->service)) {
     if (context_.loads.health().health_state(upstream->id, now) ==
         serving::HealthState::kHealthy) {
-      free.push_back({upstream->id, context_.loads.latency(upstream->id, now),
-                      upstream->slots - context_.loads.running(upstream->id)});
+      versions[upstream->software].free.push_back(
+          {upstream->id, context_.loads.latency(upstream->id, now),
+           upstream->slots - context_.loads.running(upstream->id)});
     }
   }
-  for (const ItemRef& item : RunsToMove(std::move(running), free)) {
-    context_.metrics.Count("item_moves_total", {});
-    runs_.at(item).run->InterruptForMove();
+  for (auto& [software, version] : versions) {
+    for (const ItemRef& item :
+         RunsToMove(std::move(version.running), version.free)) {
+      context_.metrics.Count("item_moves_total", {});
+      runs_.at(item).run->InterruptForMove();
+    }
   }
 }
 
@@ -287,6 +354,7 @@
   } else if (stale) {
     DeleteItemProgress(item);
   } else {
+    progress.interrupted = context_.clock.now();
     progress_[item] = std::move(progress);
   }
   PostSchedule();
--- a/src/batches/part_owner_storage.cc
+++ b/src/batches/part_owner_storage.cc
@@ -176,6 +176,7 @@
           item, std::move(progress),
           scheduler_.OnRunEnd(item, RunCompleted{}, context_.clock.now()));
     } else {
+      progress.interrupted = context_.clock.now();
       progress_[item] = std::move(progress);
     }
   }
@@ -289,6 +290,7 @@
           item, std::move(leftover.progress),
           scheduler_.OnRunEnd(item, RunCompleted{}, context_.clock.now()));
     } else {
+      leftover.progress.interrupted = context_.clock.now();
       progress_[item] = std::move(leftover.progress);
     }
   }
--- a/test/fakes/fake_upstreams.h
+++ b/test/fakes/fake_upstreams.h
@@ -91,6 +91,7 @@
   registration.endpoint = {"127.0.0.1", 1};
   registration.failure_domain = FailureDomainId(domain);
   registration.slots = 4;
+  registration.software = "v1";
   return registration;
 }
 
--- a/test/item_scheduler_test.cc
+++ b/test/item_scheduler_test.cc
@@ -102,7 +102,7 @@
 std::vector<PlacedItem> PlaceAllItems(ItemScheduler& scheduler, Instant now) {
   return scheduler.Place(
       now, [](const BatchInfo&, const ItemRef&, const UpstreamId&) {
-        return std::optional(UpstreamId("u"));
+        return Placement(UpstreamId("u"));
       });
 }
 
--- a/test/item_speed_test.cc
+++ b/test/item_speed_test.cc
@@ -54,49 +54,60 @@
 Test(item_placement_policy, longest_items_go_to_fast_upstreams) {
   const std::vector<PlacementCandidate> candidates = {Candidate("slow", 63),
                                                       Candidate("fast", 47, 8)};
-  cr_assert_str_eq(
-      ChooseItemUpstream(candidates, {}, 1.0, 0.5)->id.value().c_str(), "fast");
-  cr_assert_str_eq(
-      ChooseItemUpstream(candidates, {}, 0.1, 0.5)->id.value().c_str(), "slow",
-      "short items leave the fast upstream to long ones");
+  cr_assert_str_eq(ChooseItemUpstream(candidates, std::nullopt, {}, 1.0, 0.5)
+                       ->id.value()
+                       .c_str(),
+                   "fast");
+  cr_assert_str_eq(ChooseItemUpstream(candidates, std::nullopt, {}, 0.1, 0.5)
+                       ->id.value()
+                       .c_str(),
+                   "slow", "short items leave the fast upstream to long ones");
 }
 
 Test(item_placement_policy, full_fast_upstream_is_no_better_than_a_slow_one) {
   const std::vector<PlacementCandidate> candidates = {
       Candidate("slow", 63), Candidate("fast", 47, 11)};
-  cr_assert_str_eq(
-      ChooseItemUpstream(candidates, {}, 1.0, 0.5)->id.value().c_str(), "slow");
+  cr_assert_str_eq(ChooseItemUpstream(candidates, std::nullopt, {}, 1.0, 0.5)
+                       ->id.value()
+                       .c_str(),
+                   "slow");
 }
 
 Test(item_placement_policy, unknown_speed_counts_as_average) {
   std::vector<PlacementCandidate> candidates = {
       Candidate("slow", 63), Candidate("unknown", 0), Candidate("fast", 47)};
   candidates[1].event_interval = std::nullopt;
-  cr_assert_str_eq(
-      ChooseItemUpstream(candidates, {}, 1.0, 0.5)->id.value().c_str(), "fast");
+  cr_assert_str_eq(ChooseItemUpstream(candidates, std::nullopt, {}, 1.0, 0.5)
+                       ->id.value()
+                       .c_str(),
+                   "fast");
   candidates.pop_back();
-  cr_assert(ChooseItemUpstream({}, {}, 1.0, 0.5) == nullptr);
+  cr_assert(ChooseItemUpstream({}, std::nullopt, {}, 1.0, 0.5) == nullptr);
 }
 
 Test(item_placement_policy, upstream_of_the_last_run_is_avoided) {
   std::vector<PlacementCandidate> candidates = {Candidate("last", 47),
                                                 Candidate("other", 63)};
   const UpstreamId last("last");
-  cr_assert_str_eq(
-      ChooseItemUpstream(candidates, last, 1.0, 0.5)->id.value().c_str(),
-      "other");
+  cr_assert_str_eq(ChooseItemUpstream(candidates, std::nullopt, last, 1.0, 0.5)
+                       ->id.value()
+                       .c_str(),
+                   "other");
   candidates.pop_back();
-  cr_assert_str_eq(
-      ChooseItemUpstream(candidates, last, 1.0, 0.5)->id.value().c_str(),
-      "last");
+  cr_assert_str_eq(ChooseItemUpstream(candidates, std::nullopt, last, 1.0, 0.5)
+                       ->id.value()
+                       .c_str(),
+                   "last");
 }
 
 Test(item_placement_policy, suspect_upstream_is_the_last_choice) {
   std::vector<PlacementCandidate> candidates = {Candidate("suspect", 47),
                                                 Candidate("slow", 160, 11)};
   candidates[0].suspect = true;
-  cr_assert_str_eq(
-      ChooseItemUpstream(candidates, {}, 1.0, 0.5)->id.value().c_str(), "slow");
+  cr_assert_str_eq(ChooseItemUpstream(candidates, std::nullopt, {}, 1.0, 0.5)
+                       ->id.value()
+                       .c_str(),
+                   "slow");
 }
 
 // A step of 96 items, a twelfth of them five times as long, on 45 upstreams of
@@ -122,7 +133,7 @@
       const double share =
           by_speed ? std::min(1.0, estimate / kLongEvents) : 0.0;
       const PlacementCandidate* chosen =
-          ChooseItemUpstream(candidates, {}, share, draw(random));
+          ChooseItemUpstream(candidates, std::nullopt, {}, share, draw(random));
       longest_ms = std::max(
           longest_ms,
           events * static_cast<double>(chosen->event_interval->count()) / 1e3);
