--- a/test/soak/proxy.cc
+++ b/test/soak/proxy.cc
@@ -18,6 +18,8 @@
 
 constexpr std::chrono::milliseconds kFlushInterval{5};
 constexpr int kBacklog = 64;
+// A queue for no connection takes one or two.
+constexpr int kFillers = 4;
 
 sockaddr_in AddressOf(const Endpoint& endpoint) {
   sockaddr_in address{};
@@ -46,12 +48,38 @@
   while (!links_.empty()) {
     Close(links_.front().get(), /*reset=*/true);
   }
+  CloseListener();
+}
+
+bool Proxy::Listen() {
+  flush_timer_ = loop_.Every(kFlushInterval, [this] { Flush(); });
+  return OpenListener();
+}
+
+void Proxy::CloseListener() {
+  for (const int filler : std::exchange(fillers_, {})) {
+    ResetOnClose(filler);
+    close(filler);
+  }
   if (listener_ != nullptr) {
-    evconnlistener_free(listener_);
+    evconnlistener_free(std::exchange(listener_, nullptr));
   }
 }
 
-bool Proxy::Listen() {
+void Proxy::FillBacklog() {
+  evconnlistener_disable(listener_);
+  listen(evconnlistener_get_fd(listener_), 0);
+  const sockaddr_in address = AddressOf(listen_);
+  for (int i = 0; i < kFillers; ++i) {
+    const int handle =
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    connect(handle, reinterpret_cast<const sockaddr*>(&address),
+            sizeof(address));
+    fillers_.push_back(handle);
+  }
+}
+
+bool Proxy::OpenListener() {
   const sockaddr_in address = AddressOf(listen_);
   listener_ = evconnlistener_new_bind(
       loop_.base(),
@@ -60,13 +88,19 @@
       },
       this, LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC,
       kBacklog, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-  flush_timer_ = loop_.Every(kFlushInterval, [this] { Flush(); });
   return listener_ != nullptr;
 }
 
 void Proxy::Set(LinkState state) {
   state_ = state;
-  if (state == LinkState::kReset) {
+  CloseListener();
+  if (state != LinkState::kRefuse && state != LinkState::kRefuseNew) {
+    OpenListener();
+  }
+  if (state == LinkState::kCut || state == LinkState::kCutAnswers) {
+    FillBacklog();
+  }
+  if (state == LinkState::kReset || state == LinkState::kRefuse) {
     while (!links_.empty()) {
       Close(links_.front().get(), /*reset=*/true);
     }
@@ -74,8 +108,17 @@
 }
 
 bool Proxy::passes(bool from_caller) const {
-  return state_ == LinkState::kPass || state_ == LinkState::kDelay ||
-         (state_ == LinkState::kOneWay && from_caller);
+  switch (state_) {
+    case LinkState::kPass:
+    case LinkState::kDelay:
+    case LinkState::kRefuseNew:
+      return true;
+    case LinkState::kOneWay:
+    case LinkState::kCutAnswers:
+      return from_caller;
+    default:
+      return false;
+  }
 }
 
 void Proxy::Accept(int handle) {
@@ -136,7 +179,8 @@
     piece.due += kDelayTime;
   }
   auto& queue = from_caller ? link->to_target : link->to_caller;
-  const bool at_once = queue.empty() && state_ == LinkState::kPass;
+  const bool at_once =
+      queue.empty() && passes(from_caller) && state_ != LinkState::kDelay;
   if (at_once) {
     bufferevent_write(from_caller ? link->target : link->caller,
                       piece.bytes.data(), piece.bytes.size());
--- a/test/soak/proxy.h
+++ b/test/soak/proxy.h
@@ -28,6 +28,14 @@
   kOneWay,
   /// Connections are reset at once.
   kReset,
+  /// Nothing passes, and new connections are not established.
+  kCut,
+  /// As kCut, but requests on open connections pass.
+  kCutAnswers,
+  /// Open connections are reset, new ones refused.
+  kRefuse,
+  /// Open connections pass, new ones are refused.
+  kRefuseNew,
 };
 
 class Proxy {
@@ -58,6 +66,11 @@
     std::deque<Piece> to_caller;
   };
 
+  bool OpenListener();
+  void CloseListener();
+  /// Fills the queue of connections to accept, so that the kernel answers no
+  /// new one.
+  void FillBacklog();
   void Accept(int handle);
   void Take(Link* link, bool from_caller);
   void Close(Link* link, bool reset);
@@ -70,6 +83,8 @@
   LinkState state_ = LinkState::kPass;
   int accepted_ = 0;
   evconnlistener* listener_ = nullptr;
+  /// Connections of FillBacklog.
+  std::list<int> fillers_;
   std::list<std::unique_ptr<Link>> links_;
   base::Timer flush_timer_;
 };
