Send requests through a peer while a node has lost its links to upstreams

Callers saw: 503 after 11 ms, or after 0.8 to 1 s, or no answer at all, at nodes that lost their links to all upstreams; the same upstreams answered the other nodes. Cause: a node reached upstreams over its own links only, and took a lost link for an upstream that is down. The class: a node's own fault is charged to those whom it observes. Change: LinkMonitor tells lost links from upstreams that are down; ForwardingCaller sends single attempts through a peer, for callers, items and scorer calls alike; ForwardServer sends them on once.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -138,9 +138,9 @@
 
   // Reuses the connection that was idle the longest, so that with bursts of
   // varying size no connection reaches its idle timeout.
-  std::unique_ptr<Connection> Acquire(const Endpoint& endpoint) {
+  std::unique_ptr<Connection> Acquire(const Endpoint& endpoint, bool fresh) {
     auto& idle = idle_[endpoint];
-    while (!idle.empty()) {
+    while (!fresh && !idle.empty()) {
       IdleConnection candidate = std::move(idle.front());
       idle.pop_front();
       if (!candidate.connection->broken() &&
@@ -189,7 +189,7 @@
 
   void Start() {
     self_ = shared_from_this();
-    connection_ = pool_->Acquire(request_.endpoint);
+    connection_ = pool_->Acquire(request_.endpoint, request_.fresh_connection);
     output_ = bufferevent_get_output(
         evhttp_connection_get_bufferevent(connection_->native()));
     output_callback_ = evbuffer_add_cb(output_, OnOutputChanged, this);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -61,6 +61,8 @@
   /// request. Its connection is then not used again, as the own response may
   /// still arrive on it.
   std::function<bool(const Response&)> is_own_response;
+  /// Opens a new connection instead of using an idle one.
+  bool fresh_connection = false;
   /// If set, called when the request is about to be written, which is after its
   /// connection is established. If it returns false, no byte is sent and the
   /// request fails as not run.
--- /dev/null
+++ b/src/node/forwarding_caller.h
@@ -0,0 +1,111 @@
+// Sends requests to upstreams, through a peer while this node has lost its
+// links to them.
+
+#ifndef MULBERRYROAD_SRC_NODE_FORWARDING_CALLER_H_
+#define MULBERRYROAD_SRC_NODE_FORWARDING_CALLER_H_
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+#include <vector>
+
+#include "base/event_loop.h"
+#include "base/metrics.h"
+#include "base/structured_log.h"
+#include "http/client.h"
+#include "mulberryroad/clock.h"
+#include "node/peer_pool.h"
+#include "serving/link_monitor.h"
+#include "serving/upstream_caller.h"
+#include "serving/upstream_statements.h"
+
+namespace mulberryroad::node {
+
+/// One request is one attempt at one upstream, whichever way it takes: a peer
+/// sends it to that upstream once, and forwards it no further. Runs on the
+/// event loop thread.
+class ForwardingCaller final : public serving::UpstreamCaller {
+ public:
+  /// @param direct sends requests over this node's own links
+  ForwardingCaller(base::EventLoop& loop, const Clock& clock,
+                   base::StructuredLog& log, base::Metrics& metrics,
+                   http::Client& client, std::mt19937_64& random,
+                   serving::UpstreamCaller& direct,
+                   const serving::UpstreamDirectory& directory,
+                   serving::UpstreamStatements& statements);
+  ~ForwardingCaller() override;
+  ForwardingCaller(const ForwardingCaller&) = delete;
+  ForwardingCaller& operator=(const ForwardingCaller&) = delete;
+
+  /// Starts to try lost links.
+  void Start();
+  /// Replaces the addresses of the peers.
+  void SetPeers(const std::vector<Endpoint>& peers) { peers_.SetPeers(peers); }
+
+  std::shared_ptr<http::Call> Send(
+      const serving::Registration& upstream,
+      const serving::OutgoingRequest& request, serving::CallOptions options,
+      std::function<void(serving::UpstreamOutcome)> on_done) override;
+  /// Sends a request over this node's own link only.
+  std::shared_ptr<http::Call> SendDirect(
+      const serving::Registration& upstream,
+      const serving::OutgoingRequest& request, serving::CallOptions options,
+      std::function<void(serving::UpstreamOutcome)> on_done);
+  void Probe(const serving::Registration& upstream,
+             std::chrono::milliseconds timeout,
+             std::function<void(bool)> on_result) override;
+
+  const serving::LinkMonitor& links() const { return links_; }
+
+  /// Number of peers that are asked for one request.
+  static constexpr std::size_t kMaxPeersAsked = 3;
+  /// Number of peers that cannot connect to an upstream either from which it
+  /// counts as down.
+  static constexpr std::size_t kMinPeersForDown = 2;
+  static constexpr std::chrono::milliseconds kPeerConnectTimeout{200};
+  /// Time that a peer gets beyond the deadline of the request, so that its own
+  /// outcome arrives first.
+  static constexpr std::chrono::milliseconds kDeadlineMargin{50};
+  /// Time without any answer from any upstream after which the link to one that
+  /// has a request is tried with a new connection.
+  static constexpr std::chrono::milliseconds kSilenceTime{200};
+  static constexpr std::chrono::milliseconds kProbeTimeout{300};
+  static constexpr std::chrono::milliseconds kTickInterval{50};
+
+ private:
+  class ForwardedCall;
+
+  void OnOutcome(const UpstreamId& id, const serving::UpstreamOutcome& outcome);
+  void OnReached(const UpstreamId& id);
+  void OnUnreachable(const UpstreamId& id, const std::string& reason);
+  /// Tries the link to an upstream whose request has no answer, unless another
+  /// upstream answered meanwhile.
+  void ProbeIfSilent(const UpstreamId& id, Instant sent);
+  void ProbeLink(const UpstreamId& id);
+  void Tick();
+
+  base::EventLoop& loop_;
+  const Clock& clock_;
+  base::StructuredLog& log_;
+  base::Metrics& metrics_;
+  http::Client& client_;
+  std::mt19937_64& random_;
+  serving::UpstreamCaller& direct_;
+  const serving::UpstreamDirectory& directory_;
+  serving::UpstreamStatements& statements_;
+  serving::LinkMonitor links_;
+  PeerPool peers_;
+  std::set<UpstreamId> probing_;
+  Instant last_answer_{};
+  std::size_t logged_lost_links_ = 0;
+  bool logged_cut_off_ = false;
+  base::Timer tick_timer_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace mulberryroad::node
+
+#endif  // MULBERRYROAD_SRC_NODE_FORWARDING_CALLER_H_
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <csignal>
 #include <random>
+#include <set>
 #include <utility>
 
 #include "base/digest.h"
@@ -20,6 +21,8 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "node/crash_exchange.h"
+#include "node/forward_server.h"
+#include "node/forwarding_caller.h"
 #include "node/peer_view.h"
 #include "node/permit_exchange.h"
 #include "node/shared_records.h"
@@ -57,6 +60,8 @@
 // exits.
 constexpr milliseconds kFinalFlushTime{150};
 constexpr milliseconds kExpireInterval{100};
+// Peers change as nodes start and stop.
+constexpr milliseconds kPeersInterval{1'000};
 // The owner of this batch partition deletes expired shared records.
 constexpr int kCleaningPartition = 0;
 // The settings file may change without a SIGHUP. The interval can be long,
@@ -143,6 +148,8 @@
   base::DrainSteps MakeDrainSteps();
   void CountUsage(const OrganisationId& organisation);
   void RegisterReadiness();
+  /// Updates the nodes that may forward requests to upstreams.
+  void UpdatePeers();
   enum class ReloadCause { kSignal, kTimer };
   void Reload(ReloadCause cause);
 
@@ -172,6 +179,8 @@
   CrashExchange crashes_;
   StreamOriginExchange origins_;
   UpstreamWatch upstream_watch_;
+  ForwardingCaller upstreams_;
+  ForwardServer forward_server_;
   serving::ServingContext serving_;
   batches::BatchContext batch_context_;
   std::shared_ptr<batches::BatchClient> batch_client_;
@@ -193,6 +202,7 @@
   base::Drain drain_;
   base::Timer expire_timer_;
   base::Timer reload_timer_;
+  base::Timer peers_timer_;
 };
 
 Node::Impl::Impl(Settings settings,
@@ -226,6 +236,10 @@
                [this] { return OwnsPartition(kCleaningPartition); }),
       upstream_watch_(clock_, log_, metrics_, directory_, request_loads_,
                       item_loads_, statements_),
+      upstreams_(loop_, clock_, log_, metrics_, client_, random_,
+                 upstream_client_, directory_, statements_),
+      forward_server_(clock_, log_, metrics_, upstreams_, directory_,
+                      statements_, [this] { return drain_.begun(); }),
       serving_{loop_,
                clock_,
                log_,
@@ -237,7 +251,7 @@
                crash_evidence_,
                crashes_,
                origins_,
-               upstream_client_,
+               upstreams_,
                settings_.node.value(),
                settings_.failure_domain,
                random_,
@@ -254,7 +268,7 @@
                      request_loads_,
                      scorer_limits_,
                      permits_,
-                     upstream_client_,
+                     upstreams_,
                      settings_.failure_domain,
                      random_,
                      platform_adapter::ReadItemHeaders,
@@ -505,6 +519,7 @@
     peers_.Register(*peer_server_);
     store_relay_.Register(*peer_server_);
     permits_.Register(*peer_server_);
+    forward_server_.Register(*peer_server_);
     if (!peer_server_->Listen(*settings_.peer_address)) {
       *reason = "cannot listen on " + ToString(*settings_.peer_address);
       return false;
@@ -534,12 +549,26 @@
   statement_exchange_.Start();
   crashes_.Start();
   origins_.Start();
+  upstreams_.Start();
+  UpdatePeers();
+  peers_timer_ = loop_.Every(kPeersInterval, [this] { UpdatePeers(); });
   shared_.Start();
   expire_timer_ =
       loop_.Every(kExpireInterval, [this] { directory_.Expire(clock_.now()); });
   return true;
 }
 
+void Node::Impl::UpdatePeers() {
+  std::set<Endpoint> peers = permits_.owner_addresses();
+  for (const Endpoint& seed : settings_.seeds) {
+    peers.insert(seed);
+  }
+  if (settings_.peer_address.has_value()) {
+    peers.erase(*settings_.peer_address);
+  }
+  upstreams_.SetPeers({peers.begin(), peers.end()});
+}
+
 void Node::Impl::Reload(ReloadCause cause) {
   const bool by_signal = cause == ReloadCause::kSignal;
   const SettingsResult read = reload_settings_();
@@ -573,7 +602,9 @@
     callers_.BeginDrain();
   };
   steps.stop_accepting = [this] { callers_.StopAccepting(); };
-  steps.open_requests = [this] { return callers_.open_exchanges(); };
+  steps.open_requests = [this] {
+    return callers_.open_exchanges() + forward_server_.open();
+  };
   steps.refuse = [this] {
     stopping_ = true;
     usage_.Flush();
--- a/src/node/permit_exchange.cc
+++ b/src/node/permit_exchange.cc
@@ -79,6 +79,14 @@
   });
 }
 
+std::set<Endpoint> PermitExchange::owner_addresses() const {
+  std::set<Endpoint> addresses;
+  for (const auto& [partition, address] : owners_) {
+    addresses.insert(address);
+  }
+  return addresses;
+}
+
 int PermitExchange::PartitionOf(const UpstreamId& id) const {
   return static_cast<int>(base::StableHash(id.value()) %
                           static_cast<std::uint64_t>(partitions_));
--- a/src/node/permit_exchange.h
+++ b/src/node/permit_exchange.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -61,6 +62,8 @@
   void Register(http::Server& server);
   /// Starts to follow the owners of the partitions.
   void Start();
+  /// Returns the addresses of the nodes that own partitions.
+  std::set<Endpoint> owner_addresses() const;
 
   void Acquire(std::vector<UpstreamId> candidates,
                serving::RequestPriority priority,
--- /dev/null
+++ b/src/serving/link_monitor.cc
@@ -0,0 +1,116 @@
+#include "serving/link_monitor.h"
+
+#include <algorithm>
+
+namespace mulberryroad::serving {
+
+void LinkMonitor::OnReached(const UpstreamId& id, Instant now) {
+  Link& link = links_[id];
+  if (link.failing_since.has_value()) {
+    recovered_ = now;
+  }
+  link = Link{};
+  link.last_evidence = now;
+  last_reached_ = now;
+}
+
+void LinkMonitor::OnUnreachable(const UpstreamId& id, Instant now) {
+  Link& link = links_[id];
+  link.last_evidence = now;
+  if (!link.failing_since.has_value()) {
+    link.failing_since = now;
+  }
+}
+
+void LinkMonitor::OnReachedByPeer(const UpstreamId& id, Instant now) {
+  Link& link = links_[id];
+  link.last_evidence = now;
+  link.reached_by_peer = link.failing_since.has_value();
+  link.peer_failed.reset();
+}
+
+void LinkMonitor::OnUnreachableByPeer(const UpstreamId& id, Instant now) {
+  Link& link = links_[id];
+  link.last_evidence = now;
+  link.reached_by_peer = false;
+  link.peer_failed = now;
+}
+
+bool LinkMonitor::IsDown(const Link& link, Instant now) const {
+  return link.peer_failed.has_value() && now < *link.peer_failed + kDownTime;
+}
+
+LinkPath LinkMonitor::path(const UpstreamId& id, Instant now) const {
+  const auto found = links_.find(id);
+  if (found != links_.end()) {
+    const Link& link = found->second;
+    if (IsDown(link, now)) {
+      return LinkPath::kDirect;
+    }
+    if (link.failing_since.has_value()) {
+      return LinkPath::kPeer;
+    }
+  }
+  return cut_off() ? LinkPath::kPeer : LinkPath::kDirect;
+}
+
+bool LinkMonitor::cut_off() const {
+  std::size_t tried = 0;
+  std::size_t lost = 0;
+  std::optional<Instant> first;
+  for (const auto& [id, link] : links_) {
+    ++tried;
+    if (link.failing_since.has_value() && link.reached_by_peer) {
+      ++lost;
+      first =
+          std::min(first.value_or(*link.failing_since), *link.failing_since);
+    }
+  }
+  return lost >= std::min(kMinLostLinks, tried) && first.has_value() &&
+         (!last_reached_.has_value() || *last_reached_ < *first);
+}
+
+std::vector<UpstreamId> LinkMonitor::TakeProbes(Instant now) {
+  std::vector<UpstreamId> probes;
+  const bool recovering =
+      recovered_.has_value() && now < *recovered_ + kRecoveryTime;
+  if (!recovering && now < last_probe_ + kProbeInterval) {
+    return probes;
+  }
+  Link* next = nullptr;
+  const UpstreamId* next_id = nullptr;
+  for (auto& [id, link] : links_) {
+    if (!link.failing_since.has_value()) {
+      continue;
+    }
+    if (recovering && now >= link.probed + kProbeInterval) {
+      link.probed = now;
+      probes.push_back(id);
+    } else if (!recovering && (next == nullptr || link.probed < next->probed)) {
+      next = &link;
+      next_id = &id;
+    }
+  }
+  if (next != nullptr) {
+    next->probed = now;
+    last_probe_ = now;
+    probes.push_back(*next_id);
+  }
+  return probes;
+}
+
+void LinkMonitor::Expire(Instant now) {
+  std::erase_if(links_, [now](const auto& entry) {
+    return entry.second.last_evidence + kMaxAge < now;
+  });
+}
+
+std::size_t LinkMonitor::lost_links() const {
+  return static_cast<std::size_t>(
+      std::count_if(links_.begin(), links_.end(), [](const auto& entry) {
+        return entry.second.failing_since.has_value() &&
+               entry.second.reached_by_peer;
+      }));
+}
+
+}  // namespace mulberryroad::serving
--- a/src/serving/request_session.cc
+++ b/src/serving/request_session.cc
@@ -413,9 +413,11 @@
       session.DeliverResponse(number, std::get<CompleteResponse>(outcome));
     }
     void operator()(const FailNotRun&) const {
+      const auto* not_run = std::get_if<NotRun>(&outcome);
       session.ReplyNotRun(
           "every upstream tried refused the request or could not be reached",
-          kRetryAfterFull);
+          not_run != nullptr && not_run->unreachable ? kRetryAfterUnreachable
+                                                     : kRetryAfterFull);
     }
     void operator()(const FailMayHaveRun&) const {
       if (session.time_left() <= milliseconds(0)) {
--- a/src/serving/request_session.h
+++ b/src/serving/request_session.h
@@ -96,6 +96,9 @@
   /// Retry-After delay when a service has no upstreams: registrations take
   /// about this long to reach all nodes.
   static constexpr std::chrono::milliseconds kRetryAfterNoUpstream{500};
+  /// Retry-After delay when no connection to an upstream can be established,
+  /// directly or through a peer: lost links are tried about this often.
+  static constexpr std::chrono::milliseconds kRetryAfterUnreachable{250};
   /// Longest wait for a rate limit, as a share of the target latency. A caller
   /// that would wait longer does better to return later.
   static constexpr double kPermitWaitShare = 0.5;
--- a/src/serving/upstream_caller.h
+++ b/src/serving/upstream_caller.h
@@ -44,6 +44,8 @@
   /// Whether the upstream refused because it had no free slot or was loading
   /// weights.
   bool full = false;
+  /// Whether no connection to the upstream could be established.
+  bool unreachable = false;
 };
 /// No complete response arrived: the request may have run.
 struct MayHaveRun {
@@ -111,6 +113,12 @@
   virtual std::shared_ptr<http::Call> Send(
       const Registration& upstream, const OutgoingRequest& request,
       CallOptions options, std::function<void(UpstreamOutcome)> on_done) = 0;
+  /// Opens a new connection to an upstream and sends nothing.
+  /// @param on_result called once, never from inside Probe, with whether the
+  ///     connection was established
+  virtual void Probe(const Registration& upstream,
+                     std::chrono::milliseconds timeout,
+                     std::function<void(bool reached)> on_result) = 0;
 };
 
 }  // namespace mulberryroad::serving
--- a/test/fakes/fake_upstreams.h
+++ b/test/fakes/fake_upstreams.h
@@ -47,6 +47,12 @@
     return std::make_shared<FakeCall>(received);
   }
 
+  void Probe(const serving::Registration& /*upstream*/,
+             std::chrono::milliseconds /*timeout*/,
+             std::function<void(bool)> on_result) override {
+    loop_.Post([on_result = std::move(on_result)] { on_result(true); });
+  }
+
   /// Streams events with the ids after the resumed one up to `last`; the ids
   /// start at 1.
   static void SendEvents(ReceivedRequest& received, int last,
--- a/test/fakes/linked_nodes.h
+++ b/test/fakes/linked_nodes.h
@@ -23,6 +23,8 @@
 #include "fakes/fake_upstreams.h"
 #include "fakes/free_port.h"
 #include "fakes/loop_wait.h"
+#include "node/forward_server.h"
+#include "node/forwarding_caller.h"
 #include "platform/headers.h"
 #include "platform/names.h"
 #include "platform/upstream_client.h"
@@ -92,7 +94,8 @@
       : loop(l),
         log(clock, NodeId(name)),
         link(l, {"127.0.0.1", FreePort()}, upstream.address),
-        server(l, {}) {
+        server(l, {}),
+        peer_server(l, {}) {
     cr_assert(link.Listen());
     serving::Registration registration = MakeUpstream("u1", "desk");
     registration.endpoint = link.endpoint();
@@ -102,6 +105,9 @@
           Serve(exchange);
         });
     cr_assert(server.Listen(address));
+    forward_server.Register(peer_server);
+    cr_assert(peer_server.Listen(peer_address));
+    caller.Start();
   }
 
   void Serve(const std::shared_ptr<http::Exchange>& exchange) {
@@ -143,6 +149,14 @@
   FakeStreamOrigins origins;
   std::mt19937_64 random{1};
   platform_adapter::UpstreamClient upstream_client{client, clock, statements};
+  node::ForwardingCaller caller{
+      loop,   clock,           log,       metrics,   client,
+      random, upstream_client, directory, statements};
+  bool stopping = false;
+  node::ForwardServer forward_server{
+      clock, log, metrics, caller, directory, statements, [this] {
+        return stopping;
+      }};
   serving::ServingContext context{loop,
                                   clock,
                                   log,
@@ -154,7 +168,7 @@
                                   crashes,
                                   crash_reporter,
                                   origins,
-                                  upstream_client,
+                                  caller,
                                   "node",
                                   FailureDomainId("d1"),
                                   random,
@@ -162,6 +176,8 @@
                                   platform_adapter::RetryAfter};
   Endpoint address{"127.0.0.1", FreePort()};
   http::Server server;
+  Endpoint peer_address{"127.0.0.1", FreePort()};
+  http::Server peer_server;
 };
 
 /// An upstream and some nodes, with a caller.
@@ -172,6 +188,15 @@
       nodes.push_back(std::make_unique<LinkedNode>(
           loop, upstream, "node-" + std::to_string(i)));
     }
+    for (const auto& node : nodes) {
+      std::vector<Endpoint> peers;
+      for (const auto& peer : nodes) {
+        if (peer != node) {
+          peers.push_back(peer->peer_address);
+        }
+      }
+      node->caller.SetPeers(peers);
+    }
   }
 
   /// Sends a request to a node without waiting for its response.
