Yield the duties while a node depends on peers for its upstreams

Trainers saw: steps that came seconds late or never, while the holder of the duties had lost its links: weights were not loaded, since orders go to upstreams from one node only and cannot be forwarded by a peer. Cause: the same as for callers' requests; the lease depended on the store alone, which the node still reached. Change: a node that is cut off and that peers have served within 2 s releases the lease and does not claim it. Where no peer can serve, the lease stays.

--- a/src/duties/duty_lease.cc
+++ b/src/duties/duty_lease.cc
@@ -92,6 +92,14 @@
   return record;
 }
 
+std::optional<v1::DutyRecord> DutyLease::Yield(Instant now) {
+  auto record = Release(now);
+  if (record.has_value()) {
+    earliest_claim_ = now + timing_.reclaim_delay;
+  }
+  return record;
+}
+
 std::optional<std::uint64_t> DutyLease::epoch(Instant now) const {
   if (!is_holder() || now >= term_end_ - timing_.margin) {
     return std::nullopt;
--- a/src/duties/duty_lease.h
+++ b/src/duties/duty_lease.h
@@ -71,6 +71,10 @@
   /// lease again.
   std::optional<v1::DutyRecord> Release(Instant now);
 
+  /// Like Release, but this process may claim the lease again after
+  /// LeaseTiming::reclaim_delay.
+  std::optional<v1::DutyRecord> Yield(Instant now);
+
   /// Maximum number of earlier holders' VMs listed in a record.
   static constexpr int kMaxEarlierNodes = 4;
 
--- a/src/duties/lease_runner.cc
+++ b/src/duties/lease_runner.cc
@@ -14,13 +14,15 @@
 LeaseRunner::LeaseRunner(base::EventLoop& loop, const Clock& clock,
                          base::StructuredLog& log,
                          platform::PartitionStore& store, DutyLease lease,
-                         std::function<int()> calls_in_flight)
+                         std::function<int()> calls_in_flight,
+                         std::function<bool()> able)
     : loop_(loop),
       clock_(clock),
       log_(log),
       store_(store),
       lease_(std::move(lease)),
-      calls_in_flight_(std::move(calls_in_flight)) {
+      calls_in_flight_(std::move(calls_in_flight)),
+      able_(std::move(able)) {
   store::TailHandler handler;
   handler.on_snapshot =
       [this](const std::vector<platform::KeyedRecord>& records) {
@@ -71,6 +73,16 @@
   if (!tail_->caught_up()) {
     return;
   }
+  if (!able_()) {
+    if (epoch.has_value()) {
+      log_.Write("lease.yield",
+                 {{"epoch", static_cast<std::int64_t>(*epoch)},
+                  {"reason", "the node reaches no upstream itself"}});
+      pending_release_ = lease_.Yield(clock_.now());
+      TryRelease();
+    }
+    return;
+  }
   const LeaseStep step = lease_.Tick(clock_.now());
   if (const auto* write = std::get_if<WriteLease>(&step)) {
     AppendRecord(write->record);
@@ -96,7 +108,8 @@
     return;
   }
   if (calls_in_flight_() > 0) {
-    timer_ = loop_.After(kReleaseCheckInterval, [this] { TryRelease(); });
+    release_timer_ =
+        loop_.After(kReleaseCheckInterval, [this] { TryRelease(); });
     return;
   }
   log_.Write("lease.release",
--- a/src/duties/lease_runner.h
+++ b/src/duties/lease_runner.h
@@ -30,9 +30,12 @@
  public:
   /// @param calls_in_flight returns the number of fenced calls without an
   ///     outcome
+  /// @param able returns whether this node can carry out the duties; otherwise
+  ///     it yields the lease and does not claim it
   LeaseRunner(base::EventLoop& loop, const Clock& clock,
               base::StructuredLog& log, platform::PartitionStore& store,
-              DutyLease lease, std::function<int()> calls_in_flight);
+              DutyLease lease, std::function<int()> calls_in_flight,
+              std::function<bool()> able);
   ~LeaseRunner();
   LeaseRunner(const LeaseRunner&) = delete;
   LeaseRunner& operator=(const LeaseRunner&) = delete;
@@ -68,8 +71,10 @@
   platform::PartitionStore& store_;
   DutyLease lease_;
   std::function<int()> calls_in_flight_;
+  std::function<bool()> able_;
   /// Release of the lease that waits for calls in flight.
   std::optional<v1::DutyRecord> pending_release_;
+  base::Timer release_timer_;
   std::shared_ptr<store::KeyedTail> tail_;
   base::Timer timer_;
   /// Epoch that was logged last.
--- a/src/node/forwarding_caller.cc
+++ b/src/node/forwarding_caller.cc
@@ -192,6 +192,7 @@
       }
       caller_.links_.OnUnreachableByPeer(upstream_.id, now);
     } else {
+      caller_.last_forwarded_ = now;
       caller_.links_.OnReachedByPeer(upstream_.id, now);
     }
     Finish(DecodeOutcome(*outcome_));
@@ -324,6 +325,11 @@
   direct_.Probe(upstream, timeout, std::move(on_result));
 }
 
+bool ForwardingCaller::depends_on_peers() const {
+  return links_.cut_off() && last_forwarded_.has_value() &&
+         clock_.now() < *last_forwarded_ + kForwardedMaxAge;
+}
+
 void ForwardingCaller::OnOutcome(const UpstreamId& id,
                                  const UpstreamOutcome& outcome) {
   if (std::holds_alternative<serving::CompleteResponse>(outcome)) {
--- a/src/node/forwarding_caller.h
+++ b/src/node/forwarding_caller.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <vector>
@@ -59,6 +60,9 @@
              std::function<void(bool)> on_result) override;
 
   const serving::LinkMonitor& links() const { return links_; }
+  /// Returns whether only peers reach the upstreams: this node is cut off, and
+  /// a peer forwarded a request lately.
+  bool depends_on_peers() const;
 
   /// Number of peers that are asked for one request.
   static constexpr std::size_t kMaxPeersAsked = 3;
@@ -74,6 +78,9 @@
   static constexpr std::chrono::milliseconds kSilenceTime{200};
   static constexpr std::chrono::milliseconds kProbeTimeout{300};
   static constexpr std::chrono::milliseconds kTickInterval{50};
+  /// Time since the last forwarded request for which the peers' links count as
+  /// working.
+  static constexpr std::chrono::milliseconds kForwardedMaxAge{2'000};
 
  private:
   class ForwardedCall;
@@ -100,6 +107,7 @@
   PeerPool peers_;
   std::set<UpstreamId> probing_;
   Instant last_answer_{};
+  std::optional<Instant> last_forwarded_;
   std::size_t logged_lost_links_ = 0;
   bool logged_cut_off_ = false;
   base::Timer tick_timer_;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -279,14 +279,16 @@
       batch_host_(batch_context_, MemberName(process_, settings_.peer_address),
                   IsSmallVm(settings_)),
       usage_counts_(process_, settings_.usage_window),
-      lease_(loop_, clock_, log_, store_,
-             duties::DutyLease(
-                 settings_.node.value(), process_,
-                 {.reclaim_delay = settings_.lease_duration + milliseconds(500),
-                  .claim_delay = IsSmallVm(settings_) ? kSmallVmLeaseDelay
-                                                      : milliseconds(0)},
-                 clock_.now()),
-             [this] { return duty_client_.calls_in_flight(); }),
+      lease_(
+          loop_, clock_, log_, store_,
+          duties::DutyLease(
+              settings_.node.value(), process_,
+              {.reclaim_delay = settings_.lease_duration + milliseconds(500),
+               .claim_delay =
+                   IsSmallVm(settings_) ? kSmallVmLeaseDelay : milliseconds(0)},
+              clock_.now()),
+          [this] { return duty_client_.calls_in_flight(); },
+          [this] { return !upstreams_.depends_on_peers(); }),
       weights_(loop_, clock_, log_, metrics_, duty_client_, directory_,
                catalog_, settings_.node.value(),
                [this] { return lease_.epoch(); }),
--- a/test/duty_lease_test.cc
+++ b/test/duty_lease_test.cc
@@ -123,6 +123,20 @@
   cr_assert_eq(Write(other, At(510)).epoch(), 2);
 }
 
+Test(duty_lease, yielded_lease_returns_only_after_the_reclaim_delay) {
+  const LeaseTiming timing;
+  DutyLease holder("a", "a/1", timing, At(0));
+  holder.OnRecord(Write(holder, At(0)), At(4));
+  const auto release = holder.Yield(At(500));
+  cr_assert(release.has_value());
+  cr_expect(!holder.epoch(At(500)).has_value());
+  holder.OnRecord(*release, At(505));
+  const Instant end = At(505) + timing.reclaim_delay;
+  cr_expect(
+      std::holds_alternative<NoWrite>(holder.Tick(end - milliseconds(1))));
+  cr_expect(std::holds_alternative<WriteLease>(holder.Tick(end)));
+}
+
 // Two holders would both perform the duties. Three processes write to a
 // partition with conditional appends whose acknowledgements and records are
 // delayed, and processes pause; at no instant do two hold the lease.
@@ -308,10 +322,14 @@
   base::StructuredLog log{clock, NodeId("a")};
   fakes::MemoryStore store{loop};
   int calls_in_flight = 0;
-  LeaseRunner runner{
-      loop, clock, log, store, DutyLease("a", "a/1", {}, clock.now()), [this] {
-        return calls_in_flight;
-      }};
+  bool able = true;
+  LeaseRunner runner{loop,
+                     clock,
+                     log,
+                     store,
+                     DutyLease("a", "a/1", {}, clock.now()),
+                     [this] { return calls_in_flight; },
+                     [this] { return able; }};
 
   bool released() {
     v1::DutyRecord record;
@@ -339,5 +357,16 @@
       fakes::RunUntil(fixture.loop, [&fixture] { return fixture.released(); }));
 }
 
+Test(lease_runner, node_without_links_keeps_the_duties) {
+  RunnerFixture fixture;
+  fixture.runner.Start();
+  cr_assert(fakes::RunUntil(
+      fixture.loop, [&fixture] { return fixture.runner.epoch().has_value(); }));
+  fixture.able = false;
+  cr_expect(
+      fakes::RunUntil(fixture.loop, [&fixture] { return fixture.released(); }));
+  cr_expect(!fixture.runner.epoch().has_value());
+}
+
 }  // namespace
 }  // namespace mulberryroad::duties
