Let the kernel close connections to machines that are cut off

Nothing set keep-alive probes or TCP_USER_TIMEOUT. Change: probes after 2 s, three of them 1 s apart, on every connection; TCP_USER_TIMEOUT of the same 5 s on those that the node opens. Not on accepted ones: callers that read slowly are sound.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -12,6 +12,7 @@
 #include <deque>
 #include <utility>
 
+#include "http/socket_options.h"
 #include "http/text.h"
 
 namespace mulberryroad::http {
@@ -119,6 +120,14 @@
 
   evhttp_connection* native() const { return native_; }
   bool broken() const { return broken_; }
+  /// Sets the options of the socket once it is connected.
+  void SetOptionsOnce() {
+    if (!std::exchange(has_options_, true)) {
+      CloseWhenCutOff(
+          bufferevent_getfd(evhttp_connection_get_bufferevent(native_)),
+          SocketSide::kClient);
+    }
+  }
   bool HasUnreadBytes() const {
     return evbuffer_get_length(bufferevent_get_input(
                evhttp_connection_get_bufferevent(native_))) > 0;
@@ -127,6 +136,7 @@
  private:
   evhttp_connection* native_;
   bool broken_ = false;
+  bool has_options_ = false;
 };
 
 /// Idle connections by endpoint.
@@ -255,6 +265,9 @@
       self->connect_timer_.Cancel();
     }
     const bool first_bytes = info->n_added > 0 && info->orig_size == 0;
+    if (first_bytes) {
+      self->connection_->SetOptionsOnce();
+    }
     if (first_bytes && !self->sent_ && self->request_.may_write &&
         !self->request_.may_write()) {
       // evhttp enables writing after this callback; only the socket itself can
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -13,6 +13,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "http/socket_options.h"
 #include "http/text.h"
 
 namespace mulberryroad::http {
@@ -404,6 +405,9 @@
     evhttp_send_error(native, HTTP_BADMETHOD, nullptr);
     return;
   }
+  CloseWhenCutOff(bufferevent_getfd(evhttp_connection_get_bufferevent(
+                      evhttp_request_get_connection(native))),
+                  SocketSide::kServer);
   if (limits_changed_) {
     const timeval timeout = ToTimeval(limits_.client_timeout);
     evhttp_connection_set_timeout_tv(evhttp_request_get_connection(native),
--- /dev/null
+++ b/src/http/socket_options.h
@@ -0,0 +1,33 @@
+// Options of the sockets of connections.
+
+#ifndef MULBERRYROAD_SRC_HTTP_SOCKET_OPTIONS_H_
+#define MULBERRYROAD_SRC_HTTP_SOCKET_OPTIONS_H_
+
+#include <chrono>
+
+namespace mulberryroad::http {
+
+/// Time without traffic after which the kernel sends keep-alive probes.
+inline constexpr std::chrono::seconds kKeepAliveIdle{2};
+inline constexpr std::chrono::seconds kKeepAliveInterval{1};
+/// Unanswered probes after which the connection is closed.
+inline constexpr int kKeepAliveProbes = 3;
+/// Time without an acknowledgement of sent data after which the connection is
+/// closed. Linux ends keep-alive probes by it as well.
+inline constexpr std::chrono::milliseconds kUnacknowledgedTimeout{5'000};
+
+enum class SocketSide {
+  /// The node opened the connection.
+  kClient,
+  /// The node accepted it. A caller that reads slowly holds back
+  /// acknowledgements, so that only unanswered probes close the connection.
+  kServer,
+};
+
+/// Makes the kernel close a connection whose other end is gone or cut off.
+/// Options that the system does not support are left out.
+void CloseWhenCutOff(int socket, SocketSide side);
+
+}  // namespace mulberryroad::http
+
+#endif  // MULBERRYROAD_SRC_HTTP_SOCKET_OPTIONS_H_
