Soak: streams over two software versions; links: counters and idle connections

Cause: streams that resume were in no soak run. Idle connections were closed at each failed connection, also of an upstream that is merely overloaded. Change: the soak's engines run two versions, callers of streams resume at any node, and no stream may hold events of two versions or out of order; the text check of items takes the version of their first event. The monitor walks failing links only; idle connections are closed once a lost link works again; request.forwarded names the age of the loss.

--- a/src/node/forwarding_caller.cc
+++ b/src/node/forwarding_caller.cc
@@ -208,6 +208,9 @@
                          ? v1::ForwardedOutcome::Kind_Name(outcome_->kind())
                          : "none"},
          {"reason", reason},
+         {"unreachable_ms",
+          caller_.links_.unreachable_for(upstream_.id, caller_.clock_.now())
+              .count()},
          {"lost_links",
           static_cast<std::int64_t>(caller_.links_.lost_links())}});
   }
@@ -274,6 +277,8 @@
 
 void ForwardingCaller::Start() {
   tick_timer_ = loop_.Every(kTickInterval, [this] { Tick(); });
+  expire_timer_ =
+      loop_.Every(kExpireInterval, [this] { links_.Expire(clock_.now()); });
 }
 
 std::shared_ptr<http::Call> ForwardingCaller::Send(
@@ -347,7 +352,20 @@
 
 void ForwardingCaller::OnReached(const UpstreamId& id) {
   last_answer_ = clock_.now();
-  links_.OnReached(id, last_answer_);
+  OnLinkWorks(id);
+}
+
+void ForwardingCaller::OnLinkWorks(const UpstreamId& id) {
+  const serving::Registration* upstream = directory_.find(id);
+  if (links_.lost(id) && upstream != nullptr) {
+    // Connections from before the loss may be dead and would swallow requests.
+    loop_.Post([this, alive = alive_, endpoint = upstream->endpoint] {
+      if (*alive) {
+        client_.CloseIdleConnections(endpoint);
+      }
+    });
+  }
+  links_.OnReached(id, clock_.now());
 }
 
 void ForwardingCaller::OnUnreachable(const UpstreamId& id,
@@ -358,14 +376,6 @@
               {"reason", reason},
               {"lost_links", static_cast<std::int64_t>(links_.lost_links())}});
   links_.OnUnreachable(id, clock_.now());
-  if (const serving::Registration* upstream = directory_.find(id)) {
-    // Idle connections over a lost link would swallow requests.
-    loop_.Post([this, alive = alive_, endpoint = upstream->endpoint] {
-      if (*alive) {
-        client_.CloseIdleConnections(endpoint);
-      }
-    });
-  }
 }
 
 void ForwardingCaller::ProbeIfSilent(const UpstreamId& id, Instant sent) {
@@ -387,7 +397,7 @@
                   }
                   probing_.erase(id);
                   if (reached) {
-                    links_.OnReached(id, clock_.now());
+                    OnLinkWorks(id);
                   } else {
                     OnUnreachable(id, "a new connection failed");
                   }
@@ -396,7 +406,6 @@
 
 void ForwardingCaller::Tick() {
   const Instant now = clock_.now();
-  links_.Expire(now);
   for (const UpstreamId& id : links_.TakeProbes(now)) {
     ProbeLink(id);
   }
--- a/src/node/forwarding_caller.h
+++ b/src/node/forwarding_caller.h
@@ -78,6 +78,7 @@
   static constexpr std::chrono::milliseconds kSilenceTime{200};
   static constexpr std::chrono::milliseconds kProbeTimeout{300};
   static constexpr std::chrono::milliseconds kTickInterval{50};
+  static constexpr std::chrono::milliseconds kExpireInterval{10'000};
   /// Time since the last forwarded request for which the peers' links count as
   /// working.
   static constexpr std::chrono::milliseconds kForwardedMaxAge{2'000};
@@ -86,7 +87,9 @@
   class ForwardedCall;
 
   void OnOutcome(const UpstreamId& id, const serving::UpstreamOutcome& outcome);
+  /// Records an answer of the upstream over this node's own link.
   void OnReached(const UpstreamId& id);
+  void OnLinkWorks(const UpstreamId& id);
   void OnUnreachable(const UpstreamId& id, const std::string& reason);
   /// Tries the link to an upstream whose request has no answer, unless another
   /// upstream answered meanwhile.
@@ -111,6 +114,7 @@
   std::size_t logged_lost_links_ = 0;
   bool logged_cut_off_ = false;
   base::Timer tick_timer_;
+  base::Timer expire_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/serving/link_monitor.cc
+++ b/src/serving/link_monitor.cc
@@ -11,6 +11,7 @@
   }
   link = Link{};
   link.last_evidence = now;
+  failing_.erase(id);
   last_reached_ = now;
 }
 
@@ -19,6 +20,7 @@
   link.last_evidence = now;
   if (!link.failing_since.has_value()) {
     link.failing_since = now;
+    failing_.insert(id);
   }
 }
 
@@ -55,18 +57,17 @@
 }
 
 bool LinkMonitor::cut_off() const {
-  std::size_t tried = 0;
   std::size_t lost = 0;
   std::optional<Instant> first;
-  for (const auto& [id, link] : links_) {
-    ++tried;
-    if (link.failing_since.has_value() && link.reached_by_peer) {
+  for (const UpstreamId& id : failing_) {
+    const Link& link = links_.at(id);
+    if (link.reached_by_peer) {
       ++lost;
       first =
           std::min(first.value_or(*link.failing_since), *link.failing_since);
     }
   }
-  return lost >= std::min(kMinLostLinks, tried) && first.has_value() &&
+  return lost >= std::min(kMinLostLinks, links_.size()) && first.has_value() &&
          (!last_reached_.has_value() || *last_reached_ < *first);
 }
 
@@ -79,10 +80,8 @@
   }
   Link* next = nullptr;
   const UpstreamId* next_id = nullptr;
-  for (auto& [id, link] : links_) {
-    if (!link.failing_since.has_value()) {
-      continue;
-    }
+  for (const UpstreamId& id : failing_) {
+    Link& link = links_.at(id);
     if (recovering && now >= link.probed + kProbeInterval) {
       link.probed = now;
       probes.push_back(id);
@@ -100,17 +99,29 @@
 }
 
 void LinkMonitor::Expire(Instant now) {
-  std::erase_if(links_, [now](const auto& entry) {
-    return entry.second.last_evidence + kMaxAge < now;
+  std::erase_if(links_, [this, now](const auto& entry) {
+    const bool expired = entry.second.last_evidence + kMaxAge < now;
+    if (expired) {
+      failing_.erase(entry.first);
+    }
+    return expired;
   });
 }
 
 std::size_t LinkMonitor::lost_links() const {
-  return static_cast<std::size_t>(
-      std::count_if(links_.begin(), links_.end(), [](const auto& entry) {
-        return entry.second.failing_since.has_value() &&
-               entry.second.reached_by_peer;
-      }));
+  return static_cast<std::size_t>(std::count_if(
+      failing_.begin(), failing_.end(),
+      [this](const auto& id) { return links_.at(id).reached_by_peer; }));
+}
+
+std::chrono::milliseconds LinkMonitor::unreachable_for(const UpstreamId& id,
+                                                       Instant now) const {
+  const auto found = links_.find(id);
+  if (found == links_.end() || !found->second.failing_since.has_value()) {
+    return std::chrono::milliseconds(0);
+  }
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      now - *found->second.failing_since);
 }
 
 }  // namespace mulberryroad::serving
--- a/src/serving/link_monitor.h
+++ b/src/serving/link_monitor.h
@@ -14,6 +14,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "mulberryroad/clock.h"
@@ -50,8 +51,16 @@
   std::vector<UpstreamId> TakeProbes(Instant now);
   /// Discards the state of upstreams without recent evidence.
   void Expire(Instant now);
+  /// Returns whether only peers reach the upstream.
+  bool lost(const UpstreamId& id) const {
+    return failing_.contains(id) && links_.at(id).reached_by_peer;
+  }
   /// Returns the number of upstreams that only peers reach.
   std::size_t lost_links() const;
+  /// Returns for how long the upstream could not be reached; zero if it is
+  /// reached or was not tried.
+  std::chrono::milliseconds unreachable_for(const UpstreamId& id,
+                                            Instant now) const;
   std::size_t size() const { return links_.size(); }
 
   /// How long an upstream that a peer cannot reach either counts as down.
@@ -81,6 +90,8 @@
   bool IsDown(const Link& link, Instant now) const;
 
   std::map<UpstreamId, Link> links_;
+  /// Upstreams of `links_` that could not be reached; few of thousands.
+  std::set<UpstreamId> failing_;
   /// When an upstream was last reached directly.
   std::optional<Instant> last_reached_;
   /// When a lost link last worked again.
--- a/test/fakes/platform/fake_replica.cc
+++ b/test/fakes/platform/fake_replica.cc
@@ -55,8 +55,15 @@
 
 }  // namespace
 
-std::string EventText(const std::string& item, std::uint64_t event) {
-  return item + "-" + std::to_string(event);
+std::string EventText(const std::string& item, std::uint64_t event,
+                      const std::string& software) {
+  const std::string text = item + "-" + std::to_string(event);
+  return software == kDefaultSoftware ? text : text + "@" + software;
+}
+
+std::string SoftwareOf(const std::string& event_text) {
+  const std::size_t at = event_text.rfind('@');
+  return at == std::string::npos ? kDefaultSoftware : event_text.substr(at + 1);
 }
 
 std::string AnswerText(const std::string& request) {
@@ -260,11 +267,8 @@
     stream->version = version;
     event = "weight-versions: " + std::to_string(version) + "\n";
   }
-  event +=
-      "id: " + std::to_string(stream->next) +
-      "\ndata: " + EventText(stream->item, stream->next) +
-      (options_.software == kDefaultSoftware ? "" : "@" + options_.software) +
-      "\n\n";
+  event += "id: " + std::to_string(stream->next) + "\ndata: " +
+           EventText(stream->item, stream->next, options_.software) + "\n\n";
   Note({{"event", stream->item},
         {"at_ms", WallMillis()},
         {"number", stream->next},
--- a/test/fakes/platform/fake_replica.h
+++ b/test/fakes/platform/fake_replica.h
@@ -47,8 +47,11 @@
   std::chrono::milliseconds leaving_after{0};
 };
 
-/// Text of an item's event; the same at every replica.
-std::string EventText(const std::string& item, std::uint64_t event);
+/// Text of an event; the same at every replica of a software version.
+std::string EventText(const std::string& item, std::uint64_t event,
+                      const std::string& software = kDefaultSoftware);
+/// Returns the software version that generated an event with this text.
+std::string SoftwareOf(const std::string& event_text);
 /// Path at which a plain service answers every request with status 500.
 inline constexpr char kFailingScorerPath[] = "/scores/fails";
 /// Start of a body under which a plain service ends.
--- a/test/soak/checks.cc
+++ b/test/soak/checks.cc
@@ -102,11 +102,15 @@
   verdicts->Check("items without a score are not completed", !unscorable,
                   item.id + " is listed as completed");
   CheckScore(step, item, expected->second, notes, verdicts);
+  // All events of an item come from one software version.
+  const std::string software =
+      fakes::SoftwareOf(item.text.substr(0, item.text.find('\n')));
   std::string text;
   std::set<std::uint64_t> made_under;
   bool labelled = true;
   for (std::uint64_t event = 1; event <= expected->second; ++event) {
-    text += (event == 1 ? "" : "\n") + fakes::EventText(item.id, event);
+    text +=
+        (event == 1 ? "" : "\n") + fakes::EventText(item.id, event, software);
     const auto made = notes.events.find({item.id, event});
     if (made == notes.events.end()) {
       labelled = false;
@@ -167,8 +171,8 @@
 }
 
 void CheckRequests(const std::vector<Attempt>& attempts,
-                   const UpstreamNotes& notes, Verdicts* verdicts) {
-  std::set<std::string> known;
+                   std::set<std::string> known, const UpstreamNotes& notes,
+                   Verdicts* verdicts) {
   for (const Attempt& attempt : attempts) {
     known.insert(attempt.id);
     CheckAttempt(attempt, notes, verdicts);
--- a/test/soak/checks.h
+++ b/test/soak/checks.h
@@ -50,8 +50,10 @@
 };
 
 /// Whole answers, at most one run, true refusals, organisations and keys.
+/// @param known ids of further requests that were sent
 void CheckRequests(const std::vector<Attempt>& attempts,
-                   const UpstreamNotes& notes, Verdicts* verdicts);
+                   std::set<std::string> known, const UpstreamNotes& notes,
+                   Verdicts* verdicts);
 /// Texts, versions and runs of a trainer's steps.
 /// @param calm the run had no faults, so that no node may start items late
 void CheckSteps(const std::vector<Step>& steps, const std::string& organisation,
--- a/test/soak/soak_run.cc
+++ b/test/soak/soak_run.cc
@@ -8,6 +8,7 @@
 #include <sstream>
 
 #include "soak/checks.h"
+#include "soak/stream_callers.h"
 #include "soak/traffic.h"
 #include "soak/trainer.h"
 
@@ -28,18 +29,31 @@
 // Steps under way when traffic ends are over by then.
 constexpr milliseconds kFinishLimit{40'000};
 constexpr int kProbes = 20;
+// Engines have few slots, which the items of batches use as well.
+constexpr milliseconds kStreamInterval{400};
+constexpr milliseconds kStreamsLimit{20'000};
 // Reads at all nodes must be through before results expire, also with many
 // nodes; more at once would be a burst of their own.
 constexpr std::size_t kComparedAtOnce = 12;
 constexpr milliseconds kCompareLimit{5'000};
 
+// Engines run two software versions in turn.
+DeploymentOptions WithTwoVersions(DeploymentOptions options) {
+  for (std::size_t i = 0; i < options.engines; ++i) {
+    options.engine_software.emplace_back(i % 2 == 0 ? fakes::kDefaultSoftware
+                                                    : "v2");
+  }
+  return options;
+}
+
 class SoakRun {
  public:
   explicit SoakRun(const SoakOptions& options)
       : options_(options),
         client_(loop_),
-        deployment_(loop_, client_, options.deployment),
+        deployment_(loop_, client_, WithTwoVersions(options.deployment)),
         traffic_(loop_, client_, deployment_, options.deployment.seed),
+        streams_(loop_, client_, deployment_, options.deployment.seed),
         trainer_a_(loop_, client_, deployment_, 'a', options.deployment.seed),
         trainer_b_(loop_, client_, deployment_, 'b', options.deployment.seed) {}
 
@@ -56,6 +70,7 @@
     verdicts_.Check("the system starts", started, "a node is not ready");
     began_ = steady_clock::now();
     traffic_.Start();
+    stream_timer_ = loop_.Every(kStreamInterval, [this] { streams_.Start(); });
     trainer_a_.Start();
     trainer_b_.Start();
     PlayFaults();
@@ -117,6 +132,7 @@
                     "a node is not ready after the faults");
     Wait(kConfigApply, [] { return false; });
     ProbeAllNodes();
+    stream_timer_.Cancel();
     trainer_a_.Finish();
     trainer_b_.Finish();
     const bool finished = Wait(kFinishLimit, [this] {
@@ -126,6 +142,10 @@
     traffic_.Stop();
     Wait(Traffic::kPatience + milliseconds(1'000),
          [this] { return traffic_.open() == 0; });
+    verdicts_.Check(
+        "streams end",
+        Wait(kStreamsLimit, [this] { return streams_.open() == 0; }),
+        "a stream does not come to an end");
     CompareEverywhere(trainer_a_);
     CompareEverywhere(trainer_b_);
     ReadStats();
@@ -206,10 +226,17 @@
       std::ifstream log(path);
       notes.Read(log);
     }
-    CheckRequests(traffic_.attempts(), notes, &verdicts_);
+    CheckRequests(traffic_.attempts(), streams_.AttemptIds(), notes,
+                  &verdicts_);
     CheckSteps(trainer_a_.steps(), "org-a", notes, faults_.empty(), &verdicts_);
     CheckSteps(trainer_b_.steps(), "org-b", notes, faults_.empty(), &verdicts_);
     CheckOrders(notes, &verdicts_);
+    for (const CalledStream& stream : streams_.streams()) {
+      verdicts_.Check("one software version", stream.software.size() <= 1,
+                      stream.id + " holds events of two software versions");
+      verdicts_.Check("events in order", !stream.out_of_order,
+                      stream.id + " misses an event or has one twice");
+    }
     for (const auto* list :
          {&deployment_.violations(), &trainer_a_.violations(),
           &trainer_b_.violations()}) {
@@ -259,6 +286,9 @@
             {"checks", verdicts_.made},
             {"statuses", by_status},
             {"steps", steps},
+            {"streams", streams_.streams().size()},
+            {"resumptions", streams_.resumptions()},
+            {"resumed", streams_.resumed()},
             {"windows", stats_.value("windows", json::object()).size()},
             {"answers", answers},
             {"violations", verdicts_.violations}};
@@ -269,6 +299,8 @@
   http::Client client_;
   Deployment deployment_;
   Traffic traffic_;
+  StreamCallers streams_;
+  base::Timer stream_timer_;
   Trainer trainer_a_;
   Trainer trainer_b_;
   Verdicts verdicts_;
--- a/test/soak/stream_callers.cc
+++ b/test/soak/stream_callers.cc
@@ -20,12 +20,6 @@
 constexpr int kOk = 200;
 constexpr int kFirstServerError = 500;
 
-std::string SoftwareOf(const std::string& text) {
-  const std::size_t at = text.rfind('@');
-  return at == std::string::npos ? fakes::kDefaultSoftware
-                                 : text.substr(at + 1);
-}
-
 }  // namespace
 
 StreamCallers::StreamCallers(base::EventLoop& loop, http::Client& client,
@@ -90,7 +84,7 @@
     stream.first_attempt = request;
   }
   stream.last_event = id;
-  stream.software.insert(SoftwareOf(event.data));
+  stream.software.insert(fakes::SoftwareOf(event.data));
 }
 
 void StreamCallers::OnEnd(CalledStream& stream, bool brought_event,
@@ -121,6 +115,16 @@
       loop_.After(kRetryDelay, [this, &stream] { Send(stream); }));
 }
 
+std::set<std::string> StreamCallers::AttemptIds() const {
+  std::set<std::string> ids;
+  for (const CalledStream& stream : streams_) {
+    for (int attempt = 1; attempt <= stream.attempts; ++attempt) {
+      ids.insert(stream.id + "-" + std::to_string(attempt));
+    }
+  }
+  return ids;
+}
+
 int StreamCallers::joined() const {
   return static_cast<int>(std::count_if(
       streams_.begin(), streams_.end(),
--- a/test/soak/stream_callers.h
+++ b/test/soak/stream_callers.h
@@ -52,6 +52,8 @@
   std::size_t open() const { return open_; }
   const std::list<CalledStream>& streams() const { return streams_; }
 
+  /// Ids of all requests that were sent.
+  std::set<std::string> AttemptIds() const;
   /// Streams that hold events of two software versions.
   int joined() const;
   /// Attempts that reached a node and named events of an earlier attempt.
--- a/test/soak_checks_test.cc
+++ b/test/soak_checks_test.cc
@@ -36,7 +36,7 @@
 
 std::size_t Violations(const Attempt& attempt, const std::string& notes) {
   Verdicts verdicts;
-  CheckRequests({attempt}, Notes(notes), &verdicts);
+  CheckRequests({attempt}, {}, Notes(notes), &verdicts);
   return verdicts.violations.size();
 }
 
