Keep the origin of a stream for a while after its response is complete

Callers would see: a resumption refused, though an upstream of the version serves, when the end of a complete response was lost on the way to them. Cause: the origin was discarded as soon as the end was written. Change: the node's memory keeps it; its record is deleted 3 s later.

--- a/src/node/stream_origin_exchange.cc
+++ b/src/node/stream_origin_exchange.cc
@@ -88,8 +88,9 @@
 
 void StreamOriginExchange::Complete(const serving::StreamId& stream) {
   const std::string key = KeyOf(stream);
-  if (table_.Remove(key)) {
-    QueueDeletion(key);
+  if (table_.Complete(key)) {
+    completed_.emplace_back(clock_.now() + kCompletedRetention, key);
+    ScheduleFlush(kCompletedRetention + kDeletionDelay);
   }
 }
 
@@ -320,7 +321,6 @@
     return;
   }
   queue_[key] = std::nullopt;
-  ScheduleFlush(kDeletionDelay);
 }
 
 void StreamOriginExchange::ScheduleFlush(milliseconds delay) {
@@ -335,6 +335,13 @@
 
 void StreamOriginExchange::Flush() {
   flush_due_.reset();
+  while (!completed_.empty() && completed_.front().first <= clock_.now()) {
+    QueueDeletion(completed_.front().second);
+    completed_.pop_front();
+  }
+  if (!completed_.empty()) {
+    ScheduleFlush(kCompletedRetention + kDeletionDelay);
+  }
   if (queue_.empty() || std::exchange(appending_, true)) {
     return;
   }
--- a/src/node/stream_origin_exchange.h
+++ b/src/node/stream_origin_exchange.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/event_loop.h"
@@ -69,8 +70,11 @@
   static constexpr std::chrono::milliseconds kLookupInterval{60};
   /// Number of lookups before an origin counts as unknown.
   static constexpr int kMaxLookups = 4;
-  /// Longest delay of a deletion that no record is appended with.
-  static constexpr std::chrono::milliseconds kDeletionDelay{2'000};
+  /// How long the record of a complete stream is kept: the time in which a
+  /// caller notices that the end of the response was lost.
+  static constexpr std::chrono::milliseconds kCompletedRetention{3'000};
+  /// Longest further delay of its deletion while no record is appended.
+  static constexpr std::chrono::milliseconds kDeletionDelay{1'000};
   /// Maximum number of records of one append.
   static constexpr std::size_t kMaxBatch = 256;
   /// Maximum number of records that wait for an append; further ones are
@@ -146,6 +150,8 @@
   serving::AppendPacer pacer_;
   /// Records to append by key, without a value to delete one.
   std::map<std::string, std::optional<std::string>> queue_;
+  /// Complete streams whose records will be deleted, and when.
+  std::deque<std::pair<Instant, std::string>> completed_;
   bool appending_ = false;
   Instant next_append_{};
   std::optional<Instant> flush_due_;
--- a/src/serving/origin_table.cc
+++ b/src/serving/origin_table.cc
@@ -24,17 +24,24 @@
   return writes;
 }
 
-bool OriginTable::Remove(const std::string& key) {
+bool OriginTable::Complete(const std::string& key) {
   const auto found = streams_.find(key);
   if (found == streams_.end()) {
     return false;
   }
-  const bool own_record = found->second.record == OriginRecord::kOwn;
+  found->second.complete = true;
+  return found->second.record == OriginRecord::kOwn;
+}
+
+void OriginTable::Remove(const std::string& key) {
+  const auto found = streams_.find(key);
+  if (found == streams_.end()) {
+    return;
+  }
   const auto [first, last] = by_age_.equal_range(found->second.begun);
   by_age_.erase(std::find_if(
       first, last, [&key](const auto& entry) { return entry.second == key; }));
   streams_.erase(found);
-  return own_record;
 }
 
 const KnownOrigin* OriginTable::find(const std::string& key) const {
@@ -57,7 +64,7 @@
   }
   for (auto& [key, stream] : streams_) {
     if (stream.origin.service == origin.service &&
-        stream.record == OriginRecord::kNone) {
+        stream.record == OriginRecord::kNone && !stream.complete) {
       stream.record = OriginRecord::kOwn;
       unrecorded.push_back(key);
     }
@@ -97,8 +104,9 @@
 }
 
 void AppendPacer::OnAppended(std::chrono::milliseconds took) {
-  interval_ = took > kSlowAppend ? std::min(kMaxInterval, interval_ * 2)
-                                 : std::max(kMinInterval, interval_ - kMinInterval);
+  interval_ = took > kSlowAppend
+                  ? std::min(kMaxInterval, interval_ * 2)
+                  : std::max(kMinInterval, interval_ - kMinInterval);
 }
 
 void AppendPacer::OnFailed() {
--- a/src/serving/origin_table.h
+++ b/src/serving/origin_table.h
@@ -39,6 +39,7 @@
   StreamOrigin origin;
   Instant begun{};
   OriginRecord record = OriginRecord::kNone;
+  bool complete = false;
 };
 
 /// Used on the event loop's thread.
@@ -50,9 +51,10 @@
   /// @return whether a record must be written
   bool Add(const std::string& key, const StreamOrigin& origin,
            OriginRecord record, bool several_services, Instant now);
-  /// Removes a complete stream.
+  /// Records that the response to the caller is complete. The stream stays
+  /// known, since the end of the response may be lost on the way.
   /// @return whether this node must delete its record
-  bool Remove(const std::string& key);
+  bool Complete(const std::string& key);
   /// Returns the origin of a stream, or null.
   const KnownOrigin* find(const std::string& key) const;
 
@@ -79,6 +81,8 @@
   static constexpr std::size_t kMaxStreams = 50'000;
 
  private:
+  void Remove(const std::string& key);
+
   std::map<std::string, KnownOrigin> streams_;
   /// Keys by the time at which the streams began.
   std::multimap<Instant, std::string> by_age_;
@@ -98,8 +102,8 @@
 
 /// Limits how often a node appends records: the interval adapts to the time
 /// that the store takes, so that the nodes share its capacity without knowing
-/// their number. Doubles on overload and shrinks by a constant otherwise: with a
-/// factor, some nodes would get all of the capacity. Pure.
+/// their number. Doubles on overload and shrinks by a constant otherwise: with
+/// a factor, some nodes would get all of the capacity. Pure.
 class AppendPacer {
  public:
   /// Records an append that the store executed.
