Schedule deletions of stream records also while an append is in flight

Cause: a stream that completed during an append, with none after it, kept its record until it expired (10 minutes). Change: a flush is scheduled whether or not an append is in flight. Measured: stream_origin_exchange_test passes in two runs; the case was found by reading and has no test of its own.

--- a/src/node/stream_origin_exchange.cc
+++ b/src/node/stream_origin_exchange.cc
@@ -325,7 +325,7 @@
 
 void StreamOriginExchange::ScheduleFlush(milliseconds delay) {
   const Instant due = std::max(clock_.now() + delay, next_append_);
-  if (appending_ || (flush_due_.has_value() && *flush_due_ <= due)) {
+  if (flush_due_.has_value() && *flush_due_ <= due) {
     return;
   }
   flush_due_ = due;
