Record the streams of a service when their route moves away from it

Callers would see: a stream that began at one service and went on at another, if the route moved in between and nothing had been recorded, since the new service ran a single version. Cause: an absent record was taken to mean the only version of the services to which the route leads now. Change: with a new manifest a node records the streams of services to which a streaming route no longer leads; a resumption then finds the former service and is refused.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -363,8 +363,13 @@
       return;
     }
     const auto version = static_cast<std::int64_t>(manifest->version);
+    const serving::Manifest* before = catalog_.manifest();
+    const std::set<TargetId> left =
+        before == nullptr ? std::set<TargetId>()
+                          : serving::ServicesLeftByStreams(*before, *manifest);
     const bool newer = catalog_.Apply(*std::move(manifest));
     if (newer) {
+      origins_.OnRoutesLeft(left);
       callers_.SetLimits(LimitsFor(catalog_.manifest()->limits));
     }
     log_.Write("manifest", {{"version", version}, {"in_force", newer}});
--- a/src/node/stream_origin_exchange.cc
+++ b/src/node/stream_origin_exchange.cc
@@ -117,6 +117,14 @@
   }
 }
 
+void StreamOriginExchange::OnRoutesLeft(const std::set<TargetId>& services) {
+  for (const TargetId& service : services) {
+    for (const std::string& stream : table_.OnRouteLeft(service)) {
+      QueueRecord(stream);
+    }
+  }
+}
+
 void StreamOriginExchange::ApplyDeclaration(
     const std::string& key, const std::optional<std::string>& value) {
   if (!value.has_value()) {
--- a/src/node/stream_origin_exchange.h
+++ b/src/node/stream_origin_exchange.h
@@ -51,6 +51,9 @@
   /// Declares the software versions of the registered upstreams whose services
   /// have streams on this node. Called when the registrations have changed.
   void DeclareListedVersions();
+  /// Records the streams of services to which their routes no longer lead, so
+  /// that no node resumes them at the new service.
+  void OnRoutesLeft(const std::set<TargetId>& services);
 
   void Begin(const serving::StreamId& stream,
              const serving::StreamOrigin& origin,
--- a/src/serving/catalog.cc
+++ b/src/serving/catalog.cc
@@ -69,6 +69,33 @@
   return found == routes->second.end() ? nullptr : *found;
 }
 
+std::set<TargetId> ServicesLeftByStreams(const Manifest& before,
+                                         const Manifest& after) {
+  std::set<TargetId> left;
+  for (const Route& route : before.routes) {
+    if (route.kind != RouteKind::kStreaming) {
+      continue;
+    }
+    const auto same = std::find_if(
+        after.routes.begin(), after.routes.end(), [&route](const Route& other) {
+          return other.host == route.host &&
+                 other.path_prefix == route.path_prefix;
+        });
+    for (const ServiceShare& share : route.services) {
+      const bool stays =
+          same != after.routes.end() &&
+          std::any_of(same->services.begin(), same->services.end(),
+                      [&share](const ServiceShare& other) {
+                        return other.service == share.service;
+                      });
+      if (!stays) {
+        left.insert(share.service);
+      }
+    }
+  }
+  return left;
+}
+
 const TargetId* ChooseService(const Route& route, double draw) {
   double total = 0;
   for (const ServiceShare& share : route.services) {
--- a/src/serving/catalog.h
+++ b/src/serving/catalog.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -64,6 +65,11 @@
   std::unordered_map<std::string, OrganisationId> by_key_;
 };
 
+/// Returns the services to which a streaming route leads in one manifest and no
+/// longer in the next.
+std::set<TargetId> ServicesLeftByStreams(const Manifest& before,
+                                         const Manifest& after);
+
 /// Chooses a service of a route at random, weighted by the route's traffic
 /// split.
 /// @param draw random number in [0, 1)
--- a/src/serving/origin_table.cc
+++ b/src/serving/origin_table.cc
@@ -58,12 +58,18 @@
 std::vector<std::string> OriginTable::OnDeclared(const StreamOrigin& origin) {
   std::set<std::string>& versions = declared_[origin.service];
   versions.insert(origin.software);
+  return versions.size() < 2 ? std::vector<std::string>()
+                             : RecordAll(origin.service);
+}
+
+std::vector<std::string> OriginTable::OnRouteLeft(const TargetId& service) {
+  return RecordAll(service);
+}
+
+std::vector<std::string> OriginTable::RecordAll(const TargetId& service) {
   std::vector<std::string> unrecorded;
-  if (versions.size() < 2) {
-    return unrecorded;
-  }
   for (auto& [key, stream] : streams_) {
-    if (stream.origin.service == origin.service &&
+    if (stream.origin.service == service &&
         stream.record == OriginRecord::kNone && !stream.complete) {
       stream.record = OriginRecord::kOwn;
       unrecorded.push_back(key);
--- a/src/serving/origin_table.h
+++ b/src/serving/origin_table.h
@@ -63,6 +63,9 @@
   /// Records that the store has the declaration of a version.
   /// @return keys of the streams whose records must be written now
   std::vector<std::string> OnDeclared(const StreamOrigin& origin);
+  /// Returns the streams of a service that have no record, as records must be
+  /// written now: their route leads to another service.
+  std::vector<std::string> OnRouteLeft(const TargetId& service);
   /// Records that the declaration of a version was deleted.
   void OnWithdrawn(const StreamOrigin& origin);
   /// Returns whether a stream of the service was ever added.
@@ -82,6 +85,9 @@
 
  private:
   void Remove(const std::string& key);
+  /// Marks the streams of a service that have no record as recorded.
+  /// @return their keys
+  std::vector<std::string> RecordAll(const TargetId& service);
 
   std::map<std::string, KnownOrigin> streams_;
   /// Keys by the time at which the streams began.
--- a/test/serving_test.cc
+++ b/test/serving_test.cc
@@ -240,5 +240,33 @@
                kFailMayHaveRun);
 }
 
+Test(catalog, services_that_streams_leave_are_found) {
+  const auto make = [](const std::vector<std::string>& services,
+                       RouteKind kind) {
+    Manifest manifest;
+    Route route;
+    route.host = "h";
+    route.path_prefix = "/s/";
+    route.kind = kind;
+    for (const std::string& service : services) {
+      route.services.push_back({TargetId(service), 1});
+    }
+    manifest.routes = {route};
+    return manifest;
+  };
+  const RouteKind stream = RouteKind::kStreaming;
+  const std::set<TargetId> left =
+      ServicesLeftByStreams(make({"a", "b"}, stream), make({"b", "c"}, stream));
+  cr_assert_eq(left.size(), 1);
+  cr_expect(left.contains(TargetId("a")));
+  cr_expect(
+      ServicesLeftByStreams(make({"a"}, stream), make({"a"}, stream)).empty());
+  cr_expect_eq(ServicesLeftByStreams(make({"a"}, stream), Manifest()).size(), 1,
+               "the route was removed");
+  cr_expect(
+      ServicesLeftByStreams(make({"a"}, RouteKind::kIdempotent), Manifest())
+          .empty());
+}
+
 }  // namespace
 }  // namespace mulberryroad::serving
--- a/test/stream_origin_exchange_test.cc
+++ b/test/stream_origin_exchange_test.cc
@@ -182,6 +182,21 @@
   cr_expect(Known(second.Find("s1")).origin.software == "v1");
 }
 
+Test(stream_origin_exchange, stream_goes_on_at_the_service_its_route_moved_to) {
+  World world;
+  TestNode first(world, "n1");
+  first.List("u1", "v1");
+  first.Begin("s0", "v1");
+  first.Wait();
+  first.Begin("s1", "v1");
+  first.origins.OnRoutesLeft({TargetId("engines")});
+  first.Wait();
+  TestNode second(world, "n2");
+  const OriginResult result = second.Find("s1");
+  cr_expect(Known(result).source == OriginSource::kRecord,
+            "the record names the former service");
+}
+
 // The last events of a response that was written may be lost on the way.
 Test(stream_origin_exchange, stream_with_a_lost_end_is_unknown) {
   World world;
