Two findings of the linter in tests

Cause: the outcome of connect was not used; a string was built from temporaries. Change: a filler that cannot connect is closed; appended in place.

--- a/test/lost_links_test.cc
+++ b/test/lost_links_test.cc
@@ -77,7 +77,11 @@
   std::string expected;
   for (int i = 1; i <= fakes::LinkedUpstream::kEvents; ++i) {
     const std::string id = std::to_string(i);
-    expected += "id: " + id + "\ndata: e" + id + "\n\n";
+    expected += "id: ";
+    expected += id;
+    expected += "\ndata: e";
+    expected += id;
+    expected += "\n\n";
   }
   cr_expect(world.response.body == expected, "%s", world.response.body.c_str());
 }
--- a/test/soak/proxy.cc
+++ b/test/soak/proxy.cc
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <utility>
 
 namespace mulberryroad::soak {
@@ -73,8 +74,12 @@
   for (int i = 0; i < kFillers; ++i) {
     const int handle =
         socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    connect(handle, reinterpret_cast<const sockaddr*>(&address),
-            sizeof(address));
+    const int connected = connect(
+        handle, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    if (connected != 0 && errno != EINPROGRESS) {
+      close(handle);
+      continue;
+    }
     fillers_.push_back(handle);
   }
 }
