Test that fails: each upstream swallows an order at a cut node

Cause: found while reading what a node with little traffic knows of its links: each one is learned by a request of its own, which is lost if it may run once only.

--- a/test/fakes/linked_nodes.h
+++ b/test/fakes/linked_nodes.h
@@ -87,10 +87,11 @@
   std::map<std::string, int> runs_by_request;
 };
 
-/// A node that serves callers from one upstream through its own link.
+/// A node that serves callers from upstreams through links of its own.
 struct LinkedNode {
+  /// @param upstreams number of upstreams, which share one server
   LinkedNode(base::EventLoop& l, const LinkedUpstream& upstream,
-             const std::string& name)
+             const std::string& name, int upstreams)
       : loop(l),
         log(clock, NodeId(name)),
         link(l, {"127.0.0.1", FreePort()}, upstream.address),
@@ -100,6 +101,15 @@
     serving::Registration registration = MakeUpstream("u1", "desk");
     registration.endpoint = link.endpoint();
     directory.Put(registration);
+    for (int i = 2; i <= upstreams; ++i) {
+      soak::Proxy& other =
+          *other_links.emplace_back(std::make_unique<soak::Proxy>(
+              l, Endpoint{"127.0.0.1", FreePort()}, upstream.address));
+      cr_assert(other.Listen());
+      registration.id = UpstreamId("u" + std::to_string(i));
+      registration.endpoint = other.endpoint();
+      directory.Put(registration);
+    }
     server.SetFallbackHandler(
         [this](const std::shared_ptr<http::Exchange>& exchange) {
           Serve(exchange);
@@ -110,6 +120,14 @@
     caller.Start();
   }
 
+  /// Sets the state of the links to all upstreams.
+  void SetLinks(soak::LinkState state) {
+    link.Set(state);
+    for (const auto& other : other_links) {
+      other->Set(state);
+    }
+  }
+
   void Serve(const std::shared_ptr<http::Exchange>& exchange) {
     serving::SessionRequest request;
     request.service = TargetId("desk");
@@ -137,7 +155,9 @@
   SystemClock clock;
   base::StructuredLog log;
   base::Metrics metrics;
+  /// Link to the upstream "u1".
   soak::Proxy link;
+  std::vector<std::unique_ptr<soak::Proxy>> other_links;
   http::Client client{loop};
   serving::Catalog catalog;
   serving::UpstreamDirectory directory;
@@ -182,11 +202,11 @@
 
 /// An upstream and some nodes, with a caller.
 struct LinkedNodes {
-  explicit LinkedNodes(int count) : upstream(loop) {
+  explicit LinkedNodes(int count, int upstreams = 1) : upstream(loop) {
     std::signal(SIGPIPE, SIG_IGN);
     for (int i = 0; i < count; ++i) {
       nodes.push_back(std::make_unique<LinkedNode>(
-          loop, upstream, "node-" + std::to_string(i)));
+          loop, upstream, "node-" + std::to_string(i), upstreams));
     }
     for (const auto& node : nodes) {
       std::vector<Endpoint> peers;
--- a/test/lost_links_test.cc
+++ b/test/lost_links_test.cc
@@ -50,6 +50,26 @@
   cr_expect_gt(3 * CountServed(LinkState::kRefuse, "/order"), 2 * kRequests);
 }
 
+// A node with little traffic, whose open connections to all upstreams are dead.
+Test(lost_links, each_upstream_swallows_an_order_at_a_cut_node) {
+  LinkedNodes world(2, /*upstreams=*/6);
+  for (int i = 0; i < 60; ++i) {
+    cr_assert_eq(world.Post(0, "/order"), kOk);
+  }
+  world.nodes[0]->SetLinks(LinkState::kCut);
+  int failed = 0;
+  for (int i = 0; i < 8; ++i) {
+    std::optional<http::Result> result;
+    world.Send(0, "/order",
+               [&result](http::Result done) { result = std::move(done); });
+    fakes::RunFor(world.loop, milliseconds(1'000));
+    const auto* response =
+        result.has_value() ? std::get_if<http::Response>(&*result) : nullptr;
+    failed += response != nullptr && response->status == kOk ? 0 : 1;
+  }
+  cr_expect_leq(failed, 1, "%d of 8 orders failed", failed);
+}
+
 // The node under test is 0; its links are lost before the first request.
 struct LostLinks : LinkedNodes {
   explicit LostLinks(int count, LinkState state = LinkState::kRefuse)
