Try the other links after a failure that no answer follows

Callers would see: at a node with little traffic that lost its links, one request per upstream ends at its deadline, if it may run once only: it is sent on an open connection that is dead. Cause: the state of each link was learned by requests of its own, and a node counted as cut off only after peers had forwarded requests to two of the upstreams. Change: after a failure that no answer from any upstream follows, four other links are tried at a time; two that are not known to be down make the node likely cut off.

--- a/src/serving/link_monitor.cc
+++ b/src/serving/link_monitor.cc
@@ -53,7 +53,13 @@
       return LinkPath::kPeer;
     }
   }
-  return cut_off() ? LinkPath::kPeer : LinkPath::kDirect;
+  return likely_cut_off(now) ? LinkPath::kPeer : LinkPath::kDirect;
+}
+
+bool LinkMonitor::IsCutOff(std::size_t lost,
+                           const std::optional<Instant>& first) const {
+  return lost >= std::min(kMinLostLinks, links_.size()) && first.has_value() &&
+         (!last_reached_.has_value() || *last_reached_ < *first);
 }
 
 bool LinkMonitor::cut_off() const {
@@ -67,12 +73,48 @@
           std::min(first.value_or(*link.failing_since), *link.failing_since);
     }
   }
-  return lost >= std::min(kMinLostLinks, links_.size()) && first.has_value() &&
-         (!last_reached_.has_value() || *last_reached_ < *first);
+  return IsCutOff(lost, first);
+}
+
+bool LinkMonitor::likely_cut_off(Instant now) const {
+  std::size_t lost = 0;
+  std::optional<Instant> first;
+  for (const UpstreamId& id : failing_) {
+    const Link& link = links_.at(id);
+    if (!IsDown(link, now)) {
+      ++lost;
+      first =
+          std::min(first.value_or(*link.failing_since), *link.failing_since);
+    }
+  }
+  return IsCutOff(lost, first);
+}
+
+std::vector<UpstreamId> LinkMonitor::OtherProbes(Instant now) {
+  std::vector<UpstreamId> others;
+  const bool unanswered = std::any_of(
+      failing_.begin(), failing_.end(), [this](const UpstreamId& id) {
+        return !last_reached_.has_value() ||
+               *last_reached_ < *links_.at(id).failing_since;
+      });
+  if (!unanswered) {
+    return others;
+  }
+  for (auto& [id, link] : links_) {
+    if (others.size() >= kOtherProbes) {
+      break;
+    }
+    if (!link.failing_since.has_value() &&
+        now >= link.probed + kProbeInterval) {
+      link.probed = now;
+      others.push_back(id);
+    }
+  }
+  return others;
 }
 
 std::vector<UpstreamId> LinkMonitor::TakeProbes(Instant now) {
-  std::vector<UpstreamId> probes;
+  std::vector<UpstreamId> probes = OtherProbes(now);
   const bool recovering =
       recovered_.has_value() && now < *recovered_ + kRecoveryTime;
   if (!recovering && now < last_probe_ + kProbeInterval) {
--- a/src/serving/link_monitor.h
+++ b/src/serving/link_monitor.h
@@ -3,9 +3,10 @@
 //
 // Evidence is collected per upstream, from this node's own connections and from
 // peers that were asked to forward a request. An upstream that neither this
-// node nor a peer can connect to is down. Once several upstreams were reached
-// by peers only, and none directly since, the node counts as cut off: requests
-// to the other upstreams then take the way through a peer at once.
+// node nor a peer can connect to is down. Once several upstreams could not be
+// reached, and none was since, the node is likely cut off: requests to the
+// other upstreams then take the way through a peer at once, and their links are
+// tried.
 
 #ifndef MULBERRYROAD_SRC_SERVING_LINK_MONITOR_H_
 #define MULBERRYROAD_SRC_SERVING_LINK_MONITOR_H_
@@ -45,9 +46,13 @@
   LinkPath path(const UpstreamId& id, Instant now) const;
   /// Returns whether this node cannot reach any upstream, though its peers can.
   bool cut_off() const;
-  /// Returns the upstreams to which a connection should be tried now, to find
-  /// out whether the link works again. The caller must try them: the next ones
-  /// are returned after kProbeInterval.
+  /// Returns whether this node has likely lost all its links: several upstreams
+  /// that are not known to be down could not be reached, and none was since.
+  bool likely_cut_off(Instant now) const;
+  /// Returns the upstreams to which a connection should be tried now: to find
+  /// out whether a lost link works again, or, after a failure that no answer
+  /// has followed, whether the other links are lost as well. The caller must
+  /// try them: the next ones are returned after kProbeInterval.
   std::vector<UpstreamId> TakeProbes(Instant now);
   /// Discards the state of upstreams without recent evidence.
   void Expire(Instant now);
@@ -67,10 +72,12 @@
   static constexpr std::chrono::milliseconds kDownTime{1'000};
   /// Interval between two tries of a lost link.
   static constexpr std::chrono::milliseconds kProbeInterval{250};
+  /// Number of other links that are tried at a time after a failure.
+  static constexpr std::size_t kOtherProbes = 4;
   /// After a lost link works again, all others are tried at once.
   static constexpr std::chrono::milliseconds kRecoveryTime{1'000};
-  /// Number of upstreams that only peers reach from which the node counts as
-  /// cut off, or all that it tried if these are fewer.
+  /// Number of lost links from which the node counts as cut off, or all that it
+  /// tried if these are fewer.
   static constexpr std::size_t kMinLostLinks = 2;
   static constexpr std::chrono::minutes kMaxAge{1};
 
@@ -88,6 +95,11 @@
   };
 
   bool IsDown(const Link& link, Instant now) const;
+  /// Returns whether `lost` of the failing links, which began to fail at
+  /// `first` or later, mean that the node is cut off.
+  bool IsCutOff(std::size_t lost, const std::optional<Instant>& first) const;
+  /// Returns other links to try after a failure that no answer has followed.
+  std::vector<UpstreamId> OtherProbes(Instant now);
 
   std::map<UpstreamId, Link> links_;
   /// Upstreams of `links_` that could not be reached; few of thousands.
--- a/test/link_monitor_test.cc
+++ b/test/link_monitor_test.cc
@@ -43,6 +43,45 @@
   cr_expect(links.path(Id(9), At(30)) == LinkPath::kPeer, "never tried");
 }
 
+Test(link_monitor, failure_without_an_answer_has_other_links_tried) {
+  LinkMonitor links;
+  for (int i = 1; i <= 9; ++i) {
+    links.OnReached(Id(i), At(0));
+  }
+  links.OnUnreachable(Id(1), At(1'000));
+  // Four others and the failing one.
+  cr_assert_eq(links.TakeProbes(At(1'010)).size(),
+               LinkMonitor::kOtherProbes + 1);
+  cr_expect(!links.likely_cut_off(At(1'010)));
+  links.OnUnreachable(Id(2), At(1'020));
+  cr_expect(links.likely_cut_off(At(1'020)));
+  cr_expect(!links.cut_off(), "no peer has reached them");
+  cr_expect(links.path(Id(7), At(1'020)) == LinkPath::kPeer);
+  links.OnReached(Id(3), At(1'030));
+  cr_expect(!links.likely_cut_off(At(1'030)));
+  cr_expect(links.path(Id(7), At(1'030)) == LinkPath::kDirect);
+}
+
+Test(link_monitor, failure_among_answers_has_only_its_own_link_tried) {
+  LinkMonitor links;
+  links.OnReached(Id(1), At(0));
+  links.OnReached(Id(2), At(0));
+  links.OnUnreachable(Id(1), At(1'000));
+  links.OnReached(Id(2), At(1'005));
+  cr_assert_eq(links.TakeProbes(At(1'010)).size(), 1);
+}
+
+Test(link_monitor, upstreams_that_are_down_cut_off_no_node) {
+  LinkMonitor links;
+  links.OnReached(Id(3), At(0));
+  for (int i = 1; i <= 2; ++i) {
+    links.OnUnreachable(Id(i), At(10));
+    links.OnUnreachableByPeer(Id(i), At(12));
+  }
+  cr_expect(!links.likely_cut_off(At(15)));
+  cr_expect(links.path(Id(3), At(15)) == LinkPath::kDirect);
+}
+
 Test(link_monitor, cut_of_one_failure_domain_leaves_the_other_links) {
   LinkMonitor links;
   for (int i = 1; i <= 2; ++i) {
