The holder of the duties makes sure of its links, and asks a peer when it is likely cut off

Trainers saw: no weights loaded for a whole cut, when the holder of the duties had little traffic. Change: the holder tries a link each 500 ms if no upstream answered for 1 s, and asks a peer if it is likely cut off; it yields if the peer reaches an upstream. Where peers are cut off as well it keeps the lease. New tests: an idle node depends on peers, and not on peers that are cut off as well.

--- a/src/node/forward_server.cc
+++ b/src/node/forward_server.cc
@@ -118,7 +118,7 @@
   v1::ForwardRequest forward;
   const bool parsed = forward.ParseFromString(exchange->request().body);
   const auto request = parsed ? DecodeForward(forward) : std::nullopt;
-  if (!request.has_value()) {
+  if (!parsed || (!request.has_value() && !forward.probe())) {
     exchange->Reply(kBadRequest, "");
     return;
   }
@@ -144,6 +144,15 @@
     exchange->Reply(kOk, Serialize(MakeRefusal(refusal)));
     return;
   }
+  if (forward.probe()) {
+    caller_.Probe(
+        *upstream, ForwardingCaller::kProbeTimeout, [exchange](bool reached) {
+          exchange->Reply(kOk, Serialize(EncodeOutcome(
+                                   serving::NotRun{"probe", /*full=*/false,
+                                                   /*unreachable=*/!reached})));
+        });
+    return;
+  }
   metrics_.Count("forwards_total", {});
   std::make_shared<Session>(*this, exchange, id)
       ->Start(*upstream, *request, forward);
--- a/src/node/forwarding_caller.cc
+++ b/src/node/forwarding_caller.cc
@@ -1,6 +1,7 @@
 #include "node/forwarding_caller.h"
 
 #include <algorithm>
+#include <iterator>
 #include <optional>
 #include <string>
 #include <utility>
@@ -330,9 +331,74 @@
   direct_.Probe(upstream, timeout, std::move(on_result));
 }
 
+void ForwardingCaller::TryLinkIfIdle() {
+  const auto& upstreams = directory_.all();
+  if (upstreams.empty() || clock_.now() < last_answer_ + kIdleTime) {
+    return;
+  }
+  const auto step = static_cast<std::ptrdiff_t>(random_() % upstreams.size());
+  ProbeLink(std::next(upstreams.begin(), step)->first);
+  const auto failing = links_.FailingUpstream();
+  const serving::Registration* upstream =
+      failing.has_value() ? directory_.find(*failing) : nullptr;
+  if (upstream != nullptr && links_.likely_cut_off(clock_.now())) {
+    AskPeer(*upstream);
+  }
+}
+
+void ForwardingCaller::AskPeer(const serving::Registration& upstream) {
+  const auto peer = peers_.Choose({}, clock_.now(), random_);
+  if (!peer.has_value() || std::exchange(asking_peer_, true)) {
+    return;
+  }
+  v1::ForwardRequest question;
+  question.set_upstream(upstream.id.value());
+  question.set_started_ms(upstream.started.count());
+  question.set_probe(true);
+  http::ClientRequest call;
+  call.endpoint = *peer;
+  call.method = http::Method::kPost;
+  call.path = kForwardPath;
+  call.body = question.SerializeAsString();
+  call.connect_timeout = kPeerConnectTimeout;
+  call.timeout = kPeerConnectTimeout + kProbeTimeout;
+  client_.Send(std::move(call), [this, alive = alive_, id = upstream.id,
+                                 peer = *peer](const http::Result& result) {
+    if (*alive) {
+      OnPeerAnswer(id, peer, result);
+    }
+  });
+}
+
+void ForwardingCaller::OnPeerAnswer(const UpstreamId& id, const Endpoint& peer,
+                                    const http::Result& result) {
+  asking_peer_ = false;
+  const Instant now = clock_.now();
+  const auto* response = std::get_if<http::Response>(&result);
+  std::vector<v1::ForwardFrame> frames;
+  if (response == nullptr || response->status != kOk ||
+      !FrameReader().Feed(response->body, &frames) || frames.empty() ||
+      frames.front().outcome().kind() == v1::ForwardedOutcome::REFUSED) {
+    peers_.OnRefused(peer, now);
+    return;
+  }
+  const bool reached =
+      frames.front().outcome().kind() == v1::ForwardedOutcome::NOT_RUN;
+  log_.Write("link.peer_asked", {{"upstream", id.value()},
+                                 {"peer", ToString(peer)},
+                                 {"reached", reached}});
+  if (reached) {
+    last_forwarded_ = now;
+    links_.OnReachedByPeer(id, now);
+  } else {
+    links_.OnUnreachableByPeer(id, now);
+  }
+}
+
 bool ForwardingCaller::depends_on_peers() const {
-  return links_.cut_off() && last_forwarded_.has_value() &&
-         clock_.now() < *last_forwarded_ + kForwardedMaxAge;
+  const Instant now = clock_.now();
+  return links_.likely_cut_off(now) && last_forwarded_.has_value() &&
+         now < *last_forwarded_ + kForwardedMaxAge;
 }
 
 void ForwardingCaller::OnOutcome(const UpstreamId& id,
--- a/src/node/forwarding_caller.h
+++ b/src/node/forwarding_caller.h
@@ -60,8 +60,12 @@
              std::function<void(bool)> on_result) override;
 
   const serving::LinkMonitor& links() const { return links_; }
-  /// Returns whether only peers reach the upstreams: this node is cut off, and
-  /// a peer forwarded a request lately.
+  /// Tries the link to an upstream if none has answered for kIdleTime, and asks
+  /// a peer if this node is likely cut off. Called at intervals by a node that
+  /// must know the state of its links also without requests.
+  void TryLinkIfIdle();
+  /// Returns whether only peers reach the upstreams: this node is likely cut
+  /// off, and a peer reached one of them lately.
   bool depends_on_peers() const;
 
   /// Number of peers that are asked for one request.
@@ -79,9 +83,11 @@
   static constexpr std::chrono::milliseconds kProbeTimeout{300};
   static constexpr std::chrono::milliseconds kTickInterval{50};
   static constexpr std::chrono::milliseconds kExpireInterval{10'000};
-  /// Time since the last forwarded request for which the peers' links count as
-  /// working.
-  static constexpr std::chrono::milliseconds kForwardedMaxAge{2'000};
+  static constexpr std::chrono::milliseconds kIdleTime{1'000};
+  /// Time since a peer last reached an upstream for which the peers' links
+  /// count as working: a node with little traffic forwards a request in a few
+  /// seconds.
+  static constexpr std::chrono::milliseconds kForwardedMaxAge{10'000};
 
  private:
   class ForwardedCall;
@@ -95,6 +101,10 @@
   /// upstream answered meanwhile.
   void ProbeIfSilent(const UpstreamId& id, Instant sent);
   void ProbeLink(const UpstreamId& id);
+  /// Asks a peer whether it reaches an upstream that this node does not reach.
+  void AskPeer(const serving::Registration& upstream);
+  void OnPeerAnswer(const UpstreamId& id, const Endpoint& peer,
+                    const http::Result& result);
   void Tick();
 
   base::EventLoop& loop_;
@@ -109,6 +119,7 @@
   serving::LinkMonitor links_;
   PeerPool peers_;
   std::set<UpstreamId> probing_;
+  bool asking_peer_ = false;
   Instant last_answer_{};
   std::optional<Instant> last_forwarded_;
   std::size_t logged_lost_links_ = 0;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -62,6 +62,9 @@
 constexpr milliseconds kExpireInterval{100};
 // Peers change as nodes start and stop.
 constexpr milliseconds kPeersInterval{1'000};
+// Interval at which the holder of the duties makes sure of its links: orders go
+// to upstreams over them only.
+constexpr milliseconds kDutyLinksInterval{500};
 // The owner of this batch partition deletes expired shared records.
 constexpr int kCleaningPartition = 0;
 // The settings file may change without a SIGHUP. The interval can be long,
@@ -203,6 +206,7 @@
   base::Timer expire_timer_;
   base::Timer reload_timer_;
   base::Timer peers_timer_;
+  base::Timer duty_links_timer_;
 };
 
 Node::Impl::Impl(Settings settings,
@@ -559,6 +563,11 @@
   upstreams_.Start();
   UpdatePeers();
   peers_timer_ = loop_.Every(kPeersInterval, [this] { UpdatePeers(); });
+  duty_links_timer_ = loop_.Every(kDutyLinksInterval, [this] {
+    if (lease_.epoch().has_value()) {
+      upstreams_.TryLinkIfIdle();
+    }
+  });
   shared_.Start();
   expire_timer_ =
       loop_.Every(kExpireInterval, [this] { directory_.Expire(clock_.now()); });
--- a/src/serving/link_monitor.h
+++ b/src/serving/link_monitor.h
@@ -56,6 +56,10 @@
   std::vector<UpstreamId> TakeProbes(Instant now);
   /// Discards the state of upstreams without recent evidence.
   void Expire(Instant now);
+  /// Returns an upstream that could not be reached, or nullopt.
+  std::optional<UpstreamId> FailingUpstream() const {
+    return failing_.empty() ? std::nullopt : std::optional(*failing_.begin());
+  }
   /// Returns whether only peers reach the upstream.
   bool lost(const UpstreamId& id) const {
     return failing_.contains(id) && links_.at(id).reached_by_peer;
--- a/test/lost_links_test.cc
+++ b/test/lost_links_test.cc
@@ -70,6 +70,32 @@
   cr_expect_leq(failed, 1, "%d of 8 orders failed", failed);
 }
 
+Test(lost_links, idle_node_does_not_learn_that_it_is_cut_off) {
+  LinkedNodes world(2, /*upstreams=*/3);
+  world.nodes[0]->SetLinks(LinkState::kCut);
+  const base::Timer tries = world.loop.Every(
+      milliseconds(500), [&world] { world.nodes[0]->caller.TryLinkIfIdle(); });
+  fakes::RunFor(world.loop, milliseconds(5'000));
+  cr_expect(world.nodes[0]->caller.links().likely_cut_off(world.clock.now()));
+  cr_expect(world.nodes[0]->caller.depends_on_peers(),
+            "a peer reaches the upstreams");
+  cr_expect_eq(world.Post(0, "/order"), kOk);
+  world.nodes[0]->SetLinks(LinkState::kPass);
+  fakes::RunFor(world.loop, milliseconds(1'500));
+  cr_expect(!world.nodes[0]->caller.links().likely_cut_off(world.clock.now()));
+}
+
+Test(lost_links, idle_node_depends_on_peers_that_are_cut_off_as_well) {
+  LinkedNodes world(2, /*upstreams=*/3);
+  for (const auto& node : world.nodes) {
+    node->SetLinks(LinkState::kCut);
+  }
+  const base::Timer tries = world.loop.Every(
+      milliseconds(500), [&world] { world.nodes[0]->caller.TryLinkIfIdle(); });
+  fakes::RunFor(world.loop, milliseconds(4'000));
+  cr_expect(!world.nodes[0]->caller.depends_on_peers());
+}
+
 // The node under test is 0; its links are lost before the first request.
 struct LostLinks : LinkedNodes {
   explicit LostLinks(int count, LinkState state = LinkState::kRefuse)
