--- a/src/node/forwarding_caller.cc
+++ b/src/node/forwarding_caller.cc
@@ -424,7 +424,7 @@
 void ForwardingCaller::OnLinkWorks(const UpstreamId& id) {
   const serving::Registration* upstream = directory_.find(id);
   if (links_.lost(id) && upstream != nullptr) {
-    // Connections from before the loss may be dead and would swallow requests.
+    // Connections from before the loss may be dead, and requests on them lost.
     loop_.Post([this, alive = alive_, endpoint = upstream->endpoint] {
       if (*alive) {
         client_.CloseIdleConnections(endpoint);
--- a/test/lost_links_test.cc
+++ b/test/lost_links_test.cc
@@ -51,7 +51,7 @@
 }
 
 // A node with little traffic, whose open connections to all upstreams are dead.
-Test(lost_links, each_upstream_swallows_an_order_at_a_cut_node) {
+Test(lost_links, each_upstream_loses_an_order_at_a_cut_node) {
   LinkedNodes world(2, /*upstreams=*/6);
   for (int i = 0; i < 60; ++i) {
     cr_assert_eq(world.Post(0, "/order"), kOk);
