--- a/src/serving/link_monitor.h
+++ b/src/serving/link_monitor.h
@@ -1,5 +1,5 @@
-// Tells an upstream that is down from one that only this node cannot reach,
-// and decides which way requests take. Pure: no I/O and no clock.
+// Distinguishes upstreams that are down from those that only this node cannot
+// reach, and chooses the path of requests. Pure: no I/O and no clock.
 //
 // Evidence is collected per upstream, from this node's own connections and from
 // peers that were asked to forward a request. An upstream that neither this
--- a/test/link_monitor_test.cc
+++ b/test/link_monitor_test.cc
@@ -1,4 +1,4 @@
-// Tests how lost links are told apart from upstreams that are down.
+// Tests how lost links are distinguished from upstreams that are down.
 
 #include "serving/link_monitor.h"
 
