Reword six comments that needed a second reading

Cause: read as a newcomer: two constants described by a clause within a clause, a digest length without its unit, a count called a share. Change: comments only.

--- a/src/node/forward_server.cc
+++ b/src/node/forward_server.cc
@@ -38,7 +38,7 @@
              const v1::ForwardRequest& forward) {
     exchange_->on_disconnected().connect([weak = weak_from_this()] {
       if (const auto self = weak.lock()) {
-        // The caller of the peer has left, or the peer has.
+        // The peer disconnects when its caller does.
         self->call_->Cancel();
       }
     });
--- a/src/node/forwarding_caller.h
+++ b/src/node/forwarding_caller.h
@@ -70,15 +70,15 @@
 
   /// Number of peers that are asked for one request.
   static constexpr std::size_t kMaxPeersAsked = 3;
-  /// Number of peers that cannot connect to an upstream either from which it
-  /// counts as down.
+  /// An upstream that this node cannot connect to counts as down once this many
+  /// peers cannot connect to it either.
   static constexpr std::size_t kMinPeersForDown = 2;
   static constexpr std::chrono::milliseconds kPeerConnectTimeout{200};
   /// Time that a peer gets beyond the deadline of the request, so that its own
   /// outcome arrives first.
   static constexpr std::chrono::milliseconds kDeadlineMargin{50};
-  /// Time without any answer from any upstream after which the link to one that
-  /// has a request is tried with a new connection.
+  /// If no upstream answers for this long after a request was sent, the link to
+  /// its upstream is tried with a new connection.
   static constexpr std::chrono::milliseconds kSilenceTime{200};
   static constexpr std::chrono::milliseconds kProbeTimeout{300};
   static constexpr std::chrono::milliseconds kTickInterval{50};
--- a/src/node/stream_origin_exchange.cc
+++ b/src/node/stream_origin_exchange.cc
@@ -18,6 +18,7 @@
 constexpr char kVersionKind[] = "version";
 // Ends each key, so that a read after the key without it begins with the key.
 constexpr char kKeyEnd = '+';
+// Characters of the hexadecimal digest that are kept: 96 bits.
 constexpr std::size_t kDigestLength = 24;
 
 platform::PartitionId StreamsPartition(int number) {
--- a/src/serving/origin_table.h
+++ b/src/serving/origin_table.h
@@ -63,8 +63,8 @@
   /// Records that the store has the declaration of a version.
   /// @return keys of the streams whose records must be written now
   std::vector<std::string> OnDeclared(const StreamOrigin& origin);
-  /// Returns the streams of a service that have no record, as records must be
-  /// written now: their route leads to another service.
+  /// Records that a route no longer leads to a service.
+  /// @return keys of the streams whose records must be written now
   std::vector<std::string> OnRouteLeft(const TargetId& service);
   /// Records that the declaration of a version was deleted.
   void OnWithdrawn(const StreamOrigin& origin);
--- a/test/lost_links_test.cc
+++ b/test/lost_links_test.cc
@@ -18,8 +18,8 @@
 constexpr int kOk = 200;
 constexpr int kRequests = 20;
 
-// Share of the callers of a node that lost its links whose first request is
-// answered; two thirds is the least.
+// Returns how many of kRequests requests are answered at a node that lost its
+// links. The users' rule asks for two thirds.
 int CountServed(LinkState state, const std::string& path) {
   LinkedNodes world(2);
   cr_assert_eq(world.Post(0, path), kOk);
