Review case 1: requests are cut at the end of a drain

Tried: SIGTERM of a node that a long request keeps running, while callers reuse channels that they kept open. A node under SIGTERM admits requests until graceS - 0.5 s and then ends at once, so that those passed on just before lose their channel without an answer (LOST).

--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the cases, each as CASE/case, from CASE/case.cc and the headers in harness/.
+set -euo pipefail
+cd "$(dirname "$0")"
+for source in */case.cc; do
+  folder=$(dirname "$source")
+  g++ -std=c++20 -O1 -Wall -Wextra -Iharness -o "$folder/case" "$source" -pthread
+  echo "built review/$folder/case"
+done
