Review: only the case folders below review/, run.sh reads TROUBLE

The headers now stand beside build.sh, and run.sh turns TROUBLE into the argument of its program. Cases, checks and bounds are the same.

--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -106,4 +106,6 @@
 }  // namespace
 }  // namespace review
 
-int main() { return review::Run(); }
+int main(int argc, char** argv) {
+  return review::RunCase(argc, argv, review::Run);
+}
--- a/review/harness/http.h
+++ b/review/http.h
@@ -1,8 +1,8 @@
 // HTTP/1.1 over blocking sockets for the stand-ins of the review: a server with
 // one thread for each connection, and a client.
 
-#ifndef MULBERRYROAD_REVIEW_HARNESS_HTTP_H_
-#define MULBERRYROAD_REVIEW_HARNESS_HTTP_H_
+#ifndef MULBERRYROAD_REVIEW_HTTP_H_
+#define MULBERRYROAD_REVIEW_HTTP_H_
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -388,4 +388,4 @@
 
 }  // namespace review
 
-#endif  // MULBERRYROAD_REVIEW_HARNESS_HTTP_H_
+#endif  // MULBERRYROAD_REVIEW_HTTP_H_
--- a/review/harness/store.h
+++ b/review/store.h
@@ -1,8 +1,8 @@
 // Stand-in for the platform's store of partitioned logs, and for the platform's
 // duty calls, as PROTOCOL.md describes them.
 
-#ifndef MULBERRYROAD_REVIEW_HARNESS_STORE_H_
-#define MULBERRYROAD_REVIEW_HARNESS_STORE_H_
+#ifndef MULBERRYROAD_REVIEW_STORE_H_
+#define MULBERRYROAD_REVIEW_STORE_H_
 
 #include <algorithm>
 #include <condition_variable>
@@ -401,4 +401,4 @@
 
 }  // namespace review
 
-#endif  // MULBERRYROAD_REVIEW_HARNESS_STORE_H_
+#endif  // MULBERRYROAD_REVIEW_STORE_H_
--- a/review/harness/trainer.h
+++ b/review/trainer.h
@@ -1,7 +1,7 @@
 // Calls of a trainer for the cases about batch submissions.
 
-#ifndef MULBERRYROAD_REVIEW_HARNESS_TRAINER_H_
-#define MULBERRYROAD_REVIEW_HARNESS_TRAINER_H_
+#ifndef MULBERRYROAD_REVIEW_TRAINER_H_
+#define MULBERRYROAD_REVIEW_TRAINER_H_
 
 #include "world.h"
 
@@ -181,4 +181,4 @@
 
 }  // namespace review
 
-#endif  // MULBERRYROAD_REVIEW_HARNESS_TRAINER_H_
+#endif  // MULBERRYROAD_REVIEW_TRAINER_H_
--- a/review/harness/world.h
+++ b/review/world.h
@@ -1,8 +1,8 @@
 // What a case needs besides the store: processes of mulberry-node, replicas,
 // the record of the run, and the manifest.
 
-#ifndef MULBERRYROAD_REVIEW_HARNESS_WORLD_H_
-#define MULBERRYROAD_REVIEW_HARNESS_WORLD_H_
+#ifndef MULBERRYROAD_REVIEW_WORLD_H_
+#define MULBERRYROAD_REVIEW_WORLD_H_
 
 #include <fcntl.h>
 #include <signal.h>
@@ -43,9 +43,22 @@
   std::mutex mutex_;
 };
 
-inline bool Troubled() {
-  const char* trouble = std::getenv("TROUBLE");
-  return trouble == nullptr || std::string(trouble) != "0";
+/// Whether the case plays its disruption. Set once, before the case runs.
+inline bool& Troubled() {
+  static bool troubled = true;
+  return troubled;
+}
+
+/// Runs a case whose only argument is "troubled" or "calm", as run.sh passes
+/// it.
+inline int RunCase(int argc, char** argv, int (*run)()) {
+  const std::string mode = argc == 2 ? argv[1] : "";
+  if (mode != "troubled" && mode != "calm") {
+    std::fprintf(stderr, "usage: %s troubled|calm\n", argv[0]);
+    return kCouldNotRun;
+  }
+  Troubled() = mode == "troubled";
+  return run();
 }
 
 /// Polls until the condition holds.
@@ -481,4 +494,4 @@
 
 }  // namespace review
 
-#endif  // MULBERRYROAD_REVIEW_HARNESS_WORLD_H_
+#endif  // MULBERRYROAD_REVIEW_WORLD_H_
