--- /dev/null
+++ b/src/node/node_records.cc
@@ -0,0 +1,115 @@
+// Records of the operator and registrations of upstreams, as the store and
+// peers deliver them.
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "node/node_impl.h"
+#include "platform/manifest_codec.h"
+#include "platform/names.h"
+
+namespace mulberryroad::node {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A registration that is removed within this time after a failed read may have
+// expired because the store was unreachable.
+constexpr milliseconds kStoreUnstablePeriod{3'500};
+// Headers up to this multiple of the limit in the manifest are read and
+// rejected with status 431; for larger ones the HTTP library closes the
+// connection.
+constexpr std::size_t kReadableHeadersFactor = 4;
+// Callers reuse connections that were idle for up to four fifths of the idle
+// timeout in the manifest; doubling it covers a newer manifest that has not
+// reached this node yet.
+constexpr int kIdleTimeoutFactor = 2;
+
+http::ServerLimits LimitsFor(const serving::Limits& limits) {
+  return {std::max(internal::kInitialServerLimits.max_body_bytes,
+                   limits.max_body_bytes),
+          std::max(internal::kInitialServerLimits.max_header_bytes,
+                   kReadableHeadersFactor * limits.max_header_bytes),
+          std::max(internal::kInitialServerLimits.client_timeout,
+                   kIdleTimeoutFactor * limits.idle_timeout)};
+}
+
+}  // namespace
+
+store::TailHandler Node::Impl::MakeOperatorHandler() {
+  store::TailHandler handler;
+  handler.on_read_succeeded = [this](Instant sent) {
+    peers_.OnStoreAnswer(sent);
+  };
+  handler.on_snapshot =
+      [this](const std::vector<platform::KeyedRecord>& records) {
+        peers_.operator_records().Replace(records);
+        for (const platform::KeyedRecord& record : records) {
+          ApplyOperatorRecord(record);
+        }
+      };
+  handler.on_record = [this](const platform::KeyedRecord& record) {
+    peers_.operator_records().Apply(record);
+    ApplyOperatorRecord(record);
+  };
+  return handler;
+}
+
+void Node::Impl::ApplyOperatorRecord(const platform::KeyedRecord& record) {
+  const std::string value = record.value.value_or("");
+  if (record.key == platform_adapter::kManifestKey) {
+    auto manifest = platform_adapter::DecodeManifest(value);
+    if (!manifest.has_value()) {
+      log_.Write("manifest.malformed",
+                 {{"offset", static_cast<std::int64_t>(record.offset)}});
+      return;
+    }
+    const auto version = static_cast<std::int64_t>(manifest->version);
+    const serving::Manifest* before = catalog_.manifest();
+    const std::set<TargetId> left =
+        before == nullptr ? std::set<TargetId>()
+                          : serving::ServicesLeftByStreams(*before, *manifest);
+    const bool newer = catalog_.Apply(*std::move(manifest));
+    if (newer) {
+      origins_.OnRoutesLeft(left);
+      callers_.SetLimits(LimitsFor(catalog_.manifest()->limits));
+      batch_host_.OnManifestChanged();
+    }
+    log_.Write("manifest", {{"version", version}, {"in_force", newer}});
+    return;
+  }
+  if (record.key.starts_with(platform_adapter::kPublishedVersionPrefix)) {
+    if (const auto published =
+            platform_adapter::DecodePublishedVersion(value)) {
+      weights_.OnVersionPublished(published->model, published->version);
+    }
+  }
+}
+
+bool Node::Impl::store_unstable() const {
+  const auto failure = registration_tail_->last_failure();
+  return failure.has_value() && clock_.now() < *failure + kStoreUnstablePeriod;
+}
+
+store::TailHandler Node::Impl::MakeRegistrationHandler() {
+  store::TailHandler handler;
+  handler.on_read_succeeded = [this](Instant sent) {
+    peers_.OnStoreAnswer(sent);
+  };
+  handler.on_snapshot =
+      [this](const std::vector<platform::KeyedRecord>& records) {
+        peers_.registrations().Replace(records);
+        upstream_watch_.ApplySnapshot(records, store_unstable());
+        origins_.DeclareListedVersions();
+      };
+  handler.on_record = [this](const platform::KeyedRecord& record) {
+    peers_.registrations().Apply(record);
+    upstream_watch_.Apply(record, store_unstable());
+    origins_.DeclareListedVersions();
+  };
+  return handler;
+}
+
+}  // namespace mulberryroad::node
--- /dev/null
+++ b/src/node/node_status.cc
@@ -0,0 +1,106 @@
+// Reachability of the store, readiness and metrics of a node.
+
+#include <string>
+#include <utility>
+
+#include "node/node_impl.h"
+#include "platform/names.h"
+
+namespace mulberryroad::node {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kServiceUnavailable = 503;
+
+}  // namespace
+
+void Node::Impl::CountUsage(const OrganisationId& organisation) {
+  usage_counts_.Count(organisation, clock_.wall_now());
+}
+
+// Returns true if reads of the store fail and the last answered one was sent at
+// least kMaxContactAge ago; a single failed read does not count.
+bool Node::Impl::store_unreachable() const {
+  const auto contact = operator_tail_->last_success_sent_at();
+  return operator_tail_->failing() &&
+         (!contact.has_value() ||
+          clock_.now() >= *contact + ReachabilityTracker::kMaxContactAge);
+}
+
+// Returns true if this node owns a batch partition and no other node does: the
+// membership was renewed recently, or the store is unreachable for all nodes
+// and assigns no partitions.
+bool Node::Impl::OwnsPartition(int partition) const {
+  const auto renewed_at = batch_host_.renewed_at();
+  const bool current =
+      renewed_at.has_value() &&
+      clock_.now() < *renewed_at + batches::BatchHost::kMembershipTtl;
+  return batch_host_.holds(partition) &&
+         (current || peers_.reachability() == StoreReachability::kOutage);
+}
+
+// Result of the readiness check. A node that does not reach the store stays
+// ready if its peers do not reach it either, since no other node could serve
+// the callers better.
+bool Node::Impl::ready() const {
+  const bool store_failing =
+      store_unreachable() &&
+      peers_.reachability() != StoreReachability::kOutage;
+  return !drain_.begun() && catalog_.manifest() != nullptr &&
+         upstream_watch_.has_snapshot() && !store_failing;
+}
+
+// Returns the reason why the node refuses all calls, or nullopt. An isolated
+// node refuses them once its last store contact is key_revocation_delay ago: it
+// might otherwise accept a revoked key for longer than allowed.
+std::optional<std::string> Node::Impl::refusal_reason() const {
+  if (stopping_) {
+    return "the node is stopping";
+  }
+  const auto contact = operator_tail_->last_success_sent_at();
+  const bool keys_outdated =
+      contact.has_value() &&
+      clock_.now() >= *contact + settings_.key_revocation_delay;
+  if (keys_outdated && peers_.reachability() == StoreReachability::kIsolated) {
+    return "the node reaches neither the store nor its peers";
+  }
+  return std::nullopt;
+}
+
+void Node::Impl::RegisterReadiness() {
+  readiness_.Route(http::Method::kGet, platform_adapter::kReadyPath,
+                   [this](const std::shared_ptr<http::Exchange>& exchange) {
+                     exchange->Reply(ready() ? kOk : kServiceUnavailable, "{}");
+                   });
+  const auto serve_metrics =
+      [this](const std::shared_ptr<http::Exchange>& exchange) {
+        exchange->Reply(kOk, metrics_.ToPrometheus(),
+                        {{"Content-Type", "text/plain; version=0.0.4"}});
+      };
+  readiness_.Route(http::Method::kGet, "/metrics", serve_metrics);
+  if (settings_.metrics_address.has_value()) {
+    metrics_server_.emplace(loop_, http::ServerLimits{});
+    metrics_server_->Route(http::Method::kGet, "/metrics", serve_metrics);
+  }
+  metrics_.Gauge("batch_partitions", [this] {
+    return static_cast<double>(batch_host_.partitions());
+  });
+  metrics_.Gauge("items_running",
+                 [this] { return static_cast<double>(batch_host_.running()); });
+  metrics_.Gauge("items_waiting",
+                 [this] { return static_cast<double>(batch_host_.waiting()); });
+  metrics_.Gauge("items_scoring",
+                 [this] { return static_cast<double>(batch_host_.scoring()); });
+  metrics_.Gauge("crashing_contents", [this] {
+    return static_cast<double>(crash_evidence_.size());
+  });
+  metrics_.Gauge("upstream_statements",
+                 [this] { return static_cast<double>(statements_.size()); });
+  metrics_.Gauge("log_lines_dropped",
+                 [this] { return static_cast<double>(log_.dropped()); });
+  metrics_.Gauge("manifest_version",
+                 [this] { return static_cast<double>(catalog_.version()); });
+}
+
+}  // namespace mulberryroad::node
