Evacuation of a failure domain by a record of the operator

Cause: an operator could not stop the nodes from sending to the upstreams of one failure domain without removing their registrations.

Change: the nodes read a record for each evacuated domain with the tail that reads the manifest. serving/evacuations keeps the domains with the offset of the newest record of each, so that an older record, or an older copy from a peer, does not undo a newer one. UpstreamDirectory::Ready leaves the upstreams of evacuated domains out. ForwardingCaller and ForwardServer, which send by id, and WeightOrders and the link probes ask again when they send. Running work is not cancelled. Items wait and keep their events if all upstreams of their service are evacuated, and a stream to resume is not declared lost.

ForwardServer refuses requests of peers until the operator's records were read.

--- a/src/batches/part_owner_runs.cc
+++ b/src/batches/part_owner_runs.cc
@@ -93,6 +93,11 @@
   const auto registered =
       std::find_if(suitable.begin(), suitable.end(),
                    [&runs_it](const auto* u) { return runs_it(*u); });
+  if (suitable.empty() && context_.directory.evacuations().size() > 0) {
+    // The upstreams of the item may be in the evacuated domains, and there is
+    // no other one at which it could start again.
+    return false;
+  }
   const bool free = std::any_of(candidates.begin(), candidates.end(), runs_it);
   const Instant now = context_.clock.now();
   const auto interval = registered == suitable.end()
--- a/src/duties/weight_orders.cc
+++ b/src/duties/weight_orders.cc
@@ -45,11 +45,21 @@
     order_counts_.clear();
     return;
   }
-  for (const LoadWeights& load : plan_.Next(directory_.all(), clock_.now())) {
+  for (const LoadWeights& load :
+       plan_.Next(OrderableUpstreams(), clock_.now())) {
     StartOrder(load);
   }
 }
 
+std::map<UpstreamId, serving::Registration> WeightOrders::OrderableUpstreams()
+    const {
+  std::map<UpstreamId, serving::Registration> upstreams = directory_.all();
+  std::erase_if(upstreams, [this](const auto& entry) {
+    return directory_.IsEvacuated(entry.second);
+  });
+  return upstreams;
+}
+
 void WeightOrders::StartOrder(const LoadWeights& load) {
   const serving::Registration* upstream = directory_.find(load.upstream);
   OrderCount& order_count = order_counts_[load.upstream];
@@ -100,13 +110,17 @@
                              std::uint64_t after_orders) {
   const serving::Registration* upstream = directory_.find(load.upstream);
   const auto epoch = epoch_();
-  if (upstream == nullptr || !epoch.has_value()) {
+  if (upstream == nullptr || directory_.IsEvacuated(*upstream) ||
+      !epoch.has_value()) {
     plan_.OnLoadFailed(load.upstream);
     return;
   }
   metrics_.Count("weight_orders_total", {});
   orders_.ChangeVersion(
-      {node_, *epoch, [this, epoch] { return epoch_() == epoch; }},
+      {node_, *epoch,
+       [this, epoch, target = *upstream] {
+         return epoch_() == epoch && !directory_.IsEvacuated(target);
+       }},
       {upstream->id, upstream->started, upstream->endpoint},
       {load.model, load.version, SwapModeFor(upstream->service), after_orders},
       [this, alive = alive_, load,
--- a/src/duties/weight_orders.h
+++ b/src/duties/weight_orders.h
@@ -57,6 +57,8 @@
 
   /// Orders the loads that are due, if the lease is held.
   void Tick();
+  /// Returns the registered upstreams outside the evacuated domains.
+  std::map<UpstreamId, serving::Registration> OrderableUpstreams() const;
   /// Sends an order, after reading the state of the upstream if needed.
   void StartOrder(const LoadWeights& load);
   /// Sends an order.
--- a/src/node/forward_server.cc
+++ b/src/node/forward_server.cc
@@ -126,12 +126,14 @@
   const serving::Registration* upstream = directory_.find(id);
   std::string refusal;
   if (stopping_()) {
-    refusal = "the node is stopping";
+    refusal = "the node is stopping or starting";
   } else if (*open_ >= kMaxOpen) {
     refusal = "the node forwards as many requests as it may";
   } else if (upstream == nullptr || upstream->draining ||
              upstream->started.count() != forward.started_ms()) {
     refusal = "the upstream is not registered, or leaves";
+  } else if (directory_.IsEvacuated(*upstream)) {
+    refusal = "the failure domain of the upstream is evacuated";
   } else if (caller_.links().path(id, clock_.now()) ==
              serving::LinkPath::kPeer) {
     refusal = "the node lost its own link";
--- a/src/node/forward_server.h
+++ b/src/node/forward_server.h
@@ -22,7 +22,8 @@
 /// of its route. Runs on the event loop thread.
 class ForwardServer {
  public:
-  /// @param stopping returns whether the node takes no new requests
+  /// @param stopping returns whether the node takes no new requests: it stops,
+  ///     or has not read the operator's records yet
   ForwardServer(const Clock& clock, base::StructuredLog& log,
                 base::Metrics& metrics, ForwardingCaller& caller,
                 const serving::UpstreamDirectory& directory,
--- a/src/node/forwarding_caller.cc
+++ b/src/node/forwarding_caller.cc
@@ -39,6 +39,9 @@
         deadline_(caller.clock_.now() + options_.deadline) {}
 
   void Start() {
+    if (FinishIfEvacuated()) {
+      return;
+    }
     const Instant now = caller_.clock_.now();
     if (!caller_.peers_.empty() &&
         caller_.links_.path(upstream_.id, now) == serving::LinkPath::kPeer) {
@@ -83,7 +86,22 @@
     }
   }
 
+  /// Ends the call if the domain of its upstream was evacuated since the
+  /// upstream was chosen.
+  bool FinishIfEvacuated() {
+    if (!caller_.directory_.IsEvacuated(upstream_)) {
+      return false;
+    }
+    // Full rather than failed: the upstream must not be ejected for it.
+    FinishLater(serving::NotRun{"the failure domain is evacuated",
+                                /*full=*/true});
+    return true;
+  }
+
   void SendToPeer() {
+    if (FinishIfEvacuated()) {
+      return;
+    }
     const Instant now = caller_.clock_.now();
     const auto left = duration_cast<milliseconds>(deadline_ - now);
     peer_ = tried_.size() < kMaxPeersAsked
@@ -332,16 +350,21 @@
 }
 
 void ForwardingCaller::TryLinkIfIdle() {
-  const auto& upstreams = directory_.all();
+  std::vector<UpstreamId> upstreams;
+  for (const auto& [id, upstream] : directory_.all()) {
+    if (!directory_.IsEvacuated(upstream)) {
+      upstreams.push_back(id);
+    }
+  }
   if (upstreams.empty() || clock_.now() < last_answer_ + kIdleTime) {
     return;
   }
-  const auto step = static_cast<std::ptrdiff_t>(random_() % upstreams.size());
-  ProbeLink(std::next(upstreams.begin(), step)->first);
+  ProbeLink(upstreams[random_() % upstreams.size()]);
   const auto failing = links_.FailingUpstream();
   const serving::Registration* upstream =
       failing.has_value() ? directory_.find(*failing) : nullptr;
-  if (upstream != nullptr && links_.likely_cut_off(clock_.now())) {
+  if (upstream != nullptr && !directory_.IsEvacuated(*upstream) &&
+      links_.likely_cut_off(clock_.now())) {
     AskPeer(*upstream);
   }
 }
@@ -452,7 +475,8 @@
 
 void ForwardingCaller::ProbeLink(const UpstreamId& id) {
   const serving::Registration* upstream = directory_.find(id);
-  if (upstream == nullptr || !probing_.insert(id).second) {
+  if (upstream == nullptr || directory_.IsEvacuated(*upstream) ||
+      !probing_.insert(id).second) {
     return;
   }
   metrics_.Count("link_probes_total", {});
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -107,7 +107,12 @@
       upstreams_(loop_, clock_, log_, metrics_, client_, random_,
                  upstream_client_, directory_, statements_),
       forward_server_(clock_, log_, metrics_, upstreams_, directory_,
-                      statements_, [this] { return drain_.begun(); }),
+                      statements_,
+                      [this] {
+                        // Without the operator's records the node does not know
+                        // to which upstreams nothing may be sent.
+                        return drain_.begun() || catalog_.manifest() == nullptr;
+                      }),
       serving_{loop_,
                clock_,
                log_,
@@ -170,9 +175,7 @@
       peers_(
           loop_, clock_, log_, client_, random_, internal::SeedPeers(settings_),
           [this](const std::vector<platform::KeyedRecord>& records) {
-            for (const platform::KeyedRecord& record : records) {
-              ApplyOperatorRecord(record);
-            }
+            ApplyOperatorSnapshot(records, peers_.operator_records().position);
           },
           [this](const std::vector<platform::KeyedRecord>& records) {
             upstream_watch_.ApplySnapshot(records, store_unstable());
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <vector>
 
 #include "base/drain.h"
 #include "base/event_loop.h"
@@ -69,6 +70,11 @@
   /// Closes idle connections to upstreams that say that they leave.
   void CloseConnectionsToLeaving();
   void ApplyOperatorRecord(const platform::KeyedRecord& record);
+  /// Applies a listing of the operator's records.
+  /// @param end offset up to which it is complete, exclusive
+  void ApplyOperatorSnapshot(const std::vector<platform::KeyedRecord>& records,
+                             platform::Offset end);
+  void OnEvacuationChanged(const serving::EvacuationChange& change);
   std::optional<std::string> refusal_reason() const;
   bool store_unstable() const;
   bool store_unreachable() const;
--- a/src/node/node_records.cc
+++ b/src/node/node_records.cc
@@ -2,7 +2,11 @@
 // peers deliver them.
 
 #include <algorithm>
+#include <map>
+#include <optional>
 #include <set>
+#include <string>
+#include <string_view>
 #include <utility>
 
 #include "node/node_impl.h"
@@ -36,6 +40,15 @@
                    kIdleTimeoutFactor * limits.idle_timeout)};
 }
 
+// Returns the domain that a record of the operator evacuates, or nullopt if the
+// record is of another kind or names no domain.
+std::optional<FailureDomainId> EvacuatedDomain(const std::string& key) {
+  const std::string_view prefix = platform_adapter::kEvacuationPrefix;
+  return key.starts_with(prefix) && key.size() > prefix.size()
+             ? std::optional(FailureDomainId(key.substr(prefix.size())))
+             : std::nullopt;
+}
+
 }  // namespace
 
 store::TailHandler Node::Impl::MakeOperatorHandler() {
@@ -45,10 +58,8 @@
   };
   handler.on_snapshot =
       [this](const std::vector<platform::KeyedRecord>& records) {
-        peers_.operator_records().Replace(records);
-        for (const platform::KeyedRecord& record : records) {
-          ApplyOperatorRecord(record);
-        }
+        peers_.operator_records().Replace(records, operator_tail_->position());
+        ApplyOperatorSnapshot(records, operator_tail_->position());
       };
   handler.on_record = [this](const platform::KeyedRecord& record) {
     peers_.operator_records().Apply(record);
@@ -57,7 +68,49 @@
   return handler;
 }
 
+void Node::Impl::ApplyOperatorSnapshot(
+    const std::vector<platform::KeyedRecord>& records, platform::Offset end) {
+  std::map<FailureDomainId, std::uint64_t> evacuated;
+  for (const platform::KeyedRecord& record : records) {
+    const auto domain = EvacuatedDomain(record.key);
+    if (domain.has_value() && record.value.has_value()) {
+      evacuated.emplace(*domain, record.offset);
+    }
+  }
+  // Before the manifest, which makes the node ready.
+  for (const serving::EvacuationChange& change :
+       directory_.evacuations().Replace(evacuated, end)) {
+    OnEvacuationChanged(change);
+  }
+  for (const platform::KeyedRecord& record : records) {
+    if (!EvacuatedDomain(record.key).has_value()) {
+      ApplyOperatorRecord(record);
+    }
+  }
+}
+
+void Node::Impl::OnEvacuationChanged(const serving::EvacuationChange& change) {
+  const auto& upstreams = directory_.all();
+  const auto affected = std::count_if(
+      upstreams.begin(), upstreams.end(), [&change](const auto& entry) {
+        return entry.second.failure_domain == change.domain;
+      });
+  log_.Write(change.evacuated ? "domain.evacuated" : "domain.returned",
+             {{"domain", change.domain.value()},
+              {"upstreams", static_cast<std::int64_t>(affected)},
+              {"evacuated_domains",
+               static_cast<std::int64_t>(directory_.evacuations().size())}});
+  batch_host_.OnManifestChanged();
+}
+
 void Node::Impl::ApplyOperatorRecord(const platform::KeyedRecord& record) {
+  if (const auto domain = EvacuatedDomain(record.key)) {
+    if (const auto change = directory_.evacuations().Apply(
+            *domain, record.offset, record.value.has_value())) {
+      OnEvacuationChanged(*change);
+    }
+    return;
+  }
   const std::string value = record.value.value_or("");
   if (record.key == platform_adapter::kManifestKey) {
     auto manifest = platform_adapter::DecodeManifest(value);
@@ -80,6 +133,11 @@
     log_.Write("manifest", {{"version", version}, {"in_force", newer}});
     return;
   }
+  if (record.key == platform_adapter::kEvacuationPrefix) {
+    log_.Write("domain.unnamed",
+               {{"offset", static_cast<std::int64_t>(record.offset)}});
+    return;
+  }
   if (record.key.starts_with(platform_adapter::kPublishedVersionPrefix)) {
     if (const auto published =
             platform_adapter::DecodePublishedVersion(value)) {
@@ -100,7 +158,7 @@
   };
   handler.on_snapshot =
       [this](const std::vector<platform::KeyedRecord>& records) {
-        peers_.registrations().Replace(records);
+        peers_.registrations().Replace(records, registration_tail_->position());
         upstream_watch_.ApplySnapshot(records, store_unstable());
         origins_.DeclareListedVersions();
       };
--- a/src/node/node_status.cc
+++ b/src/node/node_status.cc
@@ -99,6 +99,9 @@
                  [this] { return static_cast<double>(statements_.size()); });
   metrics_.Gauge("log_lines_dropped",
                  [this] { return static_cast<double>(log_.dropped()); });
+  metrics_.Gauge("evacuated_domains", [this] {
+    return static_cast<double>(directory_.evacuations().size());
+  });
   metrics_.Gauge("manifest_version",
                  [this] { return static_cast<double>(catalog_.version()); });
 }
--- a/src/node/peer_view.cc
+++ b/src/node/peer_view.cc
@@ -64,11 +64,14 @@
   position = std::max(position, record.offset + 1);
 }
 
-void PeerRecords::Replace(const std::vector<platform::KeyedRecord>& records) {
+void PeerRecords::Replace(const std::vector<platform::KeyedRecord>& records,
+                          platform::Offset end) {
   values.clear();
   for (const platform::KeyedRecord& record : records) {
     Apply(record);
   }
+  // The last records of a snapshot may be removals, which it does not list.
+  position = end;
 }
 
 void ReachabilityTracker::OnPeerAnswer(Instant now,
@@ -184,13 +187,13 @@
   if (view.operator_position() > operator_records_.position) {
     const auto records = DecodePeerRecords(view.operator_records(),
                                            view.operator_position() - 1);
-    operator_records_.Replace(records);
+    operator_records_.Replace(records, view.operator_position());
     on_operator_records_(records);
   }
   if (view.registration_position() > registrations_.position) {
     const auto records = DecodePeerRecords(view.registrations(),
                                            view.registration_position() - 1);
-    registrations_.Replace(records);
+    registrations_.Replace(records, view.registration_position());
     on_registrations_(records);
   }
 }
--- a/src/node/peer_view.h
+++ b/src/node/peer_view.h
@@ -47,7 +47,9 @@
   /// Applies a record; one without a value removes its key.
   void Apply(const platform::KeyedRecord& record);
   /// Replaces all values by those of a snapshot.
-  void Replace(const std::vector<platform::KeyedRecord>& records);
+  /// @param end offset up to which the snapshot is complete, exclusive
+  void Replace(const std::vector<platform::KeyedRecord>& records,
+               platform::Offset end);
 };
 
 /// Derives the reachability of the store from the times of successful calls to
--- a/src/serving/request_session.cc
+++ b/src/serving/request_session.cc
@@ -104,8 +104,19 @@
 }
 
 bool RequestSession::OriginIsGone() const {
-  return software_.has_value() && FittingUpstreams().empty() &&
-         !context_.directory.Ready(request_.service).empty();
+  if (!software_.has_value() || !FittingUpstreams().empty() ||
+      context_.directory.Ready(request_.service).empty()) {
+    return false;
+  }
+  // Upstreams in evacuated domains return.
+  const auto& upstreams = context_.directory.all();
+  return std::none_of(
+      upstreams.begin(), upstreams.end(), [this](const auto& entry) {
+        const Registration& upstream = entry.second;
+        return upstream.service == request_.service && !upstream.draining &&
+               upstream.software == *software_ && !software_->empty() &&
+               context_.directory.IsEvacuated(upstream);
+      });
 }
 
 std::vector<const Registration*> RequestSession::FittingUpstreams() const {
--- a/src/serving/upstreams.cc
+++ b/src/serving/upstreams.cc
@@ -112,7 +112,8 @@
     const TargetId& service) const {
   std::vector<const Registration*> ready;
   for (const auto& [id, registration] : entries_) {
-    if (registration.service == service && !registration.draining) {
+    if (registration.service == service && !registration.draining &&
+        !IsEvacuated(registration)) {
       ready.push_back(&registration);
     }
   }
--- a/src/serving/upstreams.h
+++ b/src/serving/upstreams.h
@@ -16,6 +16,7 @@
 #include "mulberryroad/clock.h"
 #include "mulberryroad/endpoint.h"
 #include "mulberryroad/ids.h"
+#include "serving/evacuations.h"
 #include "serving/upstream_health.h"
 #include "serving/upstream_statements.h"
 
@@ -77,11 +78,21 @@
 
   /// Returns an entry, or null. Valid until the directory changes.
   const Registration* find(const UpstreamId& id) const;
-  /// Returns the upstreams of a service that are not draining.
+  /// Returns the upstreams of a service that are not draining and not in an
+  /// evacuated domain.
   std::vector<const Registration*> Ready(const TargetId& service) const;
+  /// Returns whether nothing may be sent to the upstream since its domain is
+  /// evacuated. Checked by those who choose an upstream other than by Ready, or
+  /// earlier than they send to it.
+  bool IsEvacuated(const Registration& upstream) const {
+    return evacuations_.contains(upstream.failure_domain);
+  }
   /// Returns all entries, also draining ones and those in their grace period.
   const std::map<UpstreamId, Registration>& all() const { return entries_; }
 
+  Evacuations& evacuations() { return evacuations_; }
+  const Evacuations& evacuations() const { return evacuations_; }
+
  private:
   std::map<UpstreamId, Registration> entries_;
   /// End of the grace period of each removed entry that is still kept.
@@ -91,6 +102,7 @@
     Instant learned{};
   };
   std::map<UpstreamId, Leaving> leaving_;
+  Evacuations evacuations_;
 };
 
 /// Load and health of upstreams as seen by this node's own requests. Used on
