Bound the requests of all nodes to cold upstreams

Cause: an upstream that has just started tolerates a small rate of requests and crashes above it. Nodes knew no limit for it until it stated one, so that several nodes could flood it together.

Change: registrations state coldLeftMs, services of the manifest coldS and coldPerS, the settings bounds.coldOverage and bounds.coldSlack. ColdUpstreams keeps which process is cold until when. While it is cold, an upstream has the lower of its stated limit and the rate of cold upstreams, with permits from the allocator of its partition. Permit messages report the cold time; their older fields carry the limit for allocators of an earlier version. A new allocator starts with an empty bucket, and buckets of lost partitions are discarded. Permits end 300 ms after they were asked for. Weight orders ask for permits; a peer refuses to forward to a cold upstream without one. Items and scorer calls ask for a permit of a cold upstream only while no other has a free slot.

--- a/src/batches/item_scorer.cc
+++ b/src/batches/item_scorer.cc
@@ -177,7 +177,7 @@
   });
   // Those without a permit are not chosen below.
   permits_.Request(
-      serving::UpstreamsWithoutPermit(usable, context_.request_loads, now));
+      serving::UpstreamsToAskFor(usable, context_.request_loads, now));
   const double draw = DrawUnit(context_.random);
   const serving::Registration* untried = serving::ChooseUpstream(
       usable, context_.request_loads, tried, context_.own_domain, now, draw);
--- a/src/batches/part_owner_runs.cc
+++ b/src/batches/part_owner_runs.cc
@@ -51,7 +51,7 @@
   std::erase_if(free, [this, now](const serving::Registration* upstream) {
     return !context_.loads.HasFreeSlot(upstream->id, upstream->slots, now);
   });
-  permits_.Request(serving::UpstreamsWithoutPermit(free, context_.loads, now));
+  permits_.Request(serving::UpstreamsToAskFor(free, context_.loads, now));
   std::vector<PlacementCandidate> candidates;
   for (const serving::Registration* upstream :
        UsableUpstreams(batch, service)) {
--- a/src/duties/weight_orders.cc
+++ b/src/duties/weight_orders.cc
@@ -4,6 +4,8 @@
 #include <utility>
 #include <variant>
 
+#include "serving/cold_upstreams.h"
+
 namespace mulberryroad::duties {
 
 WeightOrders::WeightOrders(base::EventLoop& loop, const Clock& clock,
@@ -11,7 +13,9 @@
                            platform::UpstreamOrders& orders,
                            const serving::UpstreamDirectory& directory,
                            const serving::Catalog& catalog, std::string node,
-                           std::function<std::optional<std::uint64_t>()> epoch)
+                           std::function<std::optional<std::uint64_t>()> epoch,
+                           serving::UpstreamStatements& statements,
+                           serving::PermitSource& permits)
     : loop_(loop),
       clock_(clock),
       log_(log),
@@ -20,7 +24,9 @@
       directory_(directory),
       catalog_(catalog),
       node_(std::move(node)),
-      epoch_(std::move(epoch)) {}
+      epoch_(std::move(epoch)),
+      statements_(statements),
+      permits_(permits) {}
 
 WeightOrders::~WeightOrders() { *alive_ = false; }
 
@@ -57,7 +63,16 @@
     order_count = {upstream->started, std::nullopt};
   }
   if (order_count.accepted_orders.has_value()) {
-    SendOrder(load, *order_count.accepted_orders);
+    PermitOrder(load, *order_count.accepted_orders);
+    return;
+  }
+  WithPermit(load.upstream, [this, load] { ReadState(load); });
+}
+
+void WeightOrders::ReadState(const LoadWeights& load) {
+  const serving::Registration* upstream = directory_.find(load.upstream);
+  if (upstream == nullptr) {
+    plan_.OnLoadFailed(load.upstream);
     return;
   }
   orders_.ReadState(
@@ -70,13 +85,46 @@
         }
         if (const auto* read = std::get_if<platform::UpstreamState>(&state)) {
           order_counts_[load.upstream].accepted_orders = read->accepted_orders;
-          SendOrder(load, read->accepted_orders);
+          PermitOrder(load, read->accepted_orders);
         } else {
           plan_.OnLoadFailed(load.upstream);
         }
       });
 }
 
+void WeightOrders::PermitOrder(const LoadWeights& load,
+                               std::uint64_t after_orders) {
+  WithPermit(load.upstream,
+             [this, load, after_orders] { SendOrder(load, after_orders); });
+}
+
+void WeightOrders::WithPermit(const UpstreamId& upstream,
+                              std::function<void()> send) {
+  const auto send_if_permitted = [this, upstream, send = std::move(send)] {
+    const Instant now = clock_.now();
+    if (!statements_.cold_grant(upstream, now).has_value()) {
+      send();
+      return true;
+    }
+    if (!statements_.MaySend(upstream, now)) {
+      return false;
+    }
+    statements_.OnRequestSent(upstream, now);
+    send();
+    return true;
+  };
+  if (send_if_permitted()) {
+    return;
+  }
+  permits_.Acquire({upstream}, serving::RequestPriority::kCaller, kPermitWait,
+                   [this, alive = alive_, upstream, send_if_permitted](
+                       const serving::PermitResult& /*result*/) {
+                     if (*alive && !send_if_permitted()) {
+                       plan_.OnLoadFailed(upstream);
+                     }
+                   });
+}
+
 platform::SwapMode WeightOrders::SwapModeFor(const TargetId& service) const {
   const serving::Manifest* manifest = catalog_.manifest();
   if (manifest == nullptr) {
--- a/src/duties/weight_orders.h
+++ b/src/duties/weight_orders.h
@@ -19,6 +19,8 @@
 #include "mulberryroad/clock.h"
 #include "platform/duty_services.h"
 #include "serving/catalog.h"
+#include "serving/permit_source.h"
+#include "serving/upstream_statements.h"
 #include "serving/upstreams.h"
 
 namespace mulberryroad::duties {
@@ -34,7 +36,9 @@
                platform::UpstreamOrders& orders,
                const serving::UpstreamDirectory& directory,
                const serving::Catalog& catalog, std::string node,
-               std::function<std::optional<std::uint64_t>()> epoch);
+               std::function<std::optional<std::uint64_t>()> epoch,
+               serving::UpstreamStatements& statements,
+               serving::PermitSource& permits);
   ~WeightOrders();
   WeightOrders(const WeightOrders&) = delete;
   WeightOrders& operator=(const WeightOrders&) = delete;
@@ -45,6 +49,8 @@
   void OnVersionPublished(const TargetId& model, std::uint64_t version);
 
   static constexpr std::chrono::milliseconds kTickInterval{50};
+  /// Longest delay of a request to a cold upstream.
+  static constexpr std::chrono::milliseconds kPermitWait{250};
 
  private:
   /// Number of orders that an upstream's current process has accepted.
@@ -57,6 +63,11 @@
 
   /// Orders the loads that are due, if the lease is held.
   void Tick();
+  /// Calls `send` once one request may be sent to the upstream, and counts it.
+  /// Without a permit, the load counts as failed and is tried again.
+  void WithPermit(const UpstreamId& upstream, std::function<void()> send);
+  void ReadState(const LoadWeights& load);
+  void PermitOrder(const LoadWeights& load, std::uint64_t after_orders);
   /// Sends an order, after reading the state of the upstream if needed.
   void StartOrder(const LoadWeights& load);
   /// Sends an order.
@@ -85,6 +96,8 @@
   /// Epoch that an upstream or its platform rejected as outdated.
   std::optional<std::uint64_t> fenced_epoch_;
   base::Timer timer_;
+  serving::UpstreamStatements& statements_;
+  serving::PermitSource& permits_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/node/forward_server.cc
+++ b/src/node/forward_server.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "node/forward_codec.h"
+#include "serving/cold_upstreams.h"
 
 namespace mulberryroad::node {
 
@@ -132,6 +133,9 @@
   } else if (upstream == nullptr || upstream->draining ||
              upstream->started.count() != forward.started_ms()) {
     refusal = "the upstream is not registered, or leaves";
+  } else if (!forward.permitted() &&
+             statements_.cold_grant(id, clock_.now()).has_value()) {
+    refusal = "the upstream is cold and the request has no permit";
   } else if (caller_.links().path(id, clock_.now()) ==
              serving::LinkPath::kPeer) {
     refusal = "the node lost its own link";
--- a/src/node/forwarding_caller.cc
+++ b/src/node/forwarding_caller.cc
@@ -8,6 +8,7 @@
 #include <variant>
 
 #include "node/forward_codec.h"
+#include "serving/cold_upstreams.h"
 
 namespace mulberryroad::node {
 
@@ -36,7 +37,11 @@
         request_(std::move(request)),
         options_(std::move(options)),
         on_done_(std::move(on_done)),
-        deadline_(caller.clock_.now() + options_.deadline) {}
+        deadline_(caller.clock_.now() + options_.deadline),
+        started_at_(caller.clock_.now()),
+        // The sender passed UpstreamStatements::MaySend.
+        permitted_(
+            caller.statements_.limit(upstream_.id, started_at_).has_value()) {}
 
   void Start() {
     const Instant now = caller_.clock_.now();
@@ -86,7 +91,12 @@
   void SendToPeer() {
     const Instant now = caller_.clock_.now();
     const auto left = duration_cast<milliseconds>(deadline_ - now);
-    peer_ = tried_.size() < kMaxPeersAsked
+    // The bound of a cold upstream counts when a request arrives, so that it
+    // must not be sent long after its permit.
+    const bool too_late =
+        now > started_at_ + kMaxColdForwardDelay &&
+        caller_.statements_.cold_grant(upstream_.id, now).has_value();
+    peer_ = tried_.size() < kMaxPeersAsked && !too_late
                 ? caller_.peers_.Choose(tried_, now, caller_.random_)
                 : std::nullopt;
     if (!peer_.has_value() || left <= milliseconds(0)) {
@@ -104,8 +114,10 @@
     call.endpoint = *peer_;
     call.method = http::Method::kPost;
     call.path = kForwardPath;
-    call.body =
-        EncodeForward(upstream_, request_, options_, left).SerializeAsString();
+    v1::ForwardRequest forward =
+        EncodeForward(upstream_, request_, options_, left);
+    forward.set_permitted(permitted_);
+    call.body = forward.SerializeAsString();
     call.connect_timeout = std::min(kPeerConnectTimeout, left);
     call.timeout = left + kDeadlineMargin;
     reader_ = FrameReader();
@@ -243,6 +255,9 @@
   serving::CallOptions options_;
   std::function<void(UpstreamOutcome)> on_done_;
   Instant deadline_;
+  Instant started_at_;
+  /// Whether the request used a permit.
+  bool permitted_;
   bool ended_ = false;
   std::shared_ptr<http::Call> call_;
   std::set<Endpoint> tried_;
--- a/src/node/forwarding_caller.h
+++ b/src/node/forwarding_caller.h
@@ -81,6 +81,9 @@
   /// its upstream is tried with a new connection.
   static constexpr std::chrono::milliseconds kSilenceTime{200};
   static constexpr std::chrono::milliseconds kProbeTimeout{300};
+  /// Time after its permit was used during which a request to a cold upstream
+  /// may be passed to a peer.
+  static constexpr std::chrono::milliseconds kMaxColdForwardDelay{100};
   static constexpr std::chrono::milliseconds kTickInterval{50};
   static constexpr std::chrono::milliseconds kExpireInterval{10'000};
   static constexpr std::chrono::milliseconds kIdleTime{1'000};
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -80,6 +80,8 @@
       process_(MakeProcessName(settings_, clock_)),
       random_(base::StableHash(process_)),
       client_(loop_),
+      cold_({settings_.cold_bound_factor, settings_.cold_bound_requests}),
+      statements_(&cold_),
       store_relay_(loop_, clock_, log_, metrics_, client_, random_,
                    settings_.store_address, internal::SeedPeers(settings_)),
       store_(store_relay_, settings_.store_address),
@@ -88,9 +90,10 @@
                    settings_.duty_services_address),
       request_loads_(statements_),
       item_loads_(statements_, kItemLatencyMaxAge),
-      permits_(loop_, clock_, log_, metrics_, client_, store_, random_,
-               statements_, settings_.partitions,
-               [this](int partition) { return OwnsPartition(partition); }),
+      permits_(
+          loop_, clock_, log_, metrics_, client_, store_, random_, statements_,
+          settings_.partitions,
+          [this](int partition) { return OwnsPartition(partition); }, &cold_),
       shared_(loop_, clock_, log_, store_),
       statement_exchange_(
           loop_, clock_, log_, metrics_, shared_, directory_, statements_,
@@ -103,7 +106,7 @@
                settings_.node.value(), settings_.partitions,
                [this] { return OwnsPartition(internal::kCleaningPartition); }),
       upstream_watch_(clock_, log_, metrics_, directory_, request_loads_,
-                      item_loads_, statements_),
+                      item_loads_, statements_, cold_),
       upstreams_(loop_, clock_, log_, metrics_, client_, random_,
                  upstream_client_, directory_, statements_),
       forward_server_(clock_, log_, metrics_, upstreams_, directory_,
@@ -157,9 +160,10 @@
               clock_.now()),
           [this] { return duty_client_.calls_in_flight(); },
           [this] { return !upstreams_.depends_on_peers(); }),
-      weights_(loop_, clock_, log_, metrics_, duty_client_, directory_,
-               catalog_, settings_.node.value(),
-               [this] { return lease_.epoch(); }),
+      weights_(
+          loop_, clock_, log_, metrics_, duty_client_, directory_, catalog_,
+          settings_.node.value(), [this] { return lease_.epoch(); },
+          statements_, permits_),
       usage_(loop_, clock_, log_, store_, duty_client_, settings_.partitions,
              {.window = settings_.usage_window}, settings_.node.value(),
              usage_counts_, [this] { return lease_.epoch(); }),
@@ -275,8 +279,10 @@
     }
   });
   shared_.Start();
-  expire_timer_ =
-      loop_.Every(kExpireInterval, [this] { directory_.Expire(clock_.now()); });
+  expire_timer_ = loop_.Every(kExpireInterval, [this] {
+    directory_.Expire(clock_.now());
+    cold_.Expire(clock_.now());
+  });
   return true;
 }
 
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -91,6 +91,7 @@
   std::string process_;
   std::mt19937_64 random_;
   http::Client client_;
+  serving::ColdUpstreams cold_;
   serving::UpstreamStatements statements_;
   StoreRelay store_relay_;
   platform_adapter::StoreClient store_;
--- a/src/node/node_records.cc
+++ b/src/node/node_records.cc
@@ -76,6 +76,10 @@
       origins_.OnRoutesLeft(left);
       callers_.SetLimits(LimitsFor(catalog_.manifest()->limits));
       batch_host_.OnManifestChanged();
+      for (const TargetId& service :
+           cold_.SetServices(catalog_.manifest()->services, clock_.now())) {
+        log_.Write("manifest.cold_clamped", {{"service", service.value()}});
+      }
     }
     log_.Write("manifest", {{"version", version}, {"in_force", newer}});
     return;
--- a/src/node/permit_exchange.cc
+++ b/src/node/permit_exchange.cc
@@ -36,14 +36,12 @@
              : ParseEndpoint(member.substr(separator + 1));
 }
 
-PermitExchange::PermitExchange(base::EventLoop& loop, const Clock& clock,
-                               base::StructuredLog& log, base::Metrics& metrics,
-                               http::Client& client,
-                               platform::PartitionStore& store,
-                               std::mt19937_64& random,
-                               serving::UpstreamStatements& statements,
-                               int partitions,
-                               std::function<bool(int)> owns_partition)
+PermitExchange::PermitExchange(
+    base::EventLoop& loop, const Clock& clock, base::StructuredLog& log,
+    base::Metrics& metrics, http::Client& client,
+    platform::PartitionStore& store, std::mt19937_64& random,
+    serving::UpstreamStatements& statements, int partitions,
+    std::function<bool(int)> owns_partition, serving::ColdUpstreams* cold)
     : loop_(loop),
       clock_(clock),
       log_(log),
@@ -53,7 +51,8 @@
       random_(random),
       statements_(statements),
       partitions_(partitions),
-      owns_partition_(std::move(owns_partition)) {
+      owns_partition_(std::move(owns_partition)),
+      cold_(cold) {
   statements_.on_limit_changed().connect(
       [this](const serving::LimitChange& change) {
         if (!change.requests_per_second.has_value() && !change.reported) {
@@ -77,6 +76,27 @@
     allocator_.Expire(clock_.now());
     ReadOwners();
   });
+  CheckOwnership();
+  ownership_timer_ =
+      loop_.Every(kOwnershipInterval, [this] { CheckOwnership(); });
+}
+
+void PermitExchange::CheckOwnership() {
+  const Instant now = clock_.now();
+  for (int partition = 0; partition < partitions_; ++partition) {
+    if (owns_partition_(partition)) {
+      owned_since_.try_emplace(partition, now);
+    } else {
+      owned_since_.erase(partition);
+    }
+  }
+  allocator_.Retain([this](const UpstreamId& id) {
+    return owned_since_.contains(PartitionOf(id));
+  });
+}
+
+bool PermitExchange::IsCold(const UpstreamId& id) const {
+  return statements_.cold_grant(id, clock_.now()).has_value();
 }
 
 std::set<Endpoint> PermitExchange::owner_addresses() const {
@@ -95,7 +115,8 @@
 v1::KnownLimit PermitExchange::MakeKnownLimit(const UpstreamId& id) const {
   v1::KnownLimit known;
   known.set_upstream(id.value());
-  if (const auto statement = statements_.find(id)) {
+  const auto statement = statements_.find(id);
+  if (statement.has_value()) {
     known.set_limited(statement->requests_per_second.has_value());
     known.set_requests_per_second(statement->requests_per_second.value_or(0));
     known.set_started_ms(statement->started.count());
@@ -103,17 +124,61 @@
         duration_cast<milliseconds>(clock_.now() - statement->learned)
             .count()));
   }
+  const Instant now = clock_.now();
+  const auto process = cold_ != nullptr ? cold_->find(id, now) : std::nullopt;
+  if (!process.has_value() || !process->grant.has_value()) {
+    return known;
+  }
+  v1::ColdUpstream* cold = known.mutable_cold();
+  cold->set_left_ms(
+      static_cast<std::uint64_t>(cold_->ReportedTime(id, now).count()));
+  cold->set_requests_per_second(process->grant->requests_per_second);
+  if (statement.has_value()) {
+    cold->set_stated(true);
+    cold->set_limited(known.limited());
+    cold->set_stated_requests_per_second(known.requests_per_second());
+    cold->set_stated_age_ms(known.age_ms());
+    cold->set_stated_started_ms(known.started_ms());
+  }
+  known.set_limited(true);
+  known.set_requests_per_second(
+      statements_.limit(id, now).value_or(cold->requests_per_second()));
+  known.set_started_ms(
+      std::max<std::int64_t>(known.started_ms(), process->started.count()));
+  // An older age would lose against a response without a limit that the
+  // allocator received since.
+  known.set_age_ms(0);
   return known;
 }
 
 void PermitExchange::RecordKnownLimit(const v1::KnownLimit& limit) {
   serving::KnownStatement known;
+  const UpstreamId id(limit.upstream());
+  if (limit.has_cold()) {
+    const v1::ColdUpstream& cold = limit.cold();
+    if (cold_ != nullptr) {
+      constexpr auto kLongest = static_cast<std::uint64_t>(
+          milliseconds(serving::ColdUpstreams::kMaxColdTime).count());
+      cold_->OnReported(id, milliseconds(limit.started_ms()),
+                        milliseconds(std::min(cold.left_ms(), kLongest)),
+                        cold.requests_per_second(), clock_.now());
+    }
+    if (cold.stated()) {
+      known.started = milliseconds(cold.stated_started_ms());
+      if (cold.limited()) {
+        known.requests_per_second = cold.stated_requests_per_second();
+      }
+      known.learned = clock_.now() - milliseconds(cold.stated_age_ms());
+      statements_.OnReported(id, known);
+    }
+    return;
+  }
   known.started = milliseconds(limit.started_ms());
   if (limit.limited()) {
     known.requests_per_second = limit.requests_per_second();
   }
   known.learned = clock_.now() - milliseconds(limit.age_ms());
-  statements_.OnReported(UpstreamId(limit.upstream()), known);
+  statements_.OnReported(id, known);
 }
 
 void PermitExchange::Acquire(
@@ -143,11 +208,18 @@
     request.set_partition(static_cast<std::uint32_t>(partition));
     request.set_background(pending->priority ==
                            serving::RequestPriority::kBackground);
-    request.set_max_wait_ms(
-        static_cast<std::uint64_t>(pending->max_wait.count()));
+    milliseconds max_wait = pending->max_wait;
     for (const UpstreamId& id : pending->candidates[partition]) {
       *request.add_candidates() = MakeKnownLimit(id);
+      if (request.candidates().rbegin()->has_cold()) {
+        pending->asked_cold.insert(id);
+        // An allocator of an earlier version does not bound the delay.
+        max_wait = std::min<milliseconds>(
+            max_wait, serving::LimitAllocator::kMaxColdDelay);
+      }
     }
+    request.set_max_wait_ms(static_cast<std::uint64_t>(max_wait.count()));
+    pending->asked_at = clock_.now();
     if (owns_partition_(partition)) {
       OnReply(pending, "self", Decide(request));
       return;
@@ -214,29 +286,26 @@
     RecordKnownLimit(limit);
   }
   if (!reply.upstream().empty()) {
-    metrics_.Count("permits_total", {{"result", "granted"}});
-    const UpstreamId id(reply.upstream());
-    const auto grant = [this, pending, id] {
-      statements_.AddPermit(id, clock_.now() + kPermitLifetime);
-      pending->on_result(serving::PermitGranted{});
-    };
-    if (reply.delay_ms() == 0) {
-      grant();
-      return;
-    }
-    const auto timer = std::make_shared<base::Timer>();
-    *timer = loop_.After(milliseconds(reply.delay_ms()),
-                         [timer, alive = alive_, grant] {
-                           if (*alive) {
-                             grant();
-                           }
-                         });
+    OnGranted(pending, reply);
     return;
   }
   if (reply.ended_size() > 0) {
-    pending->on_result(serving::PermitGranted{});
+    // To this node, the upstream can still be cold.
+    const bool ended =
+        std::any_of(reply.ended().begin(), reply.ended().end(),
+                    [this](const v1::KnownLimit& limit) {
+                      return !IsCold(UpstreamId(limit.upstream()));
+                    });
+    if (ended) {
+      pending->on_result(serving::PermitGranted{});
+    } else {
+      AskNext(pending);
+    }
     return;
   }
+  if (reply.next().has_cold()) {
+    RecordKnownLimit(reply.next());
+  }
   const serving::PermitDenied denied{
       milliseconds(reply.retry_ms()), UpstreamId(reply.next().upstream()),
       reply.next().requests_per_second(), milliseconds(reply.next().age_ms()),
@@ -248,6 +317,39 @@
   AskNext(pending);
 }
 
+void PermitExchange::OnGranted(const std::shared_ptr<Pending>& pending,
+                               const v1::PermitReply& reply) {
+  metrics_.Count("permits_total", {{"result", "granted"}});
+  const UpstreamId id(reply.upstream());
+  if (reply.granted().has_cold()) {
+    RecordKnownLimit(reply.granted());
+  }
+  // An allocator of an earlier version knows the limit from the request only.
+  const bool for_cold =
+      reply.granted().has_cold() || pending->asked_cold.contains(id);
+  // Counted from the request: this node may have been late to read the reply,
+  // or to run the timer.
+  const milliseconds delay(reply.delay_ms());
+  const Instant usable_until =
+      std::min(clock_.now() + kPermitLifetime,
+               pending->asked_at + serving::kMaxPermitAge) +
+      delay;
+  const auto grant = [this, pending, id, usable_until, for_cold] {
+    statements_.AddPermit(id, usable_until, for_cold);
+    pending->on_result(serving::PermitGranted{});
+  };
+  if (delay == milliseconds(0)) {
+    grant();
+    return;
+  }
+  const auto timer = std::make_shared<base::Timer>();
+  *timer = loop_.After(delay, [timer, alive = alive_, grant] {
+    if (*alive) {
+      grant();
+    }
+  });
+}
+
 void PermitExchange::Deny(const Pending& pending) {
   metrics_.Count(
       "permits_total",
@@ -259,11 +361,19 @@
 v1::PermitReply PermitExchange::Decide(const v1::PermitRequest& request) {
   v1::PermitReply reply;
   std::vector<serving::LimitedUpstream> limited;
+  const Instant now = clock_.now();
   for (const v1::KnownLimit& candidate : request.candidates()) {
     RecordKnownLimit(candidate);
     const UpstreamId id(candidate.upstream());
-    if (const auto limit = statements_.limit(id)) {
-      limited.push_back({id, *limit});
+    if (const auto limit = statements_.limit(id, now)) {
+      serving::LimitedUpstream upstream{id, *limit};
+      if (const auto cold = statements_.cold_grant(id, now)) {
+        const auto owned = owned_since_.find(PartitionOf(id));
+        upstream.cold_burst = cold->burst;
+        upstream.settled =
+            owned != owned_since_.end() && owned->second + kSettleTime <= now;
+      }
+      limited.push_back(std::move(upstream));
     } else {
       *reply.add_ended() = MakeKnownLimit(id);
     }
@@ -275,10 +385,13 @@
       limited,
       request.background() ? serving::RequestPriority::kBackground
                            : serving::RequestPriority::kCaller,
-      milliseconds(request.max_wait_ms()), clock_.now());
+      milliseconds(request.max_wait_ms()), now);
   if (const auto* allocated = std::get_if<serving::Allocated>(&allocation)) {
     reply.set_upstream(allocated->upstream.value());
     reply.set_delay_ms(static_cast<std::uint64_t>(allocated->delay.count()));
+    if (IsCold(allocated->upstream)) {
+      *reply.mutable_granted() = MakeKnownLimit(allocated->upstream);
+    }
   } else {
     const auto& denied = std::get<serving::NotAllocated>(allocation);
     *reply.mutable_next() = MakeKnownLimit(denied.upstream);
--- a/src/node/permit_exchange.h
+++ b/src/node/permit_exchange.h
@@ -27,6 +27,7 @@
 #include "mulberryroad/endpoint.h"
 #include "mulberryroad/permit.pb.h"
 #include "platform/partition_store.h"
+#include "serving/cold_upstreams.h"
 #include "serving/limit_allocator.h"
 #include "serving/permit_source.h"
 #include "serving/upstream_statements.h"
@@ -48,12 +49,15 @@
   /// @param partitions number of batch partitions
   /// @param owns_partition returns whether this node owns a batch partition
   ///     and no other node can own it at the same time
+  /// @param cold cold upstreams, which are reported in permit messages; null if
+  ///     none has a limit. The statements must use the same.
   PermitExchange(base::EventLoop& loop, const Clock& clock,
                  base::StructuredLog& log, base::Metrics& metrics,
                  http::Client& client, platform::PartitionStore& store,
                  std::mt19937_64& random,
                  serving::UpstreamStatements& statements, int partitions,
-                 std::function<bool(int)> owns_partition);
+                 std::function<bool(int)> owns_partition,
+                 serving::ColdUpstreams* cold = nullptr);
   ~PermitExchange() override;
   PermitExchange(const PermitExchange&) = delete;
   PermitExchange& operator=(const PermitExchange&) = delete;
@@ -78,6 +82,13 @@
   /// How long a permit may be used after its delay. Items are placed every 50
   /// ms.
   static constexpr std::chrono::milliseconds kPermitLifetime{200};
+  static_assert(kRequestTimeout + kPermitLifetime <= serving::kMaxPermitAge);
+  /// Time after which no permit of an earlier owner of a partition is in use:
+  /// its longest delay and kMaxPermitAge, doubled.
+  static constexpr std::chrono::milliseconds kSettleTime{1'100};
+  /// Interval at which the ownership of the partitions is checked; shorter than
+  /// a node can lose a partition and get it back.
+  static constexpr std::chrono::milliseconds kOwnershipInterval{250};
   /// Interval at which the owners of the partitions are read.
   static constexpr std::chrono::milliseconds kOwnersInterval{10'000};
   /// Minimum interval after an owner that was read did not answer.
@@ -98,6 +109,10 @@
     std::map<int, std::vector<UpstreamId>> candidates;
     std::vector<int> partitions;
     std::size_t asked = 0;
+    /// Candidates that were cold when their allocator was asked.
+    std::set<UpstreamId> asked_cold;
+    /// Time at which the last of them was asked.
+    Instant asked_at{};
     /// Denial with the shortest retry delay so far.
     std::optional<serving::PermitDenied> denied;
   };
@@ -117,6 +132,13 @@
   /// Reports to the allocator of an upstream that its limit has ended.
   void ReportEnd(const UpstreamId& id);
   void ReadOwners();
+  /// Updates `owned_since_` and discards the state of upstreams of other
+  /// partitions.
+  void CheckOwnership();
+  bool IsCold(const UpstreamId& id) const;
+  /// Adds the permit after its delay.
+  void OnGranted(const std::shared_ptr<Pending>& pending,
+                 const v1::PermitReply& reply);
 
   base::EventLoop& loop_;
   const Clock& clock_;
@@ -132,6 +154,10 @@
   std::map<int, Endpoint> owners_;
   std::optional<Instant> owners_read_at_;
   base::Timer owners_timer_;
+  serving::ColdUpstreams* cold_;
+  /// Partitions of this node, with the time since when it is known to own them.
+  std::map<int, Instant> owned_since_;
+  base::Timer ownership_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -50,6 +50,11 @@
   std::chrono::milliseconds result_retention{120'000};
   /// Maximum time during which a revoked key may still be accepted.
   std::chrono::milliseconds key_revocation_delay{5'000};
+  /// Within a second, a cold upstream may get this multiple of the rate that it
+  /// tolerates ...
+  double cold_bound_factor = 1.5;
+  /// ... and this number of requests on top.
+  double cold_bound_requests = 5;
 };
 
 }  // namespace mulberryroad::node
--- a/src/node/upstream_watch.cc
+++ b/src/node/upstream_watch.cc
@@ -7,23 +7,54 @@
 
 namespace mulberryroad::node {
 
+using std::chrono::milliseconds;
+
 UpstreamWatch::UpstreamWatch(const Clock& clock, base::StructuredLog& log,
                              base::Metrics& metrics,
                              serving::UpstreamDirectory& directory,
                              serving::UpstreamLoads& request_loads,
                              serving::UpstreamLoads& item_loads,
-                             serving::UpstreamStatements& statements)
+                             serving::UpstreamStatements& statements,
+                             serving::ColdUpstreams& cold)
     : clock_(clock),
       log_(log),
       metrics_(metrics),
       directory_(directory),
       request_loads_(request_loads),
       item_loads_(item_loads),
-      statements_(statements) {
+      statements_(statements),
+      cold_(cold) {
   LogHealth(request_loads_, "requests");
   LogHealth(item_loads_, "items");
   LogLimits();
   FollowLeaving();
+  FollowCold();
+}
+
+void UpstreamWatch::FollowCold() {
+  metrics_.Gauge("upstreams_cold", [this] {
+    return static_cast<double>(cold_.count(clock_.now()));
+  });
+  cold_.on_cold().connect([this](const serving::ColdPeriod& period) {
+    log_.Write("upstream.cold", {{"upstream", period.upstream.value()},
+                                 {"cold_ms", period.left.count()},
+                                 {"source", ToString(period.source)}});
+  });
+}
+
+void UpstreamWatch::RecordCold(const serving::Registration& registration,
+                               platform::Offset offset) {
+  // A process that this node reads for the first time has just started, unless
+  // this node has, too.
+  const bool just_started =
+      has_snapshot_ || UnixTime(clock_.wall_now()) - registration.started <
+                           milliseconds(serving::ColdUpstreams::kMaxColdTime);
+  if (!cold_.OnRegistered(registration, static_cast<std::uint64_t>(offset),
+                          just_started, clock_.now())) {
+    log_.Write("upstream.cold_clamped",
+               {{"upstream", registration.id.value()},
+                {"cold_ms", registration.cold_left->count()}});
+  }
 }
 
 void UpstreamWatch::FollowLeaving() {
@@ -76,6 +107,7 @@
     if (auto registration = platform_adapter::DecodeRegistration(
             record.key, record.value.value_or(""))) {
       ResetLoadIfRestarted(*registration);
+      RecordCold(*registration, record.offset);
       all.push_back(*std::move(registration));
     }
   }
@@ -109,6 +141,7 @@
                             {"software", registration->software},
                             {"draining", registration->draining}});
   }
+  RecordCold(*registration, record.offset);
   directory_.Put(*std::move(registration));
 }
 
--- a/src/node/upstream_watch.h
+++ b/src/node/upstream_watch.h
@@ -11,6 +11,7 @@
 #include "base/structured_log.h"
 #include "mulberryroad/clock.h"
 #include "platform/partition_store.h"
+#include "serving/cold_upstreams.h"
 #include "serving/upstream_statements.h"
 #include "serving/upstreams.h"
 
@@ -25,7 +26,8 @@
                 base::Metrics& metrics, serving::UpstreamDirectory& directory,
                 serving::UpstreamLoads& request_loads,
                 serving::UpstreamLoads& item_loads,
-                serving::UpstreamStatements& statements);
+                serving::UpstreamStatements& statements,
+                serving::ColdUpstreams& cold);
 
   /// Replaces the directory by a snapshot of all registrations.
   /// @param store_unstable true if the store was recently unreachable, so that
@@ -47,6 +49,11 @@
   void LogLimits();
   /// Marks upstreams that say that they leave, in the directory.
   void FollowLeaving();
+  /// Logs cold periods and counts cold upstreams.
+  void FollowCold();
+  /// Records whether the process of a registration is cold.
+  void RecordCold(const serving::Registration& registration,
+                  platform::Offset offset);
   /// Discards the load data of an upstream whose process has restarted.
   /// @return true if it has restarted
   bool ResetLoadIfRestarted(const serving::Registration& registration);
@@ -59,6 +66,7 @@
   serving::UpstreamLoads& item_loads_;
   serving::UpstreamStatements& statements_;
   bool has_snapshot_ = false;
+  serving::ColdUpstreams& cold_;
 };
 
 }  // namespace mulberryroad::node
--- a/src/serving/limit_allocator.cc
+++ b/src/serving/limit_allocator.cc
@@ -30,12 +30,20 @@
     const auto added = buckets_.try_emplace(candidate.id);
     Bucket& bucket = added.first->second;
     bucket.used_at = now;
-    if (added.second) {
+    if (added.second && candidate.cold_burst.has_value()) {
+      bucket.full_at = candidate.settled
+                           ? now
+                           : now + kMaxColdDelay +
+                                 duration_cast<nanoseconds>(interval * kBurst);
+    } else if (added.second) {
       // The previous allocator may have granted requests just now.
       bucket.full_at =
           now + duration_cast<nanoseconds>(interval * (kBurst - 1));
     }
-    const double usable = background ? kBurst - kReservedForCallers : kBurst;
+    const double burst = candidate.cold_burst.value_or(kBurst);
+    // Callers and background work share a bucket of one request.
+    const double usable =
+        background ? std::max(1.0, burst - kReservedForCallers) : burst;
     const Instant allowed_at =
         bucket.full_at - duration_cast<nanoseconds>(interval * (usable - 1));
     if (allowed_at < best_time) {
@@ -45,7 +53,11 @@
   }
   Bucket& bucket = buckets_[best->id];
   const nanoseconds interval = IntervalOf(*best);
-  const Instant latest = background ? now : now + max_wait;
+  const Instant latest =
+      background ? now
+                 : now + (best->cold_burst.has_value()
+                              ? std::min<milliseconds>(max_wait, kMaxColdDelay)
+                              : max_wait);
   if (best_time <= latest) {
     bucket.full_at = std::max(bucket.full_at, now) + interval;
     return Allocated{best->id, std::chrono::ceil<milliseconds>(std::max(
@@ -68,4 +80,11 @@
   });
 }
 
+void LimitAllocator::Retain(
+    const std::function<bool(const UpstreamId&)>& is_allocator) {
+  std::erase_if(buckets_, [&is_allocator](const auto& bucket) {
+    return !is_allocator(bucket.first);
+  });
+}
+
 }  // namespace mulberryroad::serving
--- a/src/serving/limit_allocator.h
+++ b/src/serving/limit_allocator.h
@@ -10,7 +10,9 @@
 #define MULBERRYROAD_SRC_SERVING_LIMIT_ALLOCATOR_H_
 
 #include <chrono>
+#include <functional>
 #include <map>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -25,6 +27,13 @@
   UpstreamId id;
   /// In requests per second.
   double requests_per_second = 0;
+  /// Set for a cold upstream: requests that may follow each other without a
+  /// pause. It tolerates no more even just after another node became its
+  /// allocator.
+  std::optional<double> cold_burst = {};
+  /// Whether this node has been the allocator for so long that no permit of a
+  /// predecessor is in use.
+  bool settled = false;
 };
 
 /// One request may be sent to the upstream after the delay.
@@ -53,6 +62,9 @@
                       std::chrono::milliseconds max_wait, Instant now);
   /// Discards the state of upstreams without recent requests.
   void Expire(Instant now);
+  /// Discards the state of the upstreams for which this node is no longer the
+  /// allocator, since another node grants requests meanwhile.
+  void Retain(const std::function<bool(const UpstreamId&)>& is_allocator);
   /// Returns the number of upstreams with state.
   std::size_t size() const { return buckets_.size(); }
 
@@ -65,6 +77,10 @@
   /// Upper bound of the retry delay. Later, the limit may have changed.
   static constexpr std::chrono::milliseconds kMaxRetryAfter{5'000};
   static constexpr std::chrono::minutes kMaxIdleTime{10};
+  /// Longest delay of a request to a cold upstream. A new allocator grants
+  /// nothing for that long, since its predecessor may have granted the requests
+  /// of that time.
+  static constexpr std::chrono::milliseconds kMaxColdDelay{250};
 
  private:
   struct Bucket {
--- a/src/serving/manifest.h
+++ b/src/serving/manifest.h
@@ -67,11 +67,22 @@
   std::chrono::milliseconds start_up{0};
 };
 
+/// How a service's upstreams behave after their start.
+struct ColdStart {
+  /// Time after its start during which an upstream is cold.
+  std::chrono::milliseconds after_start{0};
+  /// Requests per second that a cold upstream tolerates from all nodes
+  /// together; 0 if it has no limit.
+  double requests_per_second = 0;
+};
+
 struct Service {
   TargetId name;
   /// Models of an engine service; empty for other services.
   std::vector<TargetId> models;
   std::optional<Scaling> scaling;
+  /// As the manifest states it; ColdUpstreams clamps it.
+  ColdStart cold_start = {};
 };
 
 /// Limits on the requests and connections of callers.
--- a/src/serving/upstream_statements.cc
+++ b/src/serving/upstream_statements.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "serving/cold_upstreams.h"
+
 namespace mulberryroad::serving {
 
 void UpstreamStatements::SetStarted(const UpstreamId& id,
@@ -79,39 +81,57 @@
   }
 }
 
-void UpstreamStatements::AddPermit(const UpstreamId& id, Instant usable_until) {
-  const auto found = entries_.find(id);
-  if (found != entries_.end()) {
-    std::deque<Instant>& permits = found->second.permits;
-    permits.insert(
-        std::upper_bound(permits.begin(), permits.end(), usable_until),
-        usable_until);
-  }
+void UpstreamStatements::AddPermit(const UpstreamId& id, Instant usable_until,
+                                   bool for_cold) {
+  std::deque<Permit>& permits = permits_[id];
+  permits.insert(std::upper_bound(permits.begin(), permits.end(), usable_until,
+                                  [](Instant until, const Permit& permit) {
+                                    return until < permit.usable_until;
+                                  }),
+                 {usable_until, for_cold});
+}
+
+std::deque<UpstreamStatements::Permit>::const_iterator
+UpstreamStatements::FindUsable(const std::deque<Permit>& permits, bool cold,
+                               Instant now) {
+  return std::find_if(
+      permits.begin(), permits.end(), [cold, now](const Permit& permit) {
+        return permit.usable_until >= now && (permit.for_cold || !cold);
+      });
 }
 
 void UpstreamStatements::OnRequestSent(const UpstreamId& id, Instant now) {
-  const auto found = entries_.find(id);
-  if (found == entries_.end()) {
+  const auto found = permits_.find(id);
+  if (found == permits_.end()) {
     return;
   }
-  std::deque<Instant>& permits = found->second.permits;
-  while (!permits.empty() && permits.front() < now) {
+  std::deque<Permit>& permits = found->second;
+  while (!permits.empty() && permits.front().usable_until < now) {
     permits.pop_front();
   }
-  if (!permits.empty()) {
-    permits.pop_front();
+  const auto usable = FindUsable(permits, cold_grant(id, now).has_value(), now);
+  if (usable != permits.end()) {
+    permits.erase(usable);
+  }
+  if (permits.empty()) {
+    permits_.erase(found);
   }
 }
 
 bool UpstreamStatements::MaySend(const UpstreamId& id, Instant now) const {
-  const auto found = entries_.find(id);
-  return found == entries_.end() ||
-         !found->second.known.requests_per_second.has_value() ||
-         (!found->second.permits.empty() &&
-          found->second.permits.back() >= now);
+  if (!limit(id, now).has_value()) {
+    return true;
+  }
+  const auto found = permits_.find(id);
+  return found != permits_.end() &&
+         FindUsable(found->second, cold_grant(id, now).has_value(), now) !=
+             found->second.end();
 }
 
 std::vector<UpstreamId> UpstreamStatements::TakeExpired(Instant now) {
+  std::erase_if(permits_, [now](const auto& permits) {
+    return permits.second.back().usable_until < now;
+  });
   std::vector<UpstreamId> expired;
   for (const auto& [id, entry] : entries_) {
     if (entry.known.learned + kMaxAge < now) {
@@ -130,6 +150,22 @@
                                  : found->second.known.requests_per_second;
 }
 
+std::optional<double> UpstreamStatements::limit(const UpstreamId& id,
+                                                Instant now) const {
+  const auto stated = limit(id);
+  const auto cold = cold_grant(id, now);
+  if (!cold.has_value()) {
+    return stated;
+  }
+  return std::min(stated.value_or(cold->requests_per_second),
+                  cold->requests_per_second);
+}
+
+std::optional<ColdGrant> UpstreamStatements::cold_grant(const UpstreamId& id,
+                                                        Instant now) const {
+  return cold_ == nullptr ? std::nullopt : cold_->grant(id, now);
+}
+
 std::optional<KnownStatement> UpstreamStatements::find(
     const UpstreamId& id) const {
   const auto found = entries_.find(id);
--- a/src/serving/upstream_statements.h
+++ b/src/serving/upstream_statements.h
@@ -15,6 +15,11 @@
 #include "mulberryroad/clock.h"
 #include "mulberryroad/ids.h"
 
+namespace mulberryroad::serving {
+class ColdUpstreams;
+struct ColdGrant;
+}  // namespace mulberryroad::serving
+
 namespace mulberryroad::serving {
 
 /// What one response states about the upstream that sent it.
@@ -58,9 +63,14 @@
 
 /// The latest statements of the upstreams, each of them valid for one process
 /// of its upstream, and this node's permits to send requests to those with a
-/// limit. Used on the event loop's thread.
+/// limit. An upstream that is cold has the lower of the limits that it stated
+/// and that cold ones have. Used on the event loop's thread.
 class UpstreamStatements {
  public:
+  /// @param cold the cold upstreams; null if none has a limit
+  explicit UpstreamStatements(const ColdUpstreams* cold = nullptr)
+      : cold_(cold) {}
+
   /// Records the statement of a response.
   /// @param started start time of the upstream's process, as registered when
   ///     the request was sent; a statement of an earlier process is ignored
@@ -76,7 +86,10 @@
   std::vector<UpstreamId> TakeExpired(Instant now);
 
   /// Adds a permit for one request.
-  void AddPermit(const UpstreamId& id, Instant usable_until);
+  /// @param for_cold whether it was granted under the limit of cold upstreams;
+  ///     others cannot be used while the upstream is cold
+  void AddPermit(const UpstreamId& id, Instant usable_until,
+                 bool for_cold = false);
   /// Records that a request was sent, which uses up a permit if the upstream
   /// has a limit.
   void OnRequestSent(const UpstreamId& id, Instant now);
@@ -84,9 +97,14 @@
   /// node holds a permit.
   bool MaySend(const UpstreamId& id, Instant now) const;
 
-  /// Returns the requests per second that the upstream accepts from all nodes
-  /// together, or nullopt without a limit.
+  /// Returns the requests per second that the upstream stated to accept from
+  /// all nodes together, or nullopt without a limit.
   std::optional<double> limit(const UpstreamId& id) const;
+  /// Returns the lower of the stated limit and the one of cold upstreams, or
+  /// nullopt without a limit.
+  std::optional<double> limit(const UpstreamId& id, Instant now) const;
+  /// Returns the grant of a cold upstream with a limit, or nullopt.
+  std::optional<ColdGrant> cold_grant(const UpstreamId& id, Instant now) const;
   /// Returns what is known of an upstream, or nullopt.
   std::optional<KnownStatement> find(const UpstreamId& id) const;
   /// Returns the number of upstreams with a statement.
@@ -108,8 +126,10 @@
  private:
   struct Entry {
     KnownStatement known;
-    /// Ends of the permits, in ascending order.
-    std::deque<Instant> permits;
+  };
+  struct Permit {
+    Instant usable_until{};
+    bool for_cold = false;
   };
 
   /// Discards what an earlier process stated.
@@ -118,7 +138,14 @@
   void SetLimit(const LimitChange& change, Entry* entry, Instant learned);
   void SetLeaving(const UpstreamId& id, bool reported, Entry* entry);
 
+  /// Returns the first permit that can be used, or end().
+  static std::deque<Permit>::const_iterator FindUsable(
+      const std::deque<Permit>& permits, bool cold, Instant now);
+
+  const ColdUpstreams* cold_;
   std::map<UpstreamId, Entry> entries_;
+  /// Permits in ascending order of their ends.
+  std::map<UpstreamId, std::deque<Permit>> permits_;
   sigc::signal<void(const LimitChange&)> on_limit_changed_;
   sigc::signal<void(const LeavingUpstream&)> on_leaving_;
 };
--- a/src/serving/upstreams.cc
+++ b/src/serving/upstreams.cc
@@ -5,6 +5,8 @@
 #include <limits>
 #include <utility>
 
+#include "serving/cold_upstreams.h"
+
 namespace mulberryroad::serving {
 
 namespace {
@@ -260,6 +262,19 @@
   return result;
 }
 
+std::vector<UpstreamId> UpstreamsToAskFor(
+    const std::vector<const Registration*>& upstreams,
+    const UpstreamLoads& loads, Instant now) {
+  std::vector<UpstreamId> result =
+      UpstreamsWithoutPermit(upstreams, loads, now);
+  if (result.size() < upstreams.size()) {
+    std::erase_if(result, [&loads, now](const UpstreamId& id) {
+      return loads.statements().cold_grant(id, now).has_value();
+    });
+  }
+  return result;
+}
+
 const Registration* ChooseUpstream(
     const std::vector<const Registration*>& ready, const UpstreamLoads& loads,
     const std::set<UpstreamId>& tried, const FailureDomainId& own_domain,
--- a/src/serving/upstreams.h
+++ b/src/serving/upstreams.h
@@ -41,6 +41,9 @@
   std::map<TargetId, std::uint64_t> versions;
   /// Whether it runs on capacity that may be reclaimed.
   bool spot = false;
+  /// Remaining time during which it is cold; nullopt if the registration states
+  /// none. Not checked.
+  std::optional<std::chrono::milliseconds> cold_left = {};
 };
 
 /// How long entries removed during or just after a store outage are still used:
@@ -200,6 +203,13 @@
     const std::vector<const Registration*>& upstreams,
     const UpstreamLoads& loads, Instant now);
 
+/// Returns those upstreams for which background work should ask for a permit:
+/// as UpstreamsWithoutPermit, but without cold ones while another of the
+/// upstreams takes requests.
+std::vector<UpstreamId> UpstreamsToAskFor(
+    const std::vector<const Registration*>& upstreams,
+    const UpstreamLoads& loads, Instant now);
+
 /// Chooses the upstream for a request: among those whose rate limit allows it
 /// and without recent failures the one with the lowest share of used slots,
 /// weighted by latency. Among similar ones an upstream in `own_domain` is
--- a/test/contract/platform_adapter_test.cc
+++ b/test/contract/platform_adapter_test.cc
@@ -135,6 +135,42 @@
   cr_expect(!DecodeRegistration("i", other.dump()).has_value());
 }
 
+// Guards against a bad cold time that hides an upstream or passes as none.
+Test(registration_codec, cold_time_is_decoded) {
+  const std::string entry = kRegistration;
+  const auto left_of = [&entry](const std::string& value) {
+    return DecodeRegistration(
+               "i", Replaced(entry, "\"seq\":4", "\"coldLeftMs\":" + value))
+        ->cold_left;
+  };
+  cr_expect(!DecodeRegistration("i", entry)->cold_left.has_value());
+  cr_expect(left_of("2500") == milliseconds(2'500));
+  cr_expect(left_of("0") == milliseconds(0));
+  // ColdUpstreams logs and clamps these.
+  for (const char* value : {"-5", "-1e300", "\"soon\"", "null", "{}"}) {
+    cr_expect(left_of(value) == milliseconds(-1), "%s", value);
+  }
+  cr_expect_gt(left_of("1e300")->count(), 60'000);
+}
+
+Test(manifest_codec, cold_start_is_decoded) {
+  const auto cold_of = [](const std::string& fields) {
+    return DecodeManifest(R"({"version":1,"services":[{"name":"s")" + fields +
+                          "}]}")
+        ->services.front()
+        .cold_start;
+  };
+  cr_expect(cold_of("").after_start == milliseconds(0));
+  cr_expect_eq(cold_of("").requests_per_second, 0);
+  const auto cold = cold_of(R"(,"coldS":3.0,"coldPerS":8.2)");
+  cr_expect(cold.after_start == milliseconds(3'000));
+  cr_expect_eq(cold.requests_per_second, 8.2);
+  const auto bad = cold_of(R"(,"coldS":"3","coldPerS":-1e99)");
+  cr_expect(bad.after_start == milliseconds(-1'000));
+  cr_expect_eq(bad.requests_per_second, -1);
+  cr_expect_gt(cold_of(R"(,"coldS":1e300)").after_start.count(), 60'000);
+}
+
 Test(store_framing, encoded_records_decode_to_the_same_records) {
   std::string body(16, '\0');
   body[7] = 9;
@@ -386,6 +422,24 @@
   cr_assert_eq(settings->metrics_address->port, 7660);
 }
 
+Test(settings_codec, cold_bounds_are_decoded) {
+  const auto decode = [](const std::string& bounds) {
+    return DecodeSettings(
+        Replaced(kSettings, "graceS = 8", "graceS = 8\n" + bounds));
+  };
+  const auto missing = std::get<node::Settings>(decode(""));
+  cr_expect_eq(missing.cold_bound_factor, 1.5);
+  cr_expect_eq(missing.cold_bound_requests, 5);
+  const auto settings =
+      std::get<node::Settings>(decode("coldOverage = 2\ncoldSlack = 3.5"));
+  cr_expect_eq(settings.cold_bound_factor, 2);
+  cr_expect_eq(settings.cold_bound_requests, 3.5);
+  for (const char* bad : {"coldOverage = 0.5", "coldOverage = nan",
+                          "coldSlack = -1", "coldSlack = \"5\""}) {
+    cr_expect(std::holds_alternative<SettingsErrors>(decode(bad)), "%s", bad);
+  }
+}
+
 Test(settings_codec, all_errors_are_reported) {
   std::string text = Replaced(kSettings, "zone = \"z1\"", "");
   text = Replaced(text, "graceS = 8", "graceS = \"soon\"");
--- a/test/permit_exchange_test.cc
+++ b/test/permit_exchange_test.cc
@@ -46,7 +46,8 @@
 /// A node that serves its peers. There is one partition.
 struct TestNode {
   World& world;
-  serving::UpstreamStatements statements;
+  serving::ColdUpstreams cold;
+  serving::UpstreamStatements statements{&cold};
   bool owner = false;
   Endpoint address{"127.0.0.1", fakes::FreePort()};
   http::Server server;
@@ -56,9 +57,10 @@
       : world(shared),
         owner(is_owner),
         server(shared.loop, {}),
-        permits(shared.loop, shared.clock, shared.log, shared.metrics,
-                shared.client, shared.store, shared.random, statements,
-                /*partitions=*/1, [this](int) { return owner; }) {
+        permits(
+            shared.loop, shared.clock, shared.log, shared.metrics,
+            shared.client, shared.store, shared.random, statements,
+            /*partitions=*/1, [this](int) { return owner; }, &cold) {
     permits.Register(server);
     cr_assert(server.Listen(address));
     if (is_owner) {
@@ -72,6 +74,20 @@
                           {.requests_per_second = kLimit}, world.clock.now());
   }
 
+  void LearnCold(milliseconds left) {
+    serving::Service service;
+    service.name = TargetId("s");
+    service.cold_start = {milliseconds(3'000), kLimit};
+    cold.SetServices({service}, world.clock.now());
+    serving::Registration registration;
+    registration.id = Upstream();
+    registration.service = service.name;
+    registration.started = milliseconds(1);
+    registration.cold_left = left;
+    cold.OnRegistered(registration, 1, /*just_started=*/true,
+                      world.clock.now());
+  }
+
   PermitResult Acquire() {
     std::optional<PermitResult> result;
     permits.Acquire({Upstream()}, RequestPriority::kCaller, milliseconds(0),
@@ -156,5 +172,44 @@
   cr_expect(!second.statements.limit(Upstream()).has_value());
 }
 
+// Guards against an allocator that has not read that the upstream is cold and
+// answers that it has no limit.
+Test(permit_exchange, allocator_learns_of_a_cold_upstream_from_requests) {
+  World world;
+  TestNode owner(world, "owner", true);
+  TestNode first(world, "first", false);
+  Start(&world, {&owner, &first});
+  first.LearnCold(milliseconds(5'000));
+  int granted = 0;
+  for (int i = 0; i < 20; ++i) {
+    granted += std::holds_alternative<PermitGranted>(first.Acquire()) ? 1 : 0;
+  }
+  cr_expect_eq(granted, 0, "a new allocator assumes a used bucket");
+  cr_expect(owner.statements.limit(Upstream(), world.clock.now()) == kLimit);
+  cr_expect(!owner.statements.limit(Upstream()).has_value(),
+            "the upstream itself stated none");
+  cr_expect(owner.cold.find(Upstream(), world.clock.now())->source ==
+            serving::ColdSource::kNode);
+  for (int i = 0; i < 100 && granted == 0; ++i) {
+    fakes::RunFor(world.loop, milliseconds(50));
+    granted += std::holds_alternative<PermitGranted>(first.Acquire()) ? 1 : 0;
+  }
+  cr_expect_eq(granted, 1);
+  cr_expect(first.statements.MaySend(Upstream(), world.clock.now()));
+}
+
+// Guards against a node that sends to a cold upstream although no allocator
+// answers.
+Test(permit_exchange, cold_upstream_without_allocator_gets_nothing) {
+  World world;
+  TestNode other(world, "other", false);
+  Start(&world, {&other});
+  other.LearnCold(milliseconds(5'000));
+  const PermitResult result = other.Acquire();
+  cr_assert(std::holds_alternative<PermitDenied>(result));
+  cr_expect(std::get<PermitDenied>(result).upstream.empty());
+  cr_expect(!other.statements.MaySend(Upstream(), world.clock.now()));
+}
+
 }  // namespace
 }  // namespace mulberryroad::node
