--- a/src/node/forward_server.cc
+++ b/src/node/forward_server.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "node/forward_codec.h"
+#include "serving/cold_upstreams.h"
 
 namespace mulberryroad::node {
 
@@ -134,6 +135,9 @@
     refusal = "the upstream is not registered, or leaves";
   } else if (directory_.IsEvacuated(*upstream)) {
     refusal = "the failure domain of the upstream is evacuated";
+  } else if (!forward.permitted() &&
+             statements_.cold_grant(id, clock_.now()).has_value()) {
+    refusal = "the upstream is cold and the request has no permit";
   } else if (caller_.links().path(id, clock_.now()) ==
              serving::LinkPath::kPeer) {
     refusal = "the node lost its own link";
