Slow start of upstreams that have just started or recovered

Cause: the fixed window of requests sent and not accepted opens to all slots of a restarted upstream within a few round trips, because a cold upstream accepts as quickly as a warm one. It then gets its full load while it is slow, or ends.

Change: UpstreamPace limits this node's requests in flight from a start, a readmission, the end of long refusals or of an evacuation until the latency samples have raised the limit to all slots. It replaces kInitialWindow, kAcceptanceMaxAge and the growth in UpstreamLoads; the bound of unaccepted requests stays as it was, also on settled upstreams. Item runs report the interval of each event.

--- a/src/batches/item_run.cc
+++ b/src/batches/item_run.cc
@@ -180,6 +180,12 @@
   if (!std::exchange(has_event_, true)) {
     loads_.health().OnResponseStarted(upstream_, now);
   }
+  if (last_event_at_.has_value()) {
+    loads_.RecordInterval(
+        upstream_,
+        duration_cast<std::chrono::microseconds>(now - *last_event_at_), now);
+  }
+  last_event_at_ = now;
   if (const auto interval = pace_.OnEvent(now)) {
     loads_.RecordLatency(upstream_, *interval, now);
   }
--- a/src/batches/item_run.h
+++ b/src/batches/item_run.h
@@ -141,6 +141,7 @@
   Instant event_deadline_{};
   /// When `event_timer_` fires; nullopt before it is first set.
   std::optional<Instant> timer_due_;
+  std::optional<Instant> last_event_at_;
 };
 
 }  // namespace mulberryroad::batches
--- a/src/batches/part_owner_runs.cc
+++ b/src/batches/part_owner_runs.cc
@@ -243,7 +243,8 @@
         serving::HealthState::kHealthy) {
       versions[upstream->software].free.push_back(
           {upstream->id, context_.loads.latency(upstream->id, now),
-           upstream->slots - context_.loads.running(upstream->id)});
+           context_.loads.usable_slots(upstream->id, upstream->slots, now) -
+               context_.loads.running(upstream->id)});
     }
   }
   for (auto& [software, version] : versions) {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -220,6 +220,8 @@
 }
 
 bool Node::Impl::Start(std::string* reason) {
+  request_loads_.set_node(settings_.node.value());
+  item_loads_.set_node(settings_.node.value());
   CloseConnectionsToLeaving();
   RegisterReadiness();
   ingress_.Register(callers_);
--- a/src/node/upstream_watch.cc
+++ b/src/node/upstream_watch.cc
@@ -1,6 +1,8 @@
 #include "node/upstream_watch.h"
 
+#include <algorithm>
 #include <cstdint>
+#include <string>
 #include <utility>
 
 #include "platform/manifest_codec.h"
@@ -22,8 +24,43 @@
       statements_(statements) {
   LogHealth(request_loads_, "requests");
   LogHealth(item_loads_, "items");
+  LogPace(request_loads_, "requests");
+  LogPace(item_loads_, "items");
   LogLimits();
   FollowLeaving();
+  RegisterPaceGauge();
+}
+
+void UpstreamWatch::LogPace(serving::UpstreamLoads& loads,
+                            const std::string& work) {
+  loads.on_pace_begun().connect([this, work](const serving::PaceBegin& begin) {
+    log_.Write("upstream.pace",
+               {{"upstream", begin.upstream.value()},
+                {"work", work},
+                {"cause", std::string(serving::PaceCauseName(begin.cause))}});
+  });
+  loads.on_settled().connect([this, work](const serving::PaceEnd& end) {
+    log_.Write("upstream.settled", {{"upstream", end.upstream.value()},
+                                    {"work", work},
+                                    {"took_ms", end.took.count()}});
+  });
+}
+
+void UpstreamWatch::RegisterPaceGauge() {
+  metrics_.Gauge("upstreams_below_slots", [this] {
+    return static_cast<double>(
+        std::ranges::count_if(directory_.all(), [this](const auto& entry) {
+          return request_loads_.below_slots(entry.first) ||
+                 item_loads_.below_slots(entry.first);
+        }));
+  });
+}
+
+void UpstreamWatch::RecordRegistration(
+    const serving::Registration& registration) {
+  const Instant now = clock_.now();
+  request_loads_.OnRegistered(registration, !has_snapshot_, now);
+  item_loads_.OnRegistered(registration, !has_snapshot_, now);
 }
 
 void UpstreamWatch::FollowLeaving() {
@@ -64,7 +101,8 @@
                     {"failure_share", ejection.failure_share},
                     {"time_ms", ejection.duration.count()}});
       });
-  loads.health().on_readmitted().connect([this, work](const UpstreamId& id) {
+  loads.health().on_readmitted().connect([this, work](const UpstreamId& id,
+                                                      Instant /*now*/) {
     log_.Write("upstream.returned", {{"upstream", id.value()}, {"work", work}});
   });
 }
@@ -76,6 +114,7 @@
     if (auto registration = platform_adapter::DecodeRegistration(
             record.key, record.value.value_or(""))) {
       ResetLoadIfRestarted(*registration);
+      RecordRegistration(*registration);
       all.push_back(*std::move(registration));
     }
   }
@@ -109,6 +148,7 @@
                             {"software", registration->software},
                             {"draining", registration->draining}});
   }
+  RecordRegistration(*registration);
   directory_.Put(*std::move(registration));
 }
 
--- a/src/node/upstream_watch.h
+++ b/src/node/upstream_watch.h
@@ -43,6 +43,12 @@
   /// Logs and counts ejections, and logs returns.
   /// @param work kind of work counted in the loads, for logs and metrics
   void LogHealth(serving::UpstreamLoads& loads, const std::string& work);
+  /// Logs the begin and end of slow starts.
+  void LogPace(serving::UpstreamLoads& loads, const std::string& work);
+  /// Registers the gauge of upstreams limited by a slow start.
+  void RegisterPaceGauge();
+  /// Passes a registration to the loads.
+  void RecordRegistration(const serving::Registration& registration);
   /// Logs and counts changes of the rate limits.
   void LogLimits();
   /// Marks upstreams that say that they leave, in the directory.
--- a/src/serving/request_attempts.cc
+++ b/src/serving/request_attempts.cc
@@ -160,7 +160,8 @@
 
 bool RequestSession::IsBusy(const Registration& upstream) const {
   return context_.loads.running(upstream.id) >= upstream.slots ||
-         context_.loads.full(upstream.id, context_.clock.now());
+         context_.loads.full(upstream.id, context_.clock.now()) ||
+         context_.loads.at_pace_limit(upstream.id, context_.clock.now());
 }
 
 void RequestSession::AcquirePermit(std::vector<UpstreamId> upstreams,
--- a/src/serving/upstream_health.cc
+++ b/src/serving/upstream_health.cc
@@ -49,7 +49,7 @@
     statistics.ejected = false;
     statistics.readmitted_at = now;
     statistics.suspected_at.reset();
-    on_readmitted_.emit(id);
+    on_readmitted_.emit(id, now);
   }
 }
 
@@ -69,6 +69,7 @@
   statistics.failed += 1;
   ++statistics.failures_in_a_row;
   statistics.suspected_at = now;
+  on_failed_.emit(id, now);
   const bool trial_failed =
       statistics.ejected && now >= statistics.ejected_until;
   if (trial_failed ||
--- a/src/serving/upstream_health.h
+++ b/src/serving/upstream_health.h
@@ -76,9 +76,13 @@
   /// Emitted when an upstream is ejected.
   sigc::signal<void(const Ejection&)>& on_ejected() { return on_ejected_; }
   /// Emitted when an ejected upstream has passed its trials.
-  sigc::signal<void(const UpstreamId&)>& on_readmitted() {
+  sigc::signal<void(const UpstreamId&, Instant)>& on_readmitted() {
     return on_readmitted_;
   }
+  /// Emitted for each failed request.
+  sigc::signal<void(const UpstreamId&, Instant)>& on_failed() {
+    return on_failed_;
+  }
 
   /// Consecutive failures that eject an upstream. On the known deployments 3%
   /// of a healthy upstream's responses are lost or corrupted, so three in a row
@@ -138,7 +142,8 @@
 
   std::map<UpstreamId, Statistics> statistics_;
   sigc::signal<void(const Ejection&)> on_ejected_;
-  sigc::signal<void(const UpstreamId&)> on_readmitted_;
+  sigc::signal<void(const UpstreamId&, Instant)> on_readmitted_;
+  sigc::signal<void(const UpstreamId&, Instant)> on_failed_;
 };
 
 }  // namespace mulberryroad::serving
--- a/src/serving/upstreams.cc
+++ b/src/serving/upstreams.cc
@@ -5,6 +5,8 @@
 #include <limits>
 #include <utility>
 
+#include "base/digest.h"
+
 namespace mulberryroad::serving {
 
 namespace {
@@ -16,12 +18,22 @@
 // refusal. The longest backoff is 400 ms: half the time of a weight load,
 // during which an upstream refuses all requests.
 constexpr std::uint32_t kMaxDoublings = 2;
-// Initial window of unanswered requests: a single one may be lost, both of two
-// rarely are.
-constexpr std::uint32_t kInitialWindow = 2;
-// How long an upstream is assumed to accept requests after it accepted one:
-// half the time of a weight load.
-constexpr std::chrono::milliseconds kAcceptanceMaxAge{450};
+// Maximum number of doublings for an upstream below its slots that has refused
+// all requests for longer than kLongRefusals. The longest backoff is then 1.6
+// s, which bounds the rate of requests to an upstream that never recovers.
+constexpr std::uint32_t kMaxDoublingsLong = 4;
+// About twice the time of a weight load.
+constexpr std::chrono::milliseconds kLongRefusals{2'000};
+// Consecutive refusals that last for this long, half the time of a weight load,
+// are followed by a slow start. An upstream whose slots are used by other nodes
+// refuses single requests, for shorter times.
+constexpr std::chrono::milliseconds kRefusalTime{450};
+// Time over which the nodes' first requests to a started upstream are spread:
+// the longest backoff after a refusal.
+constexpr std::chrono::milliseconds kStartSpread{400};
+// Events that are read late and together have shorter intervals, which say
+// nothing about the upstream's speed.
+constexpr std::chrono::milliseconds kMinInterval{1};
 // Smoothing factor of the latency average: about the last five samples count.
 constexpr double kLatencySmoothing = 0.2;
 // Cost of an upstream in another failure domain, as a share of its slots: an
@@ -119,6 +131,17 @@
   return ready;
 }
 
+UpstreamLoads::UpstreamLoads(UpstreamStatements& statements,
+                             std::chrono::milliseconds latency_max_age)
+    : statements_(statements), latency_max_age_(latency_max_age) {
+  health_.on_failed().connect([this](const UpstreamId& id, Instant now) {
+    loads_[id].pace.OnFailed(now);
+  });
+  health_.on_readmitted().connect([this](const UpstreamId& id, Instant now) {
+    StartPace(id, PaceCause::kReadmitted, now);
+  });
+}
+
 void UpstreamLoads::OnRequestEnded(const UpstreamId& id, bool answered) {
   Load& load = loads_[id];
   load.running -= std::min<std::uint32_t>(load.running, 1);
@@ -143,10 +166,17 @@
 void UpstreamLoads::OnRefused(const UpstreamId& id, Instant now) {
   Load& load = loads_[id];
   load.unanswered -= std::min<std::uint32_t>(load.unanswered, 1);
-  load.accepted_at.reset();
+  load.pace.OnRefused(now);
+  if (load.refusals == 0) {
+    load.refused_since = now;
+  }
   if (load.refusals == 0 || std::exchange(load.probing, false)) {
+    const bool long_refusals =
+        load.pace.below_slots() && now >= load.refused_since + kLongRefusals;
     load.full_until =
-        now + kFullBackoff * (1U << std::min(load.refusals, kMaxDoublings));
+        now + kFullBackoff * (1U << std::min(load.refusals,
+                                             long_refusals ? kMaxDoublingsLong
+                                                           : kMaxDoublings));
     ++load.refusals;
   }
 }
@@ -154,25 +184,104 @@
 void UpstreamLoads::OnAccepted(const UpstreamId& id, Instant now) {
   Load& load = loads_[id];
   load.unanswered -= std::min<std::uint32_t>(load.unanswered, 1);
-  const bool recently_accepted = load.accepted_at.has_value() &&
-                                 now < *load.accepted_at + kAcceptanceMaxAge;
-  load.window = recently_accepted ? load.window + 1 : kInitialWindow + 1;
-  load.accepted_at = now;
+  const bool recovered =
+      load.refusals > 1 && now >= load.refused_since + kRefusalTime;
   load.refusals = 0;
   load.probing = false;
   load.full_until = {};
+  if (recovered && !load.pace.below_slots()) {
+    StartPace(id, PaceCause::kRefusalsEnded, now);
+  }
+  const bool was_below_slots = load.pace.below_slots();
+  load.pace.OnAccepted(was_below_slots ? NormalLatency(load) : std::nullopt,
+                       now);
+  if (was_below_slots) {
+    EmitIfSettled(id, load, now);
+  }
 }
 
 void UpstreamLoads::Reset(const UpstreamId& id) {
   Load& load = loads_[id];
   const std::uint32_t running = load.running;
   const std::uint32_t unanswered = load.unanswered;
-  load = Load{};
-  load.running = running;
-  load.unanswered = unanswered;
+  Load cleared;
+  cleared.running = running;
+  cleared.unanswered = unanswered;
+  cleared.pace = load.pace;
+  cleared.pace.Reset();
+  cleared.service = load.service;
+  cleared.started = load.started;
+  load = std::move(cleared);
   health_.Reset(id);
 }
 
+void UpstreamLoads::OnRegistered(const Registration& registration, bool initial,
+                                 Instant now) {
+  Load& load = loads_[registration.id];
+  load.service = registration.service;
+  load.pace.SetSlots(registration.slots);
+  const bool new_process = load.started != registration.started;
+  load.started = registration.started;
+  if (new_process && !initial) {
+    StartPace(registration.id, PaceCause::kStarted, now);
+  }
+}
+
+void UpstreamLoads::StartPace(const UpstreamId& id, PaceCause cause,
+                              Instant now) {
+  Load& load = loads_[id];
+  std::chrono::milliseconds spread{0};
+  // Nothing is delayed while no upstream's latency is known, as at the start of
+  // the whole system.
+  if (!node_.empty() && NormalLatency(load).has_value()) {
+    const std::uint64_t hash = base::StableHash(node_ + '/' + id.value());
+    spread = std::chrono::milliseconds(
+        hash % static_cast<std::uint64_t>(kStartSpread.count()));
+  }
+  load.pace.Begin(cause, load.running, spread, now);
+  if (load.pace.below_slots()) {
+    on_pace_begun_.emit({id, cause});
+  }
+}
+
+std::optional<double> UpstreamLoads::NormalLatency(const Load& load) const {
+  if (const auto settled = load.pace.settled_latency()) {
+    return settled;
+  }
+  std::vector<double> others;
+  for (const auto& [id, other] : loads_) {
+    const auto settled = other.pace.settled_latency();
+    if (settled.has_value() && other.service == load.service) {
+      others.push_back(*settled);
+    }
+  }
+  if (others.empty()) {
+    return std::nullopt;
+  }
+  const auto middle =
+      others.begin() + static_cast<std::ptrdiff_t>(others.size() / 2);
+  std::nth_element(others.begin(), middle, others.end());
+  return *middle;
+}
+
+void UpstreamLoads::EmitIfSettled(const UpstreamId& id, const Load& load,
+                                  Instant now) {
+  if (!load.pace.below_slots()) {
+    on_settled_.emit({id, std::chrono::duration_cast<std::chrono::milliseconds>(
+                              now - load.pace.began())});
+  }
+}
+
+void UpstreamLoads::RecordInterval(const UpstreamId& id,
+                                   std::chrono::microseconds interval,
+                                   Instant now) {
+  Load& load = loads_[id];
+  if (load.pace.below_slots() && interval >= kMinInterval) {
+    load.pace.OnLatency(interval, NormalLatency(load), now);
+    EmitIfSettled(id, load, now);
+  }
+}
+
 void UpstreamLoads::RecordLatency(const UpstreamId& id,
                                   std::chrono::microseconds latency,
                                   Instant now) {
@@ -184,6 +293,12 @@
       load.latency_us.has_value() && recent
           ? std::lerp(*load.latency_us, sample_us, kLatencySmoothing)
           : sample_us;
+  if (load.pace.below_slots()) {
+    load.pace.OnLatency(latency, NormalLatency(load), now);
+    EmitIfSettled(id, load, now);
+  } else {
+    load.pace.AddSettledSample(latency);
+  }
 }
 
 std::uint32_t UpstreamLoads::running(const UpstreamId& id) const {
@@ -203,10 +318,28 @@
     return slots > 0;
   }
   const Load& load = found->second;
-  const bool recently_accepted = load.accepted_at.has_value() &&
-                                 now < *load.accepted_at + kAcceptanceMaxAge;
-  return load.running < slots && !full(id, now) &&
-         load.unanswered < (recently_accepted ? load.window : kInitialWindow);
+  return load.running < usable_slots(id, slots, now) && !full(id, now) &&
+         load.unanswered < load.pace.max_unanswered(now);
+}
+
+std::uint32_t UpstreamLoads::usable_slots(const UpstreamId& id,
+                                          std::uint32_t slots,
+                                          Instant now) const {
+  const auto found = loads_.find(id);
+  return found == loads_.end()
+             ? slots
+             : std::min(slots, found->second.pace.max_in_flight(now));
+}
+
+bool UpstreamLoads::at_pace_limit(const UpstreamId& id, Instant now) const {
+  const auto found = loads_.find(id);
+  return found != loads_.end() &&
+         found->second.running >= found->second.pace.max_in_flight(now);
+}
+
+bool UpstreamLoads::below_slots(const UpstreamId& id) const {
+  const auto found = loads_.find(id);
+  return found != loads_.end() && found->second.pace.below_slots();
 }
 
 std::optional<std::chrono::microseconds> UpstreamLoads::latency(
@@ -298,7 +431,9 @@
                          health_state == HealthState::kEjected;
     cost += suspect ? kSuspectCost : 0;
     cost += excluded.contains(upstream->id) ? kExcludedCost : 0;
-    cost += loads.full(upstream->id, now) ? kFullCost : 0;
+    const bool busy =
+        loads.full(upstream->id, now) || loads.at_pace_limit(upstream->id, now);
+    cost += busy ? kFullCost : 0;
     cost += tie_break * kTieCost;
     if (cost < best_cost) {
       best = upstream;
--- a/src/serving/upstreams.h
+++ b/src/serving/upstreams.h
@@ -4,6 +4,8 @@
 #ifndef MULBERRYROAD_SRC_SERVING_UPSTREAMS_H_
 #define MULBERRYROAD_SRC_SERVING_UPSTREAMS_H_
 
+#include <sigc++/signal.h>
+
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -17,6 +19,7 @@
 #include "mulberryroad/endpoint.h"
 #include "mulberryroad/ids.h"
 #include "serving/upstream_health.h"
+#include "serving/upstream_pace.h"
 #include "serving/upstream_statements.h"
 
 namespace mulberryroad::serving {
@@ -93,6 +96,19 @@
   std::map<UpstreamId, Leaving> leaving_;
 };
 
+/// Begin of a slow start of an upstream, for the log.
+struct PaceBegin {
+  UpstreamId upstream;
+  PaceCause cause = PaceCause::kStarted;
+};
+
+/// End of a slow start of an upstream, for the log.
+struct PaceEnd {
+  UpstreamId upstream;
+  /// Time since its begin.
+  std::chrono::milliseconds took{0};
+};
+
 /// Load and health of upstreams as seen by this node's own requests. Used on
 /// the event loop's thread.
 class UpstreamLoads {
@@ -103,8 +119,9 @@
   ///     expires
   explicit UpstreamLoads(
       UpstreamStatements& statements,
-      std::chrono::milliseconds latency_max_age = kLatencyMaxAge)
-      : statements_(statements), latency_max_age_(latency_max_age) {}
+      std::chrono::milliseconds latency_max_age = kLatencyMaxAge);
+  UpstreamLoads(const UpstreamLoads&) = delete;
+  UpstreamLoads& operator=(const UpstreamLoads&) = delete;
 
   /// Records that a request was sent to the upstream.
   void OnRequestSent(const UpstreamId& id, Instant now);
@@ -124,15 +141,38 @@
   void RecordLatency(const UpstreamId& id, std::chrono::microseconds latency,
                      Instant now);
 
+  /// Adds the interval between two streamed events, which raises the limit of
+  /// an upstream below its slots sooner than the samples of RecordLatency.
+  void RecordInterval(const UpstreamId& id, std::chrono::microseconds interval,
+                      Instant now);
+
   /// Clears the statistics of an upstream whose process was restarted, except
-  /// the counts of requests in flight.
+  /// the counts of requests in flight, its slots and its settled latency.
   void Reset(const UpstreamId& id);
+  /// Records a registration, and begins a slow start if its process is new.
+  /// @param initial whether the registration belongs to the first listing,
+  ///     whose upstreams have run for an unknown time
+  void OnRegistered(const Registration& registration, bool initial,
+                    Instant now);
+  /// Begins a slow start of a registered upstream.
+  void StartPace(const UpstreamId& id, PaceCause cause, Instant now);
+  /// Sets this node's name, from which the delays of its first requests to
+  /// started upstreams are derived.
+  void set_node(const std::string& node) { node_ = node; }
 
   /// Returns this node's requests in flight at the upstream.
   std::uint32_t running(const UpstreamId& id) const;
   /// Returns whether the upstream counts as full: for a time after a refusal,
   /// and while a probe request is in flight.
   bool full(const UpstreamId& id, Instant now) const;
+  /// Returns how many of the slots a slow start allows to use.
+  std::uint32_t usable_slots(const UpstreamId& id, std::uint32_t slots,
+                             Instant now) const;
+  /// Returns whether a slow start allows no further request at the upstream.
+  bool at_pace_limit(const UpstreamId& id, Instant now) const;
+  /// Returns whether the upstream is limited to fewer requests than its slots
+  /// by a slow start.
+  bool below_slots(const UpstreamId& id) const;
   /// Returns whether a request may be sent to the upstream under its rate
   /// limit.
   bool MaySend(const UpstreamId& id, Instant now) const {
@@ -144,11 +184,8 @@
                    Instant now) const {
     return MaySend(id, now) && HasFreeSlot(id, slots, now);
   }
-  /// Returns whether the upstream has a free slot, is not full, and the number
-  /// of requests sent but not yet accepted or refused is below the window. The
-  /// window starts small and grows with each acceptance, doubling per round
-  /// trip, since an upstream that is loading weights refuses all requests of a
-  /// burst.
+  /// Returns whether the upstream has a free slot, is not full, and is below
+  /// the limits of UpstreamPace for requests in flight and not yet accepted.
   bool HasFreeSlot(const UpstreamId& id, std::uint32_t slots,
                    Instant now) const;
   /// Returns the moving average of the latency samples, or nullopt without a
@@ -161,6 +198,13 @@
 
   const UpstreamStatements& statements() const { return statements_; }
 
+  /// Emitted when a slow start begins.
+  sigc::signal<void(const PaceBegin&)>& on_pace_begun() {
+    return on_pace_begun_;
+  }
+  /// Emitted when an upstream may use all its slots after a slow start.
+  sigc::signal<void(const PaceEnd&)>& on_settled() { return on_settled_; }
+
  private:
   /// State of one upstream.
   struct Load {
@@ -172,20 +216,30 @@
     bool probing = false;
     /// Requests sent but neither accepted nor refused yet.
     std::uint32_t unanswered = 0;
-    /// Upper bound of `unanswered` while the upstream accepts requests.
-    std::uint32_t window = 0;
-    /// Time of the last acceptance; nullopt after a refusal.
-    std::optional<Instant> accepted_at;
     Instant full_until{};
     std::optional<double> latency_us;
     /// Time of the last latency sample.
     Instant measured_at{};
+    /// Time of the first of the consecutive refusals.
+    Instant refused_since{};
+    UpstreamPace pace;
+    /// From the registration; empty or 0 if there was none.
+    TargetId service;
+    std::chrono::milliseconds started{0};
   };
 
+  /// Returns the latency in microseconds that counts as normal for an upstream:
+  /// its own settled one, or the median of the service's other upstreams.
+  std::optional<double> NormalLatency(const Load& load) const;
+  void EmitIfSettled(const UpstreamId& id, const Load& load, Instant now);
+
   UpstreamStatements& statements_;
   std::chrono::milliseconds latency_max_age_;
   std::map<UpstreamId, Load> loads_;
   UpstreamHealth health_;
+  std::string node_;
+  sigc::signal<void(const PaceBegin&)> on_pace_begun_;
+  sigc::signal<void(const PaceEnd&)> on_settled_;
 };
 
 /// Returns the upstreams of a service that may get requests now: all except
