--- a/src/node/node_records.cc
+++ b/src/node/node_records.cc
@@ -100,6 +100,9 @@
               {"upstreams", static_cast<std::int64_t>(affected)},
               {"evacuated_domains",
                static_cast<std::int64_t>(directory_.evacuations().size())}});
+  if (!change.evacuated) {
+    upstream_watch_.StartPaceOfDomain(change.domain);
+  }
   batch_host_.OnManifestChanged();
 }
 
--- a/src/node/upstream_watch.cc
+++ b/src/node/upstream_watch.cc
@@ -1,6 +1,8 @@
 #include "node/upstream_watch.h"
 
+#include <algorithm>
 #include <cstdint>
+#include <string>
 #include <utility>
 
 #include "platform/manifest_codec.h"
@@ -26,9 +28,12 @@
       cold_(cold) {
   LogHealth(request_loads_, "requests");
   LogHealth(item_loads_, "items");
+  LogPace(request_loads_, "requests");
+  LogPace(item_loads_, "items");
   LogLimits();
   FollowLeaving();
   FollowCold();
+  RegisterPaceGauge();
 }
 
 void UpstreamWatch::FollowCold() {
@@ -55,6 +60,49 @@
                {{"upstream", registration.id.value()},
                 {"cold_ms", registration.cold_left->count()}});
   }
+  RegisterPaceGauge();
+}
+
+void UpstreamWatch::LogPace(serving::UpstreamLoads& loads,
+                            const std::string& work) {
+  loads.on_pace_begun().connect([this, work](const serving::PaceBegin& begin) {
+    log_.Write("upstream.pace",
+               {{"upstream", begin.upstream.value()},
+                {"work", work},
+                {"cause", std::string(serving::PaceCauseName(begin.cause))}});
+  });
+  loads.on_settled().connect([this, work](const serving::PaceEnd& end) {
+    log_.Write("upstream.settled", {{"upstream", end.upstream.value()},
+                                    {"work", work},
+                                    {"took_ms", end.took.count()}});
+  });
+}
+
+void UpstreamWatch::RegisterPaceGauge() {
+  metrics_.Gauge("upstreams_below_slots", [this] {
+    return static_cast<double>(
+        std::ranges::count_if(directory_.all(), [this](const auto& entry) {
+          return request_loads_.below_slots(entry.first) ||
+                 item_loads_.below_slots(entry.first);
+        }));
+  });
+}
+
+void UpstreamWatch::RecordRegistration(
+    const serving::Registration& registration) {
+  const Instant now = clock_.now();
+  request_loads_.OnRegistered(registration, !has_snapshot_, now);
+  item_loads_.OnRegistered(registration, !has_snapshot_, now);
+}
+
+void UpstreamWatch::StartPaceOfDomain(const FailureDomainId& domain) {
+  const Instant now = clock_.now();
+  for (const auto& [id, registration] : directory_.all()) {
+    if (registration.failure_domain == domain) {
+      request_loads_.StartPace(id, serving::PaceCause::kReturned, now);
+      item_loads_.StartPace(id, serving::PaceCause::kReturned, now);
+    }
+  }
 }
 
 void UpstreamWatch::FollowLeaving() {
@@ -95,7 +143,8 @@
                     {"failure_share", ejection.failure_share},
                     {"time_ms", ejection.duration.count()}});
       });
-  loads.health().on_readmitted().connect([this, work](const UpstreamId& id) {
+  loads.health().on_readmitted().connect([this, work](const UpstreamId& id,
+                                                      Instant /*now*/) {
     log_.Write("upstream.returned", {{"upstream", id.value()}, {"work", work}});
   });
 }
@@ -108,6 +157,7 @@
             record.key, record.value.value_or(""))) {
       ResetLoadIfRestarted(*registration);
       RecordCold(*registration, record.offset);
+      RecordRegistration(*registration);
       all.push_back(*std::move(registration));
     }
   }
@@ -142,6 +192,7 @@
                             {"draining", registration->draining}});
   }
   RecordCold(*registration, record.offset);
+  RecordRegistration(*registration);
   directory_.Put(*std::move(registration));
 }
 
