--- a/src/node/upstream_watch.cc
+++ b/src/node/upstream_watch.cc
@@ -60,7 +60,6 @@
                {{"upstream", registration.id.value()},
                 {"cold_ms", registration.cold_left->count()}});
   }
-  RegisterPaceGauge();
 }
 
 void UpstreamWatch::LogPace(serving::UpstreamLoads& loads,
