Order of callers that find no free slot: priorities and fair shares

Cause: the priorities in the manifest were read by nothing. Upstreams run requests by arrival, so that in overload the organisation that sends most got most, and all waited alike.

Change: a request whose untried upstreams have no free slot waits in one queue per service at the node (serving/admission_queue, on the event loop in admission_queues). It is ordered by the priority of the organisation, that of the route, the service time that the organisation has used, and the deadline. Overload is the oldest wait staying above a quarter of its limit for as long as the limit; only then, or if the deadline cannot be met, requests are refused as not run, with a jittered Retry-After from the measured rate of departures. After a quarter of the route's target a request is sent without a slot, or refused in overload. All of this applies only if the manifest names a priority. A faulty or missing one is the lowest, with one log line for each manifest.

Not run against whole processes.

--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -36,6 +36,7 @@
 #include "platform/ingress.h"
 #include "platform/store_client.h"
 #include "platform/upstream_client.h"
+#include "serving/admission_queues.h"
 
 namespace mulberryroad::node {
 
@@ -74,6 +75,8 @@
   /// @param end offset up to which it is complete, exclusive
   void ApplyOperatorSnapshot(const std::vector<platform::KeyedRecord>& records,
                              platform::Offset end);
+  /// Logs how many routes and organisations have no valid priority.
+  void LogMissingPriorities(const serving::Manifest& manifest);
   void OnEvacuationChanged(const serving::EvacuationChange& change);
   std::optional<std::string> refusal_reason() const;
   bool store_unstable() const;
@@ -116,6 +119,7 @@
   UpstreamWatch upstream_watch_;
   ForwardingCaller upstreams_;
   ForwardServer forward_server_;
+  serving::AdmissionQueues admission_;
   serving::ServingContext serving_;
   batches::BatchContext batch_context_;
   std::shared_ptr<batches::BatchClient> batch_client_;
--- a/src/node/node_records.cc
+++ b/src/node/node_records.cc
@@ -89,6 +89,27 @@
   }
 }
 
+void Node::Impl::LogMissingPriorities(const serving::Manifest& manifest) {
+  if (!manifest.uses_priorities) {
+    return;
+  }
+  const auto has_none = [](const auto& entry) {
+    return !entry.priority.has_value();
+  };
+  const auto& organisations = manifest.organisations;
+  const auto routes =
+      std::count_if(manifest.routes.begin(), manifest.routes.end(), has_none);
+  const auto callers = organisations.has_value()
+                           ? std::count_if(organisations->begin(),
+                                           organisations->end(), has_none)
+                           : 0;
+  if (routes + callers > 0) {
+    log_.Write("manifest.lowest_priority",
+               {{"routes", static_cast<std::int64_t>(routes)},
+                {"organisations", static_cast<std::int64_t>(callers)}});
+  }
+}
+
 void Node::Impl::OnEvacuationChanged(const serving::EvacuationChange& change) {
   const auto& upstreams = directory_.all();
   const auto affected = std::count_if(
@@ -129,6 +150,7 @@
       origins_.OnRoutesLeft(left);
       callers_.SetLimits(LimitsFor(catalog_.manifest()->limits));
       batch_host_.OnManifestChanged();
+      LogMissingPriorities(*catalog_.manifest());
     }
     log_.Write("manifest", {{"version", version}, {"in_force", newer}});
     return;
--- a/src/serving/catalog.cc
+++ b/src/serving/catalog.cc
@@ -11,6 +11,7 @@
   }
   by_host_.clear();
   by_key_.clear();
+  priorities_.clear();
   manifest_ = std::move(manifest);
   for (const Route& route : manifest_->routes) {
     by_host_[route.host].push_back(&route);
@@ -26,6 +27,9 @@
       for (const std::string& key : organisation.keys) {
         by_key_[key] = organisation.id;
       }
+      if (organisation.priority.has_value()) {
+        priorities_[organisation.id] = *organisation.priority;
+      }
     }
   }
   return true;
@@ -56,6 +60,18 @@
   return found == by_key_.end() ? std::nullopt : std::optional(found->second);
 }
 
+std::optional<RequestRank> Catalog::RankOf(
+    const Route& route, const OrganisationId& organisation) const {
+  if (!manifest_.has_value() || !manifest_->uses_priorities) {
+    return std::nullopt;
+  }
+  const auto found = priorities_.find(organisation);
+  return RequestRank{
+      organisation,
+      found == priorities_.end() ? kLowestPriority : found->second,
+      route.priority.value_or(kLowestPriority)};
+}
+
 const Route* Catalog::FindRoute(const std::string& host,
                                 const std::string& path) const {
   const auto routes = by_host_.find(host);
--- a/src/serving/catalog.h
+++ b/src/serving/catalog.h
@@ -12,6 +12,7 @@
 #include <variant>
 #include <vector>
 
+#include "serving/admission_queue.h"
 #include "serving/manifest.h"
 
 namespace mulberryroad::serving {
@@ -46,6 +47,10 @@
 
   /// Returns the organisation that owns a key, or nullopt.
   std::optional<OrganisationId> FindOrganisation(const std::string& key) const;
+  /// Returns the rank of a request, or nullopt if the manifest names no
+  /// priorities.
+  std::optional<RequestRank> RankOf(const Route& route,
+                                    const OrganisationId& organisation) const;
   /// Returns the route with the longest matching path prefix, or null.
   const Route* FindRoute(const std::string& host,
                          const std::string& path) const;
@@ -63,6 +68,8 @@
   /// Routes by host, longest prefix first. They point into `manifest_`.
   std::unordered_map<std::string, std::vector<const Route*>> by_host_;
   std::unordered_map<std::string, OrganisationId> by_key_;
+  /// Priorities of the organisations that have one.
+  std::map<OrganisationId, std::uint32_t> priorities_;
 };
 
 /// Returns the services to which a streaming route leads in one manifest and no
--- a/src/serving/manifest.h
+++ b/src/serving/manifest.h
@@ -56,6 +56,8 @@
   /// Batch routes: time from submission after which an item may be abandoned; 0
   /// if the manifest sets none.
   std::chrono::milliseconds retention{0};
+  /// 0 is the highest; nullopt, if the manifest names none, is the lowest.
+  std::optional<std::uint32_t> priority = std::nullopt;
 };
 
 /// Minimum and maximum number of upstreams of a service in each failure domain.
@@ -86,6 +88,8 @@
 struct Organisation {
   OrganisationId id;
   std::vector<std::string> keys;
+  /// Like Route::priority, which it precedes.
+  std::optional<std::uint32_t> priority = std::nullopt;
 };
 
 struct Manifest {
@@ -95,6 +99,9 @@
   Limits limits;
   /// Organisations and their API keys. Without them no route needs a key.
   std::optional<std::vector<Organisation>> organisations;
+  /// Whether a route or organisation names a priority, valid or not. Without
+  /// one, requests are sent in the order of their arrival.
+  bool uses_priorities = false;
 };
 
 }  // namespace mulberryroad::serving
--- a/src/serving/request_attempts.cc
+++ b/src/serving/request_attempts.cc
@@ -120,6 +120,13 @@
                        kRetryAfterNoUpstream);
     return;
   }
+  if (!turn_ && WaitForTurn()) {
+    return;
+  }
+  turn_ = false;
+  if (request_.rank.has_value() && context_.admission != nullptr) {
+    context_.admission->OnStarted(request_.service, *request_.rank);
+  }
   const int number = next_attempt_number_++;
   tried_upstreams_.insert(upstream->id);
   last_upstream_ = upstream->id;
@@ -163,6 +170,99 @@
          context_.loads.full(upstream.id, context_.clock.now());
 }
 
+bool RequestSession::HasFreeSlot() const {
+  const Instant now = context_.clock.now();
+  const std::vector<const Registration*> usable =
+      UsableUpstreams(UntriedUpstreams(), context_.loads, now);
+  return std::any_of(
+      usable.begin(), usable.end(), [this, now](const Registration* upstream) {
+        return context_.loads.MaySend(upstream->id, now) && !IsBusy(*upstream);
+      });
+}
+
+bool RequestSession::WaitForTurn() {
+  // A request with an attempt in flight is already being served.
+  if (!request_.rank.has_value() || context_.admission == nullptr ||
+      policy_.in_flight() > 0) {
+    return false;
+  }
+  if (ticket_.has_value()) {
+    return true;
+  }
+  const bool at_once =
+      !context_.admission->HasWaiting(request_.service) && HasFreeSlot();
+  if (at_once || queue_wait_left_ <= milliseconds(0)) {
+    return false;
+  }
+  const auto added = context_.admission->Add(
+      request_.service, {*request_.rank, request_.deadline, queue_wait_left_},
+      {[this] { return HasFreeSlot() || UntriedUpstreams().empty(); },
+       [self = shared_from_this()] { self->OnTurn(); }});
+  if (const auto* refusal = std::get_if<AdmissionRefusal>(&added)) {
+    // After an attempt that may have run, a refusal would not be "not run".
+    if (!policy_.known_not_run()) {
+      return false;
+    }
+    RefuseQueued(*refusal);
+    return true;
+  }
+  ticket_ = std::get<AdmissionQueue::Ticket>(added);
+  queued_at_ = context_.clock.now();
+  queue_timer_ =
+      context_.loop.After(queue_wait_left_, [this] { OnQueueWaitEnd(); });
+  return true;
+}
+
+void RequestSession::EndQueueWait(const std::string& result) {
+  const auto waited = context_.clock.now() - queued_at_;
+  ticket_.reset();
+  queue_timer_.Cancel();
+  queue_wait_left_ -= duration_cast<milliseconds>(waited);
+  context_.metrics.Observe("request_queue_seconds", {{"result", result}},
+                           waited);
+}
+
+void RequestSession::OnTurn() {
+  EndQueueWait("sent");
+  turn_ = true;
+  SendAttempt();
+}
+
+void RequestSession::OnQueueWaitEnd() {
+  const auto refusal = context_.admission->EndWait(request_.service, *ticket_);
+  const bool refused = refusal.has_value() && policy_.known_not_run();
+  EndQueueWait(refused ? "refused" : "sent without a slot");
+  if (refused) {
+    RefuseQueued(*refusal);
+  } else {
+    turn_ = true;
+    SendAttempt();
+  }
+}
+
+void RequestSession::RefuseQueued(const AdmissionRefusal& refusal) {
+  context_.metrics.Count("requests_queue_refused_total", {});
+  context_.log.Write(
+      "request.queue_refused",
+      {{"request", request_.outgoing.id.value()},
+       {"service", request_.service.value()},
+       {"organisation", request_.outgoing.organisation.value()},
+       {"organisation_priority",
+        static_cast<std::int64_t>(request_.rank->organisation_priority)},
+       {"route_priority",
+        static_cast<std::int64_t>(request_.rank->route_priority)},
+       {"reason", refusal.reason},
+       {"expected_wait_ms", refusal.expected_wait.count()},
+       {"retry_ms", refusal.retry_after.count()}});
+  EndWithoutUpstream(refusal.reason, refusal.retry_after);
+}
+
+void RequestSession::RecordServiceTime(microseconds used) {
+  if (request_.rank.has_value() && context_.admission != nullptr) {
+    context_.admission->OnEnded(request_.service, *request_.rank, used);
+  }
+}
+
 void RequestSession::AcquirePermit(std::vector<UpstreamId> upstreams,
                                    bool may_wait) {
   if (std::exchange(awaiting_permit_, true)) {
@@ -238,6 +338,9 @@
   UpstreamLoads& loads = context_.loads;
   const auto* not_run = std::get_if<NotRun>(&outcome);
   const bool refused = not_run != nullptr && not_run->full;
+  RecordServiceTime(not_run != nullptr
+                        ? microseconds(0)
+                        : duration_cast<microseconds>(now - ended.sent));
   loads.OnRequestEnded(
       ended.upstream,
       refused || std::holds_alternative<CompleteResponse>(outcome));
@@ -338,6 +441,8 @@
     }
     attempt.call->Cancel();
     context_.loads.OnRequestEnded(attempt.upstream, /*answered=*/false);
+    RecordServiceTime(
+        duration_cast<microseconds>(context_.clock.now() - attempt.sent));
   }
   attempts_.clear();
 }
--- a/src/serving/request_session.cc
+++ b/src/serving/request_session.cc
@@ -27,7 +27,9 @@
       request_(std::move(request)),
       policy_(MakeAttemptRules(request_)),
       started_(context.clock.now()),
-      last_event_id_(request_.resume_after) {}
+      last_event_id_(request_.resume_after),
+      queue_wait_left_(duration_cast<milliseconds>(request_.target_latency *
+                                                   kQueueWaitShare)) {}
 
 void RequestSession::Start() {
   self_ = shared_from_this();
@@ -145,6 +147,10 @@
 
 void RequestSession::Finish(const std::string& outcome, int status) {
   finished_ = true;
+  if (ticket_.has_value()) {
+    context_.admission->Remove(request_.service, *ticket_);
+    EndQueueWait("ended");
+  }
   if (connection_lost_) {
     context_.crash_reporter.Report(content(), request_.outgoing.id);
   }
--- a/src/serving/request_session.h
+++ b/src/serving/request_session.h
@@ -19,6 +19,7 @@
 #include "base/structured_log.h"
 #include "http/server.h"
 #include "mulberryroad/clock.h"
+#include "serving/admission_queues.h"
 #include "serving/attempt_policy.h"
 #include "serving/catalog.h"
 #include "serving/crash_evidence.h"
@@ -53,6 +54,8 @@
   std::function<void(const OrganisationId&)> count_usage;
   /// Returns a Retry-After header for the given delay.
   std::function<http::Header(std::chrono::milliseconds)> retry_after;
+  /// Order of the requests that have a rank; null if none has one.
+  AdmissionQueues* admission = nullptr;
 };
 
 /// An admitted request and the rules of its route.
@@ -73,6 +76,9 @@
   /// Id of the request that brought the first of these events; empty if the
   /// caller did not name it.
   RequestId resumes;
+  /// Place in the order of requests that find no free slot; nullopt to send
+  /// them to an upstream in any case.
+  std::optional<RequestRank> rank = std::nullopt;
 };
 
 /// Session of one request. It holds a reference to itself from Start until the
@@ -104,6 +110,9 @@
   static constexpr double kPermitWaitShare = 0.5;
   /// Longest wait for the origin of a stream to resume.
   static constexpr std::chrono::milliseconds kMaxOriginWait{1'000};
+  /// Longest wait for a free slot in all attempts, as a share of the target
+  /// latency.
+  static constexpr double kQueueWaitShare = 0.25;
 
  private:
   /// An attempt in flight.
@@ -138,6 +147,21 @@
                           std::chrono::milliseconds retry);
   /// Returns whether a request would have to wait at the upstream.
   bool IsBusy(const Registration& upstream) const;
+  /// Lets the next attempt wait for its turn if no untried upstream has a free
+  /// slot, or other requests wait.
+  /// @return whether the request waits, or was refused
+  bool WaitForTurn();
+  /// Returns whether an untried upstream has a free slot.
+  bool HasFreeSlot() const;
+  void OnTurn();
+  void OnQueueWaitEnd();
+  /// Logs and counts a refusal, and ends the request.
+  void RefuseQueued(const AdmissionRefusal& refusal);
+  /// Leaves the queue.
+  /// @param result label of the wait in the metrics
+  void EndQueueWait(const std::string& result);
+  /// Records the end of an attempt and the service time that it used.
+  void RecordServiceTime(std::chrono::microseconds used);
   /// Asks for a permit to send the next attempt to one of these upstreams.
   /// @param may_wait whether the attempt may wait for the permit
   void AcquirePermit(std::vector<UpstreamId> upstreams, bool may_wait);
@@ -218,6 +242,14 @@
   std::optional<std::string> software_;
   /// Id of the last event forwarded; the next attempt resumes after it.
   std::string last_event_id_;
+  /// Set while the request waits for its turn.
+  std::optional<AdmissionQueue::Ticket> ticket_;
+  Instant queued_at_{};
+  /// Time that the request may still wait in the queue.
+  std::chrono::milliseconds queue_wait_left_;
+  /// Whether the next attempt is sent without waiting.
+  bool turn_ = false;
+  base::Timer queue_timer_;
   base::Timer deadline_timer_;
   base::Timer hedge_timer_;
   std::shared_ptr<RequestSession> self_;
--- a/test/contract/platform_adapter_test.cc
+++ b/test/contract/platform_adapter_test.cc
@@ -55,6 +55,22 @@
   cr_assert_eq(manifest->organisations->front().keys.size(), 2);
 }
 
+// A faulty priority must not come before a valid one.
+Test(manifest_codec, invalid_priorities_are_the_lowest) {
+  const auto manifest = DecodeManifest(R"({"version":1,
+      "routes":[{"priority":0},{"priority":-1},{"priority":"0"},{}],
+      "tenants":[{"name":"a","priority":2},{"name":"b","priority":null}]})");
+  cr_assert(manifest.has_value());
+  cr_expect(manifest->uses_priorities);
+  cr_expect(manifest->routes[0].priority == 0U);
+  for (std::size_t i = 1; i < 4; ++i) {
+    cr_expect(!manifest->routes[i].priority.has_value());
+  }
+  cr_expect((*manifest->organisations)[0].priority == 2U);
+  cr_expect(!(*manifest->organisations)[1].priority.has_value());
+  cr_expect(!DecodeManifest(R"({"version":1,"routes":[{}]})")->uses_priorities);
+}
+
 Test(manifest_codec, malformed_manifests_are_rejected) {
   cr_assert(!DecodeManifest("").has_value());
   cr_assert(!DecodeManifest("{\"version\":").has_value());
