--- a/test/fakes/platform/fake_replica.cc
+++ b/test/fakes/platform/fake_replica.cc
@@ -32,6 +32,7 @@
 
 http::ServerLimits Limits() {
   http::ServerLimits limits;
+  limits.max_body_bytes = std::size_t{64} << 20U;
   limits.client_timeout = std::chrono::minutes(10);
   return limits;
 }
