Budget of memory and connections for the clients of a node

Cause: evhttp reads a body in full before a handler runs, up to four times the limit and on any path, and goes on reading pipelined requests while a response is written. 16 clients held 407 to 512 MB.

Change: the servers of a node share a ConnectionGuard, whose MemoryBudget is derived from limits.memoryMb and limits.maxFds (0 or missing: nothing changes). It follows the bytes that arrive at a connection's buffer, judges a request by its head, closes the largest and slowest incomplete bodies when the budget is used up, and heads and bodies without progress. Reading ahead of a request is bounded. The body of a caller's request is moved instead of copied on its way to the upstream.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -257,8 +257,16 @@
     if (evhttp_find_header(headers, "Host") == nullptr) {
       evhttp_add_header(headers, "Host", ToString(request_.endpoint).c_str());
     }
-    evbuffer_add(evhttp_request_get_output_buffer(native), request_.body.data(),
-                 request_.body.size());
+    if (!request_.body.empty()) {
+      // Not copied: the buffer owns the body, which is sent once.
+      auto* body = new std::string(std::move(request_.body));
+      evbuffer_add_reference(
+          evhttp_request_get_output_buffer(native), body->data(), body->size(),
+          [](const void*, std::size_t, void* sent) {
+            delete static_cast<std::string*>(sent);
+          },
+          body);
+    }
     if (evhttp_make_request(connection_->native(), native,
                             ToCommand(request_.method),
                             request_.path.c_str()) != 0) {
--- /dev/null
+++ b/src/http/memory_budget.h
@@ -0,0 +1,126 @@
+// Budget of bytes and connections that the HTTP servers of a process share, and
+// the rules that decide which connection is closed when it is used up.
+
+#ifndef MULBERRYROAD_SRC_HTTP_MEMORY_BUDGET_H_
+#define MULBERRYROAD_SRC_HTTP_MEMORY_BUDGET_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace mulberryroad::http {
+
+/// Why a connection is closed, or a request refused before its body is read.
+enum class CloseReason {
+  kNoMemory,
+  kHeadTimeout,
+  kBodyTimeout,
+  kTooManyConnections,
+  kBodyTooLarge,
+  /// No route, no valid key, or refused by the owner of the server.
+  kNotAdmitted,
+};
+/// Returns the name of a reason for metrics and logs.
+std::string_view ToString(CloseReason reason);
+
+struct BudgetLimits {
+  /// Bytes that connections and requests may hold; 0 for no limit.
+  std::size_t bytes = 0;
+  /// Open connections; 0 for no limit.
+  std::size_t connections = 0;
+  /// Time from the first byte of a head to its end.
+  std::chrono::milliseconds head_timeout{3'000};
+  /// Time without a byte of an incomplete body.
+  std::chrono::milliseconds body_timeout{30'000};
+
+  bool enabled() const { return bytes > 0 || connections > 0; }
+};
+
+/// Derives the limits from the memory and descriptors of the machine.
+/// @param memory_mb 0 if not known: no limit of bytes
+/// @param max_fds 0 if not known: no limit of connections
+BudgetLimits LimitsFor(std::size_t memory_mb, std::size_t max_fds);
+
+/// What a connection does at the moment.
+enum class ConnectionPhase {
+  /// Between requests, or unread bytes of a response are left.
+  kIdle,
+  /// Some bytes of a head were received.
+  kHead,
+  /// The head is complete, the body is not.
+  kBody,
+  /// The request was passed to its handler and has no complete response.
+  kRunning,
+};
+
+/// Counts what connections hold. Performs no I/O and reads no clock.
+class MemoryBudget {
+ public:
+  using Id = std::uint64_t;
+  using TimePoint = std::chrono::steady_clock::time_point;
+
+  explicit MemoryBudget(BudgetLimits limits) : limits_(limits) {}
+
+  const BudgetLimits& limits() const { return limits_; }
+  void SetHeadTimeout(std::chrono::milliseconds timeout) {
+    limits_.head_timeout = timeout;
+  }
+
+  /// Adds a connection.
+  /// @param protected_peer whether the connection may use the share that
+  ///     callers leave to peers and readiness checks, and is not closed for
+  ///     others
+  Id Open(bool protected_peer, TimePoint now);
+  void Close(Id id);
+  /// Sets what a connection does. Entering kHead or kBody starts its time.
+  void SetPhase(Id id, ConnectionPhase phase, TimePoint now);
+  /// Sets the bytes that a connection holds. An increase counts as progress.
+  void SetHeld(Id id, std::size_t bytes, TimePoint now);
+
+  /// Returns whether a request that will hold so many bytes until its response
+  /// fits beside the requests that run already. Incomplete bodies do not count,
+  /// as they are closed for it.
+  bool HasRoomFor(std::size_t bytes, bool protected_peer) const;
+  /// Returns the connection to close while the budget is exceeded: the largest
+  /// and slowest of those that no handler works on; nullopt if the budget is
+  /// not exceeded or no such connection is left.
+  std::optional<Id> NextVictim(TimePoint now) const;
+  /// Returns the connection to close while too many are open: the one that has
+  /// been without a complete request for the longest time.
+  std::optional<Id> NextExcessConnection() const;
+
+  struct Expired {
+    Id id;
+    CloseReason reason;
+  };
+  /// Returns connections whose head or body made no progress in time.
+  std::vector<Expired> FindExpired(TimePoint now) const;
+
+  std::size_t held() const { return held_; }
+  std::size_t connections() const { return entries_.size(); }
+
+ private:
+  struct Entry {
+    bool protected_peer = false;
+    ConnectionPhase phase = ConnectionPhase::kIdle;
+    std::size_t held = 0;
+    TimePoint phase_began;
+    TimePoint progressed;
+  };
+
+  BudgetLimits limits_;
+  std::map<Id, Entry> entries_;
+  std::size_t held_ = 0;
+  /// Part of held_ in phase kRunning.
+  std::size_t running_ = 0;
+  std::size_t callers_ = 0;
+  Id last_id_ = 0;
+};
+
+}  // namespace mulberryroad::http
+
+#endif  // MULBERRYROAD_SRC_HTTP_MEMORY_BUDGET_H_
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -18,6 +18,7 @@
 #include <utility>
 
 #include "base/decision_log.h"
+#include "http/connection_guard.h"
 #include "http/socket_options.h"
 #include "http/text.h"
 
@@ -33,6 +34,12 @@
 constexpr std::size_t kHeaderSeparatorBytes = 4;
 constexpr int kNotFound = 404;
 constexpr int kPayloadTooLarge = 413;
+constexpr char kNoSuchPathBody[] =
+    R"({"error":"no such path","verdict":"not run"})";
+constexpr char kTooLargeBody[] =
+    R"({"error":"the body is too large","verdict":"not run"})";
+// Doubled by the kernel. Enough for 600 Mbit/s at a round trip of 3 ms.
+constexpr int kReceiveBufferBytes = 128 << 10;
 
 std::optional<Method> MethodOf(evhttp_request* native) {
   switch (evhttp_request_get_command(native)) {
@@ -76,6 +83,17 @@
   evhttp_clear_headers(&parameters);
 }
 
+// Frees the buffer as it is copied, so that a large body is not held twice.
+void MoveBody(evbuffer* from, std::string* to) {
+  to->reserve(evbuffer_get_length(from));
+  while (evbuffer_get_length(from) > 0) {
+    evbuffer_iovec span{};
+    evbuffer_peek(from, -1, nullptr, &span, 1);
+    to->append(static_cast<const char*>(span.iov_base), span.iov_len);
+    evbuffer_drain(from, span.iov_len);
+  }
+}
+
 Request ReadRequest(evhttp_request* native, Method method) {
   Request request;
   request.method = method;
@@ -91,9 +109,7 @@
   if (uri != nullptr) {
     ReadQuery(uri, &request);
   }
-  evbuffer* body = evhttp_request_get_input_buffer(native);
-  request.body.resize(evbuffer_get_length(body));
-  evbuffer_remove(body, request.body.data(), request.body.size());
+  MoveBody(evhttp_request_get_input_buffer(native), &request.body);
   return request;
 }
 
@@ -117,12 +133,16 @@
 struct PendingClose {
   evhttp_connection* connection = nullptr;
   evhttp_request* request = nullptr;
+  std::shared_ptr<ConnectionGuard> guard;
   /// Whether the caller must see a reset, as the end of the connection would
   /// look like the end of the response.
   bool reset = false;
 
-  static void OnClosed(evhttp_connection* /*connection*/, void* argument) {
+  static void OnClosed(evhttp_connection* closed, void* argument) {
     auto* pending = static_cast<PendingClose*>(argument);
+    if (pending->guard != nullptr) {
+      pending->guard->OnClosed(closed);
+    }
     pending->connection = nullptr;
     FreeIfDetached(pending->request);
   }
@@ -142,6 +162,9 @@
       }
     }
     evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    if (guard != nullptr) {
+      guard->OnClosed(connection);
+    }
     evhttp_connection_free(connection);
   }
 };
@@ -197,8 +220,12 @@
   StartCallerEvent(bufferevent_getfd(stream), EV_READ | EV_CLOSED);
   evhttp_connection_set_closecb(
       evhttp_request_get_connection(native_),
-      [](evhttp_connection*, void* argument) {
-        static_cast<Exchange*>(argument)->OnConnectionClosed();
+      [](evhttp_connection* closed, void* argument) {
+        auto* self = static_cast<Exchange*>(argument);
+        if (self->guard_ != nullptr) {
+          self->guard_->OnClosed(closed);
+        }
+        self->OnConnectionClosed();
       },
       this);
 }
@@ -254,6 +281,15 @@
   on_disconnected_.emit();
 }
 
+void Exchange::StopWatchingClose() {
+  evhttp_connection* connection = evhttp_request_get_connection(native_);
+  if (guard_ != nullptr) {
+    guard_->WatchClose(connection);
+  } else {
+    evhttp_connection_set_closecb(connection, nullptr, nullptr);
+  }
+}
+
 void Exchange::Detach() {
   if (caller_event_ != nullptr) {
     event_free(caller_event_);
@@ -280,8 +316,7 @@
   if (close_after_reply_) {
     evhttp_add_header(output, "Connection", "close");
   }
-  evhttp_connection_set_closecb(evhttp_request_get_connection(native_), nullptr,
-                                nullptr);
+  StopWatchingClose();
   const Buffer buffer = MakeBuffer(body);
   evhttp_send_reply(native_, status, nullptr, buffer.get());
   Detach();
@@ -316,8 +351,7 @@
     return;
   }
   const std::shared_ptr<Exchange> self_ref = shared_from_this();
-  evhttp_connection_set_closecb(evhttp_request_get_connection(native_), nullptr,
-                                nullptr);
+  StopWatchingClose();
   evhttp_send_reply_end(native_);
   Detach();
 }
@@ -331,6 +365,7 @@
   const auto pending = std::make_shared<PendingClose>();
   pending->connection = evhttp_request_get_connection(native_);
   pending->request = native_;
+  pending->guard = guard_;
   pending->reset = streaming_ && IsDelimitedByClose(native_);
   evhttp_connection_set_closecb(pending->connection, PendingClose::OnClosed,
                                 pending.get());
@@ -353,12 +388,10 @@
   evhttp_set_default_content_type(http_, "application/json");
   evhttp_set_gencb(http_, OnRequest, this);
   fallback_ = [](const std::shared_ptr<Exchange>& exchange) {
-    exchange->Reply(kNotFound,
-                    R"({"error":"no such path","verdict":"not run"})");
+    exchange->Reply(kNotFound, kNoSuchPathBody);
   };
   oversize_ = [](const std::shared_ptr<Exchange>& exchange) {
-    exchange->Reply(kPayloadTooLarge,
-                    R"({"error":"the body is too large","verdict":"not run"})");
+    exchange->Reply(kPayloadTooLarge, kTooLargeBody);
   };
 }
 
@@ -382,9 +415,55 @@
 bool Server::Listen(const Endpoint& endpoint) {
   socket_ = evhttp_bind_socket_with_handle(http_, endpoint.address.c_str(),
                                            endpoint.port);
+  if (socket_ != nullptr && guard_ != nullptr &&
+      guard_->budget().limits().bytes > 0) {
+    // Accepted connections inherit it. What the kernel holds unread is memory
+    // of the machine, and the default grows up to several megabytes.
+    setsockopt(evhttp_bound_socket_get_fd(socket_), SOL_SOCKET, SO_RCVBUF,
+               &kReceiveBufferBytes, sizeof(kReceiveBufferBytes));
+  }
   return socket_ != nullptr;
 }
 
+void Server::SetGuard(std::shared_ptr<ConnectionGuard> guard,
+                      bool protected_peer) {
+  guard_ = std::move(guard);
+  protected_peer_ = protected_peer;
+  guard_check_ = [this](const Request& request,
+                        std::optional<std::size_t> length) {
+    return CheckHead(request, length);
+  };
+  evhttp_set_bevcb(
+      http_,
+      [](event_base* /*base*/, void* self) {
+        auto* server = static_cast<Server*>(self);
+        return server->guard_->CreateStream(server->guard_check_,
+                                            server->protected_peer_);
+      },
+      this);
+}
+
+void Server::SetHeadCheck(HeadCheck check) { head_check_ = std::move(check); }
+
+HeadVerdict Server::CheckHead(const Request& request,
+                              std::optional<std::size_t> length) const {
+  HeadVerdict verdict;
+  verdict.max_body_bytes = limits_.max_body_bytes;
+  if (FindHandler(request.method, request.path) == nullptr) {
+    if (head_check_) {
+      verdict = head_check_(request, length);
+    } else {
+      verdict.status = kNotFound;
+      verdict.body = kNoSuchPathBody;
+    }
+  }
+  if (verdict.status == 0 && length.value_or(0) > limits_.max_body_bytes) {
+    verdict.status = kPayloadTooLarge;
+    verdict.body = kTooLargeBody;
+  }
+  return verdict;
+}
+
 void Server::Route(Method method, std::string path_prefix, Handler handler) {
   routes_[{method, std::move(path_prefix)}] = std::move(handler);
 }
@@ -444,7 +523,16 @@
   exchange->self_ = exchange;
   exchange->close_after_reply_ = draining_;
   ++open_exchanges_;
-  exchange->on_detached_ = [this, alive = alive_] {
+  exchange->guard_ = guard_;
+  const MemoryBudget::Id counted =
+      guard_ == nullptr
+          ? 0
+          : guard_->OnRequest(evhttp_request_get_connection(native),
+                              exchange->request().body.size());
+  exchange->on_detached_ = [this, alive = alive_, guard = guard_, counted] {
+    if (guard != nullptr) {
+      guard->OnExchangeEnded(counted);
+    }
     if (*alive) {
       --open_exchanges_;
     }
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/event_loop.h"
@@ -34,6 +35,8 @@
 };
 using Headers = std::vector<Header>;
 
+class ConnectionGuard;
+
 /// A complete request. Header names are in lower case.
 struct Request {
   Method method = Method::kGet;
@@ -62,6 +65,9 @@
   Exchange& operator=(const Exchange&) = delete;
 
   const Request& request() const { return request_; }
+  /// Returns the body and leaves the request without one, so that a handler
+  /// that passes a large body on holds it once.
+  std::string TakeBody() { return std::exchange(request_.body, {}); }
   /// True once the caller has disconnected; responses are then discarded.
   bool closed() const { return closed_; }
   /// True once a response was started, or can no longer be started because the
@@ -91,6 +97,7 @@
   void OnCallerEvent(int fd, int events);
   void OnCallerDisconnected();
   void OnConnectionClosed();
+  void StopWatchingClose();
   void Detach();
 
   base::EventLoop& loop_;
@@ -103,12 +110,25 @@
   bool close_after_reply_ = false;
   sigc::signal<void()> on_disconnected_;
   std::function<void()> on_detached_;
+  std::shared_ptr<ConnectionGuard> guard_;
   // Set while evhttp may still call back with a pointer to this exchange.
   std::shared_ptr<Exchange> self_;
 };
 
 using Handler = std::function<void(std::shared_ptr<Exchange>)>;
 
+/// Decision about a request of which only the head is known.
+struct HeadVerdict {
+  /// Status of the refusal; 0 if the body may be read.
+  int status = 0;
+  std::string body;
+  Headers headers;
+  std::size_t max_body_bytes = 0;
+};
+/// @param length size of the body, or nullopt if it is not known before its end
+using HeadCheck =
+    std::function<HeadVerdict(const Request&, std::optional<std::size_t> length)>;
+
 struct ServerLimits {
   std::size_t max_body_bytes = 8U << 20U;
   std::size_t max_header_bytes = 64U << 10U;
@@ -140,6 +160,14 @@
   /// route. The default replies 413. Bodies of more than four times the limit
   /// are rejected by evhttp and do not reach the handler.
   void SetOversizeHandler(Handler handler);
+  /// Bounds the connections by a guard that other servers may share. Must be
+  /// called before Listen.
+  /// @param protected_peer whether callers leave a share for this server
+  void SetGuard(std::shared_ptr<ConnectionGuard> guard, bool protected_peer);
+  /// Sets the check of requests that match no route and whose body has not been
+  /// received; without it they are rejected like by the default handler. Has an
+  /// effect only with a guard.
+  void SetHeadCheck(HeadCheck check);
   /// Adds "Connection: close" to the responses to all later requests, so that
   /// callers reconnect elsewhere.
   void BeginDrain();
@@ -152,6 +180,8 @@
   static void OnRequest(evhttp_request* native, void* self);
   void Dispatch(evhttp_request* native);
   const Handler* FindHandler(Method method, const std::string& path) const;
+  HeadVerdict CheckHead(const Request& request,
+                        std::optional<std::size_t> length) const;
 
   base::EventLoop& loop_;
   ServerLimits limits_;
@@ -165,6 +195,10 @@
   bool limits_changed_ = false;
   std::size_t open_exchanges_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  std::shared_ptr<ConnectionGuard> guard_;
+  bool protected_peer_ = false;
+  HeadCheck head_check_;
+  HeadCheck guard_check_;
 };
 
 }  // namespace mulberryroad::http
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -223,6 +223,10 @@
   CloseConnectionsToLeaving();
   RegisterReadiness();
   ingress_.Register(callers_);
+  if (settings_.peer_address.has_value()) {
+    peer_server_.emplace(loop_, http::ServerLimits{});
+  }
+  GuardServers();
   if (!callers_.Listen(settings_.caller_address)) {
     *reason = "cannot listen on " + ToString(settings_.caller_address);
     return false;
@@ -231,8 +235,7 @@
     *reason = "cannot listen on " + ToString(settings_.readiness_address);
     return false;
   }
-  if (settings_.peer_address.has_value()) {
-    peer_server_.emplace(loop_, http::ServerLimits{});
+  if (peer_server_.has_value()) {
     peers_.Register(*peer_server_);
     store_relay_.Register(*peer_server_);
     permits_.Register(*peer_server_);
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -19,6 +19,7 @@
 #include "duties/usage_reporter.h"
 #include "duties/weight_orders.h"
 #include "http/client.h"
+#include "http/connection_guard.h"
 #include "http/server.h"
 #include "node/crash_exchange.h"
 #include "node/forward_server.h"
@@ -77,6 +78,8 @@
   base::DrainSteps MakeDrainSteps();
   void CountUsage(const OrganisationId& organisation);
   void RegisterReadiness();
+  /// Bounds the memory and the connections of the callers' and other servers.
+  void GuardServers();
   /// Updates the nodes that may forward requests to upstreams.
   void UpdatePeers();
   enum class ReloadCause { kSignal, kTimer };
@@ -133,6 +136,10 @@
   base::Timer reload_timer_;
   base::Timer peers_timer_;
   base::Timer duty_links_timer_;
+  std::shared_ptr<http::ConnectionGuard> guard_;
+  /// Closed connections by reason since the last log line.
+  std::map<http::CloseReason, std::int64_t> closed_clients_;
+  base::Timer closed_clients_timer_;
 };
 
 }  // namespace mulberryroad::node
--- a/src/node/node_records.cc
+++ b/src/node/node_records.cc
@@ -75,6 +75,10 @@
     if (newer) {
       origins_.OnRoutesLeft(left);
       callers_.SetLimits(LimitsFor(catalog_.manifest()->limits));
+      if (guard_ != nullptr) {
+        guard_->budget().SetHeadTimeout(
+            catalog_.manifest()->limits.header_timeout);
+      }
       batch_host_.OnManifestChanged();
     }
     log_.Write("manifest", {{"version", version}, {"in_force", newer}});
--- a/src/node/node_status.cc
+++ b/src/node/node_status.cc
@@ -12,6 +12,8 @@
 
 constexpr int kOk = 200;
 constexpr int kServiceUnavailable = 503;
+// One line for each reason in this time, however many clients are closed.
+constexpr std::chrono::seconds kClosedClientsLogInterval{5};
 
 }  // namespace
 
@@ -103,4 +105,42 @@
                  [this] { return static_cast<double>(catalog_.version()); });
 }
 
+void Node::Impl::GuardServers() {
+  const http::BudgetLimits limits =
+      http::LimitsFor(settings_.memory_mb, settings_.max_fds);
+  if (!limits.enabled()) {
+    return;
+  }
+  guard_ = std::make_shared<http::ConnectionGuard>(
+      loop_, limits, [this](http::CloseReason reason) {
+        metrics_.Count("connections_closed_total",
+                       {{"reason", std::string(http::ToString(reason))}});
+        ++closed_clients_[reason];
+      });
+  callers_.SetGuard(guard_, /*protected_peer=*/false);
+  readiness_.SetGuard(guard_, /*protected_peer=*/true);
+  if (peer_server_.has_value()) {
+    peer_server_->SetGuard(guard_, /*protected_peer=*/true);
+  }
+  if (metrics_server_.has_value()) {
+    metrics_server_->SetGuard(guard_, /*protected_peer=*/true);
+  }
+  metrics_.Gauge("connection_bytes_held", [this] {
+    return static_cast<double>(guard_->budget().held());
+  });
+  metrics_.Gauge("connections_open", [this] {
+    return static_cast<double>(guard_->budget().connections());
+  });
+  closed_clients_timer_ = loop_.Every(kClosedClientsLogInterval, [this] {
+    for (const auto& [reason, count] : closed_clients_) {
+      log_.Write("clients.closed",
+                 {{"reason", std::string(http::ToString(reason))},
+                  {"connections", count},
+                  {"bytes_held",
+                   static_cast<std::int64_t>(guard_->budget().held())}});
+    }
+    closed_clients_.clear();
+  });
+}
+
 }  // namespace mulberryroad::node
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -50,6 +50,10 @@
   std::chrono::milliseconds result_retention{120'000};
   /// Maximum time during which a revoked key may still be accepted.
   std::chrono::milliseconds key_revocation_delay{5'000};
+  /// Memory of this VM in MB; 0 if not known.
+  std::size_t memory_mb = 0;
+  /// File descriptors of this process; 0 if not known.
+  std::size_t max_fds = 0;
 };
 
 }  // namespace mulberryroad::node
--- a/src/serving/manifest.h
+++ b/src/serving/manifest.h
@@ -81,6 +81,8 @@
   /// How long a caller may leave a connection idle and still send a request on
   /// it.
   std::chrono::milliseconds idle_timeout{15'000};
+  /// Time in which a caller must send the head of a request.
+  std::chrono::milliseconds header_timeout{3'000};
 };
 
 struct Organisation {
--- /dev/null
+++ b/test/memory_budget_test.cc
@@ -0,0 +1,97 @@
+// Budget of bytes and connections of the HTTP servers of a process.
+
+#include "http/memory_budget.h"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+
+#include "http/connection_guard.h"
+
+namespace mulberryroad::http {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kMega = 1U << 20U;
+const MemoryBudget::TimePoint kStart{};
+
+// Guards against a budget in which the largest legal body never fits.
+Test(memory_budget, largest_body_fits_into_the_smallest_machine) {
+  const MemoryBudget budget(LimitsFor(120, 3'075));
+  cr_expect(budget.HasRoomFor(2 * 32 * kMega, /*protected_peer=*/false));
+  cr_expect_eq(LimitsFor(0, 0).enabled(), false);
+}
+
+// Guards against closing an ordinary caller for the bytes of a stalled one.
+Test(memory_budget, closes_the_largest_stalled_body_first) {
+  MemoryBudget budget({.bytes = 10 * kMega});
+  const auto stalled = budget.Open(false, kStart);
+  const auto moving = budget.Open(false, kStart);
+  const auto running = budget.Open(false, kStart);
+  budget.SetPhase(stalled, ConnectionPhase::kBody, kStart);
+  budget.SetPhase(moving, ConnectionPhase::kBody, kStart);
+  budget.SetHeld(stalled, 3 * kMega, kStart);
+  budget.SetHeld(running, 5 * kMega, kStart);
+  budget.SetPhase(running, ConnectionPhase::kRunning, kStart);
+  cr_expect(!budget.NextVictim(kStart).has_value());
+  const auto later = kStart + seconds(5);
+  budget.SetHeld(moving, 3 * kMega, later);
+  cr_expect_eq(budget.NextVictim(later).value_or(0), stalled);
+  budget.Close(stalled);
+  cr_expect(!budget.NextVictim(later).has_value());
+  cr_expect_eq(budget.held(), 8 * kMega);
+  // What runs cannot be closed, so that it limits what may start.
+  cr_expect(!budget.HasRoomFor(5 * kMega, false));
+  cr_expect(budget.HasRoomFor(4 * kMega, false));
+}
+
+Test(memory_budget, expires_heads_and_bodies_without_progress) {
+  MemoryBudget budget({.bytes = 10 * kMega});
+  const auto head = budget.Open(false, kStart);
+  const auto body = budget.Open(false, kStart);
+  budget.SetPhase(head, ConnectionPhase::kHead, kStart);
+  budget.SetPhase(body, ConnectionPhase::kBody, kStart);
+  budget.SetHeld(body, 1, kStart + seconds(20));
+  cr_expect(budget.FindExpired(kStart + milliseconds(3'000)).empty());
+  const auto first = budget.FindExpired(kStart + milliseconds(3'001));
+  cr_assert_eq(first.size(), 1);
+  cr_expect_eq(first[0].id, head);
+  // Progress after 20 s; the body ends 30 s later.
+  cr_expect_eq(budget.FindExpired(kStart + seconds(50)).size(), 1);
+  cr_expect_eq(budget.FindExpired(kStart + milliseconds(50'001)).size(), 2);
+}
+
+// Guards against callers that take the connections of peers.
+Test(memory_budget, closes_the_oldest_idle_caller_over_the_bound) {
+  MemoryBudget budget({.connections = 16});
+  const auto peer = budget.Open(true, kStart);
+  MemoryBudget::Id first = 0;
+  for (int i = 0; i < 14; ++i) {
+    const auto id = budget.Open(false, kStart + seconds(1 + i));
+    first = first == 0 ? id : first;
+  }
+  cr_expect(!budget.NextExcessConnection().has_value());
+  budget.SetPhase(first, ConnectionPhase::kRunning, kStart + seconds(1));
+  budget.Open(false, kStart + seconds(20));
+  const auto excess = budget.NextExcessConnection();
+  cr_expect_eq(excess.value_or(0), first + 1);
+  cr_expect_neq(excess.value_or(0), peer);
+}
+
+// Guards against a limit that framing uses up, or that pieces circumvent.
+Test(chunk_counter, counts_content_in_pieces_of_any_size) {
+  const std::string body = "4;a=b\r\nwxyz\r\n0a\r\n0123456789\r\n0\r\n\r\n";
+  for (std::size_t size = 1; size <= body.size(); ++size) {
+    ChunkCounter counter;
+    for (std::size_t at = 0; at < body.size(); at += size) {
+      counter.Add(std::string_view(body).substr(at, size));
+    }
+    cr_expect_eq(counter.content(), 14, "%zu in pieces of %zu",
+                 counter.content(), size);
+  }
+}
+
+}  // namespace
+}  // namespace mulberryroad::http
