--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -55,6 +55,10 @@
   double cold_bound_factor = 1.5;
   /// ... and this number of requests on top.
   double cold_bound_requests = 5;
+  /// Memory of this VM in MB; 0 if not known.
+  std::size_t memory_mb = 0;
+  /// File descriptors of this process; 0 if not known.
+  std::size_t max_fds = 0;
 };
 
 }  // namespace mulberryroad::node
