Evacuation: test of forwarded requests; the stand-in removes records

Cause: no test showed that a peer refuses to forward to an evacuated upstream, and the stand-in of the platform could not remove a record of the operator.

Change: evacuations_test posts to a node whose peer knows of the evacuation and the node itself does not, and then to a node that knows it. An empty value put to the stand-in removes the key, as it does for registrations.

--- a/test/evacuations_test.cc
+++ b/test/evacuations_test.cc
@@ -5,6 +5,7 @@
 
 #include <criterion/criterion.h>
 
+#include "fakes/linked_nodes.h"
 #include "fakes/part_owner_fixture.h"
 #include "node/forwarding_caller.h"
 #include "node/peer_view.h"
@@ -111,6 +112,24 @@
   cr_expect(fixture.upstreams.requests.empty());
 }
 
+// A node that lost its link and does not know of the evacuation yet asks a peer
+// that does; then it learns of it while its links work.
+Test(evacuations, neither_peer_nor_own_link_reaches_an_evacuated_upstream) {
+  fakes::LinkedNodes nodes(2);
+  const auto evacuate = [&nodes](std::size_t node) {
+    nodes.nodes[node]->directory.evacuations().Apply(FailureDomainId("d1"), 1,
+                                                     true);
+  };
+  evacuate(1);
+  nodes.nodes[0]->SetLinks(soak::LinkState::kRefuse);
+  cr_expect_eq(nodes.Post(0, "/order"), 503);
+  nodes.nodes[0]->SetLinks(soak::LinkState::kPass);
+  evacuate(0);
+  cr_expect_eq(nodes.Post(0, "/order"), 503);
+  cr_expect_neq(nodes.response.headers.count("retry-after"), 0);
+  cr_expect_eq(nodes.upstream.runs, 0);
+}
+
 // Both upstreams are in domain "d1".
 Test(evacuations, items_wait_and_running_ones_finish_in_place) {
   batches::PartitionOwnerFixture fixture;
--- a/test/fakes/platform/fake_platform.cc
+++ b/test/fakes/platform/fake_platform.cc
@@ -201,8 +201,10 @@
   server_.Route(
       Method::kPost, "/operator/put", [this](const Exchange& exchange) {
         const http::Request& request = exchange->request();
-        store_.Put({kOperator, 0}, request.parameter("key").value_or(""),
-                   request.body);
+        // An empty value removes the key.
+        store_.Put(
+            {kOperator, 0}, request.parameter("key").value_or(""),
+            request.body.empty() ? std::nullopt : std::optional(request.body));
         WakeReaders();
         exchange->Reply(kOk, "{}");
       });
