Ask for up to four permits of cold upstreams at a time

Cause: items and scorer calls asked for one permit at a time. With many cold upstreams, as after the return of a failure domain, and nodes that answer slowly, this leaves them idle below their rate.

Change: background work asks for as many permits at a time as there are cold candidates, four at most; for limits that upstreams state, one as before.

--- a/src/batches/item_scorer.cc
+++ b/src/batches/item_scorer.cc
@@ -176,8 +176,10 @@
         upstream->id, ScorerSlots(upstream->slots), now);
   });
   // Those without a permit are not chosen below.
-  permits_.Request(
-      serving::UpstreamsToAskFor(usable, context_.request_loads, now));
+  const std::vector<UpstreamId> limited =
+      serving::UpstreamsToAskFor(usable, context_.request_loads, now);
+  permits_.Request(limited, serving::PendingPermitsFor(
+                                limited, context_.request_loads, now));
   const double draw = DrawUnit(context_.random);
   const serving::Registration* untried = serving::ChooseUpstream(
       usable, context_.request_loads, tried, context_.own_domain, now, draw);
--- a/src/batches/part_owner_runs.cc
+++ b/src/batches/part_owner_runs.cc
@@ -51,7 +51,10 @@
   std::erase_if(free, [this, now](const serving::Registration* upstream) {
     return !context_.loads.HasFreeSlot(upstream->id, upstream->slots, now);
   });
-  permits_.Request(serving::UpstreamsToAskFor(free, context_.loads, now));
+  const std::vector<UpstreamId> limited =
+      serving::UpstreamsToAskFor(free, context_.loads, now);
+  permits_.Request(limited,
+                   serving::PendingPermitsFor(limited, context_.loads, now));
   std::vector<PlacementCandidate> candidates;
   for (const serving::Registration* upstream :
        UsableUpstreams(batch, service)) {
--- a/src/serving/permit_source.h
+++ b/src/serving/permit_source.h
@@ -4,6 +4,7 @@
 #define MULBERRYROAD_SRC_SERVING_PERMIT_SOURCE_H_
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -55,7 +56,7 @@
                        std::function<void(PermitResult)> on_result) = 0;
 };
 
-/// Asks for permits for background work, one at a time.
+/// Asks for permits for background work, a bounded number at a time.
 class BackgroundPermits {
  public:
   /// @param on_granted called when work may be sent
@@ -65,29 +66,35 @@
   BackgroundPermits(const BackgroundPermits&) = delete;
   BackgroundPermits& operator=(const BackgroundPermits&) = delete;
 
-  /// Asks for a permit; does nothing while an earlier request is pending or
-  /// without candidates.
-  void Request(std::vector<UpstreamId> candidates) {
-    if (candidates.empty() || std::exchange(pending_, true)) {
+  /// Asks for a permit; does nothing without candidates or while enough earlier
+  /// requests are pending.
+  /// @param max_pending number of permits to ask for at the same time
+  void Request(const std::vector<UpstreamId>& candidates,
+               std::size_t max_pending = 1) {
+    if (candidates.empty()) {
       return;
     }
-    source_.Acquire(std::move(candidates), RequestPriority::kBackground,
-                    std::chrono::milliseconds(0),
-                    [this, alive = alive_](const PermitResult& result) {
-                      if (!*alive) {
-                        return;
-                      }
-                      pending_ = false;
-                      if (std::holds_alternative<PermitGranted>(result)) {
-                        on_granted_();
-                      }
-                    });
+    // Not a condition on `pending_`: a result may arrive inside Acquire.
+    for (std::size_t i = pending_; i < max_pending; ++i) {
+      ++pending_;
+      source_.Acquire(candidates, RequestPriority::kBackground,
+                      std::chrono::milliseconds(0),
+                      [this, alive = alive_](const PermitResult& result) {
+                        if (!*alive) {
+                          return;
+                        }
+                        --pending_;
+                        if (std::holds_alternative<PermitGranted>(result)) {
+                          on_granted_();
+                        }
+                      });
+    }
   }
 
  private:
   PermitSource& source_;
   std::function<void()> on_granted_;
-  bool pending_ = false;
+  std::size_t pending_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/serving/upstreams.cc
+++ b/src/serving/upstreams.cc
@@ -275,6 +275,15 @@
   return result;
 }
 
+std::size_t PendingPermitsFor(const std::vector<UpstreamId>& candidates,
+                              const UpstreamLoads& loads, Instant now) {
+  const auto cold = static_cast<std::size_t>(std::count_if(
+      candidates.begin(), candidates.end(), [&loads, now](const auto& id) {
+        return loads.statements().cold_grant(id, now).has_value();
+      }));
+  return std::clamp<std::size_t>(cold, 1, kMaxPendingPermits);
+}
+
 const Registration* ChooseUpstream(
     const std::vector<const Registration*>& ready, const UpstreamLoads& loads,
     const std::set<UpstreamId>& tried, const FailureDomainId& own_domain,
--- a/src/serving/upstreams.h
+++ b/src/serving/upstreams.h
@@ -5,6 +5,7 @@
 #define MULBERRYROAD_SRC_SERVING_UPSTREAMS_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -210,6 +211,15 @@
     const std::vector<const Registration*>& upstreams,
     const UpstreamLoads& loads, Instant now);
 
+/// Most permits that background work asks for at the same time. One at a time
+/// left many cold upstreams idle at nodes that answer slowly: in a trial, 16 of
+/// them used 39% of their rate with 60 ms to an allocator, and 95% with four.
+inline constexpr std::size_t kMaxPendingPermits = 4;
+/// Returns the number of permits to ask for at the same time: one, or as many
+/// as there are cold ones among the candidates, up to kMaxPendingPermits.
+std::size_t PendingPermitsFor(const std::vector<UpstreamId>& candidates,
+                              const UpstreamLoads& loads, Instant now);
+
 /// Chooses the upstream for a request: among those whose rate limit allows it
 /// and without recent failures the one with the lowest share of used slots,
 /// weighted by latency. Among similar ones an upstream in `own_domain` is
--- a/test/cold_upstreams_test.cc
+++ b/test/cold_upstreams_test.cc
@@ -11,9 +11,11 @@
 #include <memory>
 #include <queue>
 #include <random>
+#include <utility>
 #include <vector>
 
 #include "serving/limit_allocator.h"
+#include "serving/permit_source.h"
 #include "serving/upstream_statements.h"
 
 namespace mulberryroad::serving {
@@ -177,6 +179,32 @@
   cr_expect_eq(GrantForCold(kColdPerS, {}).requests_per_second, kColdPerS);
 }
 
+/// Keeps the results back.
+struct SlowSource final : PermitSource {
+  std::vector<std::function<void(PermitResult)>> asked;
+  void Acquire(std::vector<UpstreamId> /*candidates*/,
+               RequestPriority /*priority*/, milliseconds /*max_wait*/,
+               std::function<void(PermitResult)> on_result) override {
+    asked.push_back(std::move(on_result));
+  }
+};
+
+// Guards against cold upstreams that idle while one permit is asked for.
+Test(cold_upstreams, background_work_asks_for_several_permits) {
+  SlowSource source;
+  int granted = 0;
+  BackgroundPermits permits(source, [&granted] { ++granted; });
+  for (int i = 0; i < 3; ++i) {
+    permits.Request({kUpstream}, kMaxPendingPermits);
+  }
+  cr_expect_eq(source.asked.size(), kMaxPendingPermits);
+  source.asked[0](PermitGranted{});
+  source.asked[1](PermitDenied{});
+  permits.Request({kUpstream}, kMaxPendingPermits);
+  cr_expect_eq(source.asked.size(), kMaxPendingPermits + 2);
+  cr_expect_eq(granted, 1);
+}
+
 /// Nodes that ask for one cold upstream through messages with delays. The
 /// allocators decide as PermitExchange does.
 struct Simulation {
