A settled upstream that is full is not slowed by the slow start

Cause: an upstream whose slots are used by other nodes refuses requests for longer than 450 ms, as one that loads weights does. The slow start that followed halved its limit with each further refusal and used the longer backoff, so that slots of a settled upstream stayed idle.

Change: after refusals, the slow start begins one above the requests in flight, and refusals neither lower the limit nor lengthen the backoff. After a start, refusals do not lower the limit below the requests accepted.

--- a/src/serving/upstream_pace.cc
+++ b/src/serving/upstream_pace.cc
@@ -57,7 +57,7 @@
       cause == PaceCause::kReadmitted || cause == PaceCause::kRefusalsEnded;
   limit_ = answered ? kRecoveredLimit : kStartLimit;
   if (cause == PaceCause::kRefusalsEnded) {
-    limit_ = std::max(limit_, static_cast<double>(running));
+    limit_ = std::max(limit_, running + 1.0);
   }
   cause_ = cause;
   began_ = now;
@@ -82,13 +82,15 @@
   }
 }
 
-void UpstreamPace::OnRefused(Instant now) {
+void UpstreamPace::OnRefused(std::uint32_t accepted, Instant now) {
   accepted_at_.reset();
-  Shrink(now);
+  if (may_be_cold()) {
+    Shrink(std::max(1.0, static_cast<double>(accepted)), now);
+  }
 }
 
 void UpstreamPace::OnFailed(Instant now) {
-  if (Shrink(now)) {
+  if (Shrink(1.0, now)) {
     const auto pause =
         kFailurePause * (1 << std::min(failures_, kMaxPauseDoublings));
     not_before_ = std::max(not_before_, now + pause + spread_);
@@ -165,12 +167,12 @@
   below_slots_ = limit_ < slots_;
 }
 
-bool UpstreamPace::Shrink(Instant now) {
+bool UpstreamPace::Shrink(double min_limit, Instant now) {
   if (!below_slots_ || now < shrunk_at_ + kBurstTime) {
     return false;
   }
   shrunk_at_ = now;
-  limit_ = std::max(1.0, limit_ / 2);
+  limit_ = std::min(limit_, std::max(min_limit, limit_ / 2));
   threshold_ = limit_;
   return true;
 }
--- a/src/serving/upstream_pace.h
+++ b/src/serving/upstream_pace.h
@@ -50,8 +50,13 @@
   /// limit doubles with each round trip; otherwise only latency samples do.
   /// @param reference latency that counts as normal, see OnLatency()
   void OnAccepted(std::optional<double> reference, Instant now);
-  /// Records a refusal: further requests are refused until one is accepted.
-  void OnRefused(Instant now);
+  /// Records a refusal: further requests are refused until one is accepted. It
+  /// does not limit an upstream that kept its state, because its slots are
+  /// probably used by other nodes.
+  /// @param accepted requests in flight that it has accepted; the limit does
+  /// not
+  ///     fall below them
+  void OnRefused(std::uint32_t accepted, Instant now);
   /// Records a failed request.
   void OnFailed(Instant now);
   /// Records the time of a unit of work. Raises the limit, unless the latency
@@ -68,6 +73,10 @@
 
   /// Returns whether the upstream is limited to fewer requests than its slots.
   bool below_slots() const { return below_slots_; }
+  /// Returns whether it is, and may have lost its state.
+  bool may_be_cold() const {
+    return below_slots_ && cause_ != PaceCause::kRefusalsEnded;
+  }
   /// Returns the time when the current or last slow start began.
   Instant began() const { return began_; }
   /// Returns the maximum number of requests in flight; the maximum of the type
@@ -93,7 +102,7 @@
   void Grow(Instant now);
   /// Halves the limit, once for each burst.
   /// @return false if the burst was counted before
-  bool Shrink(Instant now);
+  bool Shrink(double min_limit, Instant now);
   bool LatencyRaised(std::optional<double> reference) const;
   bool AcceptedRecently(Instant now) const;
 
--- a/src/serving/upstreams.cc
+++ b/src/serving/upstreams.cc
@@ -18,7 +18,7 @@
 // refusal. The longest backoff is 400 ms: half the time of a weight load,
 // during which an upstream refuses all requests.
 constexpr std::uint32_t kMaxDoublings = 2;
-// Maximum number of doublings for an upstream below its slots that has refused
+// Maximum number of doublings for an upstream that may be cold and has refused
 // all requests for longer than kLongRefusals. The longest backoff is then 1.6
 // s, which bounds the rate of requests to an upstream that never recovers.
 constexpr std::uint32_t kMaxDoublingsLong = 4;
@@ -166,13 +166,16 @@
 void UpstreamLoads::OnRefused(const UpstreamId& id, Instant now) {
   Load& load = loads_[id];
   load.unanswered -= std::min<std::uint32_t>(load.unanswered, 1);
-  load.pace.OnRefused(now);
+  // Some callers record the end of the request before, some after the refusal:
+  // the refused one is never counted.
+  load.pace.OnRefused(
+      load.running - std::min(load.running, load.unanswered + 1), now);
   if (load.refusals == 0) {
     load.refused_since = now;
   }
   if (load.refusals == 0 || std::exchange(load.probing, false)) {
     const bool long_refusals =
-        load.pace.below_slots() && now >= load.refused_since + kLongRefusals;
+        load.pace.may_be_cold() && now >= load.refused_since + kLongRefusals;
     load.full_until =
         now + kFullBackoff * (1U << std::min(load.refusals,
                                              long_refusals ? kMaxDoublingsLong
--- a/test/upstream_pace_test.cc
+++ b/test/upstream_pace_test.cc
@@ -36,6 +36,8 @@
 }
 
 struct Upstream {
+  /// Whether it starts when the simulation begins; otherwise it is settled.
+  bool starts = true;
   /// Time until the event interval has fallen from four times the normal one.
   int warm_ms = 0;
   /// Starts per second above which it crashes while cold; 0: none.
@@ -77,8 +79,10 @@
       for (int k = 0; k < 10; ++k) {
         loads.RecordLatency(kId, milliseconds(kIntervalMs), At(100 * k));
       }
-      loads.Reset(kId);
-      if (paced) {
+      if (upstream.starts) {
+        loads.Reset(kId);
+      }
+      if (paced && upstream.starts) {
         loads.OnRegistered(Registered(2), /*initial=*/false, At(kStartMs));
       }
     }
@@ -213,7 +217,8 @@
 
 Comparison Compare(const char* name, Upstream upstream, int nodes) {
   // In the time after the warm-up only the nodes compete for the slots.
-  const int duration_ms = upstream.recovers ? upstream.warm_ms + 2'000 : 20'000;
+  const int duration_ms =
+      upstream.recovers && upstream.starts ? upstream.warm_ms + 2'000 : 20'000;
   const auto run = [&](bool paced) {
     const Result result = Simulation(upstream, nodes, paced).Run(duration_ms);
     std::printf(
@@ -277,6 +282,19 @@
   }
 }
 
+// Guards against a settled upstream whose slots are used by several nodes and
+// that is taken for one that loads weights, since it refuses requests as well.
+Test(upstream_pace, settled_upstream_is_not_limited) {
+  for (const int nodes : {1, 2, 6, 24, 90}) {
+    const auto [window, pace] = Compare("settled", {.starts = false}, nodes);
+    cr_assert_eq(pace.full_after_ms, window.full_after_ms);
+    cr_assert_leq(pace.idle_slot_s, 1.05 * window.idle_slot_s,
+                  "found %.1f instead of %.1f idle slot seconds",
+                  pace.idle_slot_s, window.idle_slot_s);
+    cr_assert_leq(pace.refused, window.refused);
+  }
+}
+
 // Guards against a slow start after a weight load that costs more than round
 // trips, and against one after a single refusal.
 Test(upstream_pace, slots_are_used_within_round_trips_after_a_weight_load) {
