Comments of the slow start: reasons of two constants

Cause: one comment named a variation that was not measured, another said that a full upstream refuses for shorter times, which upstream_pace_test disproves. Change: comments only. upstream_pace_test: 8 of 8 pass.

--- a/src/serving/upstream_pace.h
+++ b/src/serving/upstream_pace.h
@@ -90,8 +90,8 @@
   /// kMinSettledSamples.
   std::optional<double> settled_latency() const;
 
-  /// Latency above this multiple of the reference is raised: the averages of
-  /// settled upstreams vary by a third, a cold one is slower by a multiple.
+  /// Latency above this multiple of the reference is raised. The margin is for
+  /// the variation of an average over about three samples.
   static constexpr double kRaisedFactor = 1.5;
   /// Raised latency that has not fallen by a tenth for this long is the new
   /// normal one, so that an upstream that stays slower gets its share of work.
--- a/src/serving/upstreams.cc
+++ b/src/serving/upstreams.cc
@@ -26,7 +26,7 @@
 constexpr std::chrono::milliseconds kLongRefusals{2'000};
 // Consecutive refusals that last for this long, half the time of a weight load,
 // are followed by a slow start. An upstream whose slots are used by other nodes
-// refuses single requests, for shorter times.
+// may refuse as long, so that this slow start ignores further refusals.
 constexpr std::chrono::milliseconds kRefusalTime{450};
 // Time over which the nodes' first requests to a started upstream are spread:
 // the longest backoff after a refusal.
