Count slots across the nodes that run items

Owners now report their runs per upstream to each other, in a message and its reply, and pass on the counts of others with their age. The item load adds these counts where it decides about a free slot, and placement uses them as load. A run started within 300 ms counts twice as load, and until an upstream has accepted a run, a further one must leave slots for another owner that starts at the same time. Reports alone hold an item back for 1 s at most. Without reports, placement is as before.

--- a/src/batches/item_placement.cc
+++ b/src/batches/item_placement.cc
@@ -55,7 +55,8 @@
     const double slowdown =
         known > 0 ? std::max(0.0, interval / fastest - 1.0) : 0.0;
     const double cost =
-        (candidate.running + 1.0) / std::max(candidate.slots, 1U) +
+        (candidate.running + kUnreportedWeight * candidate.unreported + 1.0) /
+            std::max(candidate.slots, 1U) +
         kSpeedWeight * length_share * slowdown +
         (candidate.local ? 0.0 : kRemoteItemCost) +
         (candidate.suspect ? kSuspectCost : 0.0) + tie_break * kTieCost;
--- a/src/batches/item_placement.h
+++ b/src/batches/item_placement.h
@@ -21,7 +21,7 @@
 struct PlacementCandidate {
   UpstreamId id;
   std::uint32_t slots = 1;
-  /// Runs of this node at the upstream.
+  /// Runs at the upstream: those of this node and those that others report.
   std::uint32_t running = 0;
   /// Smoothed interval between events; nullopt if unknown.
   std::optional<std::chrono::microseconds> event_interval;
@@ -30,6 +30,8 @@
   /// Failed or was late recently.
   bool suspect = false;
   std::string software = {};
+  /// Runs of this node that other nodes may not know of yet.
+  std::uint32_t unreported = 0;
 };
 
 /// Speed weighs against the share of used slots: for the longest items an
@@ -39,13 +41,20 @@
 /// Cost of an upstream in another failure domain. Items exchange few bytes.
 inline constexpr double kRemoteItemCost = 0.02;
 
+/// Weight of unreported runs in the load, in addition to that of each run. Two
+/// nodes that start items at the same time both fill the least used upstreams;
+/// each therefore expects as many runs of another node as it starts itself.
+inline constexpr double kUnreportedWeight = 1.0;
+
 /// Returns the best candidate, or null if there is none. An upstream without a
 /// known event interval counts as average.
 /// @param software software version that the upstream must run; nullopt for any
 /// @param avoid upstream that is chosen only if there is no other; may be empty
 /// @param length_share expected length of the item, as a share of the longest
 ///     item of its batch
-/// @param draw random number in [0, 1) that breaks ties
+/// @param draw random number in [0, 1) that breaks ties among candidates
+/// without
+///     a preference
 const PlacementCandidate* ChooseItemUpstream(
     const std::vector<PlacementCandidate>& candidates,
     const std::optional<std::string>& software, const UpstreamId& avoid,
--- a/src/batches/part_owner.h
+++ b/src/batches/part_owner.h
@@ -176,6 +176,12 @@
   /// Returns the suitable upstreams that can take an item of the batch now.
   std::vector<const serving::Registration*> UsableUpstreams(
       const BatchInfo& batch, const TargetId& service) const;
+  /// Returns the upstream for an item if all are full, some of them only by the
+  /// counts of other nodes; empty if the item waits.
+  /// @param suitable upstreams that may run the item
+  std::vector<const serving::Registration*> UpstreamsForHeldItem(
+      const std::vector<const serving::Registration*>& suitable,
+      const TargetId& service) const;
   void MoveStragglersOf(const std::string& id);
   /// Candidates of one pass of `ScheduleItems`, by batch and service. A service
   /// has up to thousands of upstreams, too many to look at for each item.
--- a/src/batches/part_owner_runs.cc
+++ b/src/batches/part_owner_runs.cc
@@ -46,30 +46,66 @@
 std::vector<PlacementCandidate> PartitionOwner::CandidatesFor(
     const BatchInfo& batch, const TargetId& service) {
   const Instant now = context_.clock.now();
-  std::vector<const serving::Registration*> free =
+  const std::vector<const serving::Registration*> suitable =
       SuitableUpstreams(batch, service);
+  std::vector<const serving::Registration*> free = suitable;
   std::erase_if(free, [this, now](const serving::Registration* upstream) {
     return !context_.loads.HasFreeSlot(upstream->id, upstream->slots, now);
   });
   permits_.Request(serving::UpstreamsWithoutPermit(free, context_.loads, now));
+  serving::OtherNodesLoad* others = context_.loads.other_nodes();
+  std::vector<const serving::Registration*> usable = free;
+  std::erase_if(usable, [this, now](const serving::Registration* upstream) {
+    return !context_.loads.MaySend(upstream->id, now);
+  });
+  if (others != nullptr && !usable.empty()) {
+    others->OnNotHeld(service);
+  } else if (others != nullptr) {
+    usable = UpstreamsForHeldItem(suitable, service);
+  }
   std::vector<PlacementCandidate> candidates;
-  for (const serving::Registration* upstream :
-       UsableUpstreams(batch, service)) {
+  for (const serving::Registration* upstream : usable) {
     const serving::HealthState health =
         context_.loads.health().health_state(upstream->id, now);
     // An upstream on trial is not avoided: it gets one item at a time, which
     // shows whether it has recovered.
-    candidates.push_back({upstream->id, upstream->slots,
-                          context_.loads.running(upstream->id),
-                          context_.loads.latency(upstream->id, now),
-                          upstream->failure_domain == context_.own_domain,
-                          health == serving::HealthState::kSuspect ||
-                              health == serving::HealthState::kEjected,
-                          upstream->software});
+    candidates.push_back(
+        {upstream->id, upstream->slots,
+         context_.loads.in_use(upstream->id, now),
+         context_.loads.latency(upstream->id, now),
+         upstream->failure_domain == context_.own_domain,
+         health == serving::HealthState::kSuspect ||
+             health == serving::HealthState::kEjected,
+         upstream->software,
+         others == nullptr ? 0 : others->unreported(upstream->id, now)});
   }
   return candidates;
 }
 
+std::vector<const serving::Registration*> PartitionOwner::UpstreamsForHeldItem(
+    const std::vector<const serving::Registration*>& suitable,
+    const TargetId& service) const {
+  const Instant now = context_.clock.now();
+  serving::OtherNodesLoad& others = *context_.loads.other_nodes();
+  const serving::Registration* least_used = nullptr;
+  for (const serving::Registration* upstream : suitable) {
+    if (context_.loads.HasCapacityForOwnLoad(upstream->id, upstream->slots,
+                                             now) &&
+        (least_used == nullptr || others.running(upstream->id, now) <
+                                      others.running(least_used->id, now))) {
+      least_used = upstream;
+    }
+  }
+  if (least_used == nullptr) {
+    others.OnNotHeld(service);
+    return {};
+  }
+  if (!others.OnHeld(service, now)) {
+    return {};
+  }
+  return {least_used};
+}
+
 std::optional<std::string> PartitionOwner::BoundSoftware(
     const ItemRef& item) const {
   const auto found = progress_.find(item);
@@ -162,6 +198,10 @@
   PlacementCandidate& used =
       candidates[static_cast<std::size_t>(chosen - candidates.data())];
   ++used.running;
+  if (const auto* others = context_.loads.other_nodes();
+      others != nullptr && others->present(context_.clock.now())) {
+    ++used.unreported;
+  }
   const Instant now = context_.clock.now();
   const bool trial_in_flight = context_.loads.health().health_state(id, now) ==
                                serving::HealthState::kEjected;
@@ -243,7 +283,7 @@
         serving::HealthState::kHealthy) {
       versions[upstream->software].free.push_back(
           {upstream->id, context_.loads.latency(upstream->id, now),
-           upstream->slots - context_.loads.running(upstream->id)});
+           upstream->slots - context_.loads.in_use(upstream->id, now)});
     }
   }
   for (auto& [software, version] : versions) {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -203,7 +203,10 @@
              {.leave_delay = kLeaveDelay,
               .drain_timeout = settings_.grace_period - kStopMargin,
               .min_refusal_time = internal::kFinalFlushTime},
-             MakeDrainSteps()) {}
+             MakeDrainSteps()),
+      slots_(loop_, clock_, log_, metrics_, client_, directory_, item_loads_,
+             process_, settings_.peer_address,
+             [this] { return batch_host_.waiting(); }) {}
 
 void Node::Impl::CloseConnectionsToLeaving() {
   statements_.on_leaving().connect(
@@ -237,6 +240,7 @@
     store_relay_.Register(*peer_server_);
     permits_.Register(*peer_server_);
     forward_server_.Register(*peer_server_);
+    slots_.Register(*peer_server_);
     if (!peer_server_->Listen(*settings_.peer_address)) {
       *reason = "cannot listen on " + ToString(*settings_.peer_address);
       return false;
@@ -282,6 +286,7 @@
 
 void Node::Impl::UpdatePeers() {
   std::set<Endpoint> peers = permits_.owner_addresses();
+  slots_.Update(peers);
   for (const Endpoint& seed : settings_.seeds) {
     peers.insert(seed);
   }
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -27,6 +27,7 @@
 #include "node/peer_view.h"
 #include "node/permit_exchange.h"
 #include "node/shared_records.h"
+#include "node/slot_exchange.h"
 #include "node/statement_exchange.h"
 #include "node/store_relay.h"
 #include "node/stream_origin_exchange.h"
@@ -129,6 +130,7 @@
   platform_adapter::Ingress ingress_;
   bool stopping_ = false;
   base::Drain drain_;
+  SlotExchange slots_;
   base::Timer expire_timer_;
   base::Timer reload_timer_;
   base::Timer peers_timer_;
--- a/src/serving/upstreams.cc
+++ b/src/serving/upstreams.cc
@@ -126,6 +126,9 @@
     load.unanswered -= std::min<std::uint32_t>(load.unanswered, 1);
   }
   health_.OnRequestEnded(id);
+  if (other_nodes_ != nullptr) {
+    other_nodes_->OnRequestEnded(id);
+  }
 }
 
 void UpstreamLoads::OnRequestSent(const UpstreamId& id, Instant now) {
@@ -138,6 +141,9 @@
     load.probing = true;
     load.full_until = std::max(load.full_until, now + kFullBackoff);
   }
+  if (other_nodes_ != nullptr) {
+    other_nodes_->OnRequestSent(id, now);
+  }
 }
 
 void UpstreamLoads::OnRefused(const UpstreamId& id, Instant now) {
@@ -149,6 +155,9 @@
         now + kFullBackoff * (1U << std::min(load.refusals, kMaxDoublings));
     ++load.refusals;
   }
+  if (other_nodes_ != nullptr) {
+    other_nodes_->OnRefused(id, now);
+  }
 }
 
 void UpstreamLoads::OnAccepted(const UpstreamId& id, Instant now) {
@@ -161,6 +170,9 @@
   load.refusals = 0;
   load.probing = false;
   load.full_until = {};
+  if (other_nodes_ != nullptr) {
+    other_nodes_->OnAccepted(id, now);
+  }
 }
 
 void UpstreamLoads::Reset(const UpstreamId& id) {
@@ -196,16 +208,40 @@
   return found != loads_.end() && now < found->second.full_until;
 }
 
+std::uint32_t UpstreamLoads::in_use(const UpstreamId& id, Instant now) const {
+  return running(id) +
+         (other_nodes_ == nullptr ? 0 : other_nodes_->running(id, now));
+}
+
+std::uint32_t UpstreamLoads::unanswered(const UpstreamId& id) const {
+  const auto found = loads_.find(id);
+  return found == loads_.end() ? 0 : found->second.unanswered;
+}
+
 bool UpstreamLoads::HasFreeSlot(const UpstreamId& id, std::uint32_t slots,
                                 Instant now) const {
+  if (other_nodes_ == nullptr) {
+    return HasFreeSlot(id, slots, 0, now);
+  }
+  // Another node that starts requests at the same time sees the same free
+  // slots. After the first request each leaves as many slots as it takes until
+  // its requests are accepted.
+  const std::uint32_t pending = other_nodes_->present(now) ? unanswered(id) : 0;
+  return HasFreeSlot(
+      id, slots,
+      other_nodes_->running(id, now) + (pending > 0 ? pending + 1 : 0), now);
+}
+
+bool UpstreamLoads::HasFreeSlot(const UpstreamId& id, std::uint32_t slots,
+                                std::uint32_t others, Instant now) const {
   const auto found = loads_.find(id);
   if (found == loads_.end()) {
-    return slots > 0;
+    return others < slots;
   }
   const Load& load = found->second;
   const bool recently_accepted = load.accepted_at.has_value() &&
                                  now < *load.accepted_at + kAcceptanceMaxAge;
-  return load.running < slots && !full(id, now) &&
+  return load.running + others < slots && !full(id, now) &&
          load.unanswered < (recently_accepted ? load.window : kInitialWindow);
 }
 
--- a/src/serving/upstreams.h
+++ b/src/serving/upstreams.h
@@ -16,6 +16,7 @@
 #include "mulberryroad/clock.h"
 #include "mulberryroad/endpoint.h"
 #include "mulberryroad/ids.h"
+#include "serving/other_nodes_load.h"
 #include "serving/upstream_health.h"
 #include "serving/upstream_statements.h"
 
@@ -149,6 +150,7 @@
   /// window starts small and grows with each acceptance, doubling per round
   /// trip, since an upstream that is loading weights refuses all requests of a
   /// burst.
+  /// Slots that other nodes report as in use are not free.
   bool HasFreeSlot(const UpstreamId& id, std::uint32_t slots,
                    Instant now) const;
   /// Returns the moving average of the latency samples, or nullopt without a
@@ -161,7 +163,29 @@
 
   const UpstreamStatements& statements() const { return statements_; }
 
+  /// Sets the source of other nodes' load, which must outlive this object; null
+  /// for none.
+  void SetOtherNodesLoad(OtherNodesLoad* other_nodes) {
+    other_nodes_ = other_nodes;
+  }
+  OtherNodesLoad* other_nodes() const { return other_nodes_; }
+  /// Returns the requests in flight at the upstream: those of this node, and
+  /// those that other nodes report.
+  std::uint32_t in_use(const UpstreamId& id, Instant now) const;
+  /// Returns the requests of this node that the upstream has neither accepted
+  /// nor refused yet.
+  std::uint32_t unanswered(const UpstreamId& id) const;
+  /// Like HasCapacity, but by the requests of this node alone.
+  bool HasCapacityForOwnLoad(const UpstreamId& id, std::uint32_t slots,
+                             Instant now) const {
+    return MaySend(id, now) && HasFreeSlot(id, slots, 0, now);
+  }
+
  private:
+  /// @param others requests of other nodes, reported or expected
+  bool HasFreeSlot(const UpstreamId& id, std::uint32_t slots,
+                   std::uint32_t others, Instant now) const;
+
   /// State of one upstream.
   struct Load {
     std::uint32_t running = 0;
@@ -186,6 +210,7 @@
   std::chrono::milliseconds latency_max_age_;
   std::map<UpstreamId, Load> loads_;
   UpstreamHealth health_;
+  OtherNodesLoad* other_nodes_ = nullptr;
 };
 
 /// Returns the upstreams of a service that may get requests now: all except
