Remove old entries of unreported starts

The starts kept for each upstream outlived the upstream, so that the map grew with each replacement.

--- a/src/batches/shared_slots.cc
+++ b/src/batches/shared_slots.cc
@@ -289,6 +289,12 @@
   starts.push_back(now);
 }
 
+void UnreportedStarts::Expire(Instant now) {
+  std::erase_if(starts_, [now](const auto& starts) {
+    return starts.second.back() + kReportDelay <= now;
+  });
+}
+
 std::uint32_t UnreportedStarts::count(const UpstreamId& id, Instant now) const {
   const auto found = starts_.find(id);
   return found == starts_.end()
--- a/src/batches/shared_slots.h
+++ b/src/batches/shared_slots.h
@@ -230,6 +230,8 @@
 class UnreportedStarts {
  public:
   void OnStarted(const UpstreamId& id, Instant now);
+  /// Removes the upstreams without such starts.
+  void Expire(Instant now);
   /// Returns the starts at the upstream within the last `kReportDelay`.
   std::uint32_t count(const UpstreamId& id, Instant now) const;
 
--- a/src/node/slot_exchange.cc
+++ b/src/node/slot_exchange.cc
@@ -57,6 +57,7 @@
     owners.erase(*own_address_);
   }
   schedule_.SetPeers(owners);
+  starts_.Expire(clock_.now());
   if (const std::size_t expired = reported_.Expire(clock_.now()); expired > 0) {
     metrics_.Count("slot_reports_expired_total", {}, expired);
   }
