--- a/src/serving/upstreams.h
+++ b/src/serving/upstreams.h
@@ -20,6 +20,7 @@
 #include "mulberryroad/endpoint.h"
 #include "mulberryroad/ids.h"
 #include "serving/evacuations.h"
+#include "serving/other_nodes_load.h"
 #include "serving/upstream_health.h"
 #include "serving/upstream_pace.h"
 #include "serving/upstream_statements.h"
@@ -184,6 +185,10 @@
   /// Returns how many of the slots a slow start allows to use.
   std::uint32_t usable_slots(const UpstreamId& id, std::uint32_t slots,
                              Instant now) const;
+  /// Returns how many of the slots are neither in use by any node nor withheld
+  /// by a slow start.
+  std::uint32_t free_slots(const UpstreamId& id, std::uint32_t slots,
+                           Instant now) const;
   /// Returns whether a slow start allows no further request at the upstream.
   bool at_pace_limit(const UpstreamId& id, Instant now) const;
   /// Returns whether the upstream is limited to fewer requests than its slots
@@ -202,6 +207,7 @@
   }
   /// Returns whether the upstream has a free slot, is not full, and is below
   /// the limits of UpstreamPace for requests in flight and not yet accepted.
+  /// Slots that other nodes report as in use are not free.
   bool HasFreeSlot(const UpstreamId& id, std::uint32_t slots,
                    Instant now) const;
   /// Returns the moving average of the latency samples, or nullopt without a
@@ -220,8 +226,29 @@
   }
   /// Emitted when an upstream may use all its slots after a slow start.
   sigc::signal<void(const PaceEnd&)>& on_settled() { return on_settled_; }
+  /// Sets the source of other nodes' load, which must outlive this object; null
+  /// for none.
+  void SetOtherNodesLoad(OtherNodesLoad* other_nodes) {
+    other_nodes_ = other_nodes;
+  }
+  OtherNodesLoad* other_nodes() const { return other_nodes_; }
+  /// Returns the requests in flight at the upstream: those of this node, and
+  /// those that other nodes report.
+  std::uint32_t in_use(const UpstreamId& id, Instant now) const;
+  /// Returns the requests of this node that the upstream has neither accepted
+  /// nor refused yet.
+  std::uint32_t unanswered(const UpstreamId& id) const;
+  /// Like HasCapacity, but by the requests of this node alone.
+  bool HasCapacityForOwnLoad(const UpstreamId& id, std::uint32_t slots,
+                             Instant now) const {
+    return MaySend(id, now) && HasFreeSlot(id, slots, 0, now);
+  }
 
  private:
+  /// @param others requests of other nodes, reported or expected
+  bool HasFreeSlot(const UpstreamId& id, std::uint32_t slots,
+                   std::uint32_t others, Instant now) const;
+
   /// State of one upstream.
   struct Load {
     std::uint32_t running = 0;
@@ -256,6 +283,7 @@
   std::string node_;
   sigc::signal<void(const PaceBegin&)> on_pace_begun_;
   sigc::signal<void(const PaceEnd&)> on_settled_;
+  OtherNodesLoad* other_nodes_ = nullptr;
 };
 
 /// Returns the upstreams of a service that may get requests now: all except
