--- a/src/http/connection_guard.cc
+++ b/src/http/connection_guard.cc
@@ -390,7 +390,8 @@
 void ConnectionGuard::OnHeadBytes(Connection& connection, std::string bytes) {
   if (connection.phase == ConnectionPhase::kIdle) {
     SetPhase(connection, ConnectionPhase::kHead);
-    connection.head = std::exchange(connection.pipelined, {});
+    bytes = std::exchange(connection.pipelined, {}) + bytes;
+    connection.head.clear();
   }
   if (connection.head.size() + bytes.size() > kMaxStoredHead) {
     return;
@@ -419,7 +420,8 @@
   connection.chunked = head.chunked;
   connection.chunks = {};
   SetPhase(connection, ConnectionPhase::kBody);
-  if (!head.valid || (!head.chunked && head.length.value_or(0) <= body.size())) {
+  if (!head.valid ||
+      (!head.chunked && head.length.value_or(0) <= body.size())) {
     return;
   }
   HeadVerdict verdict = (*connection.check)(head.request, head.length);
@@ -452,9 +454,9 @@
 // the connection when it reads its end.
 void ConnectionGuard::Refuse(Connection& connection, const HeadVerdict& verdict,
                              CloseReason reason) {
-  std::string response =
-      "HTTP/1.1 " + std::to_string(verdict.status) + " " +
-      PhraseOf(verdict.status) + "\r\nContent-Type: application/json\r\n";
+  std::string response = "HTTP/1.1 " + std::to_string(verdict.status) + " " +
+                         PhraseOf(verdict.status) +
+                         "\r\nContent-Type: application/json\r\n";
   for (const Header& header : verdict.headers) {
     response += header.name + ": " + header.value + "\r\n";
   }
@@ -488,7 +490,8 @@
 // The end of the socket reaches evhttp like a client's disconnect.
 void ConnectionGuard::CloseFor(Id id, CloseReason reason) {
   Connection* connection = Find(id);
-  if (connection == nullptr) {
+  // A request that runs is not cut off, even if it began since the decision.
+  if (connection == nullptr || connection->phase == ConnectionPhase::kRunning) {
     return;
   }
   if (connection->refused) {
--- a/src/http/memory_budget.cc
+++ b/src/http/memory_budget.cc
@@ -26,6 +26,8 @@
 // kSlowBodyAge.
 constexpr double kMinBodyBytesPerSecond = 1'024;
 constexpr std::chrono::seconds kSlowBodyAge{10};
+// Bodies of peers are closed only after those of callers a hundredth as large.
+constexpr double kProtectedWeight = 0.01;
 
 double Seconds(MemoryBudget::TimePoint::duration duration) {
   return std::chrono::duration<double>(duration).count();
@@ -54,7 +56,8 @@
 BudgetLimits LimitsFor(std::size_t memory_mb, std::size_t max_fds) {
   BudgetLimits limits;
   if (memory_mb > 0) {
-    const std::size_t left = memory_mb > kProcessMb ? memory_mb - kProcessMb : 1;
+    const std::size_t left =
+        memory_mb > kProcessMb ? memory_mb - kProcessMb : 1;
     limits.bytes = left * kMega * kBudgetPercent / 100;
   }
   if (max_fds > 0) {
@@ -66,9 +69,8 @@
 
 MemoryBudget::Id MemoryBudget::Open(bool protected_peer, TimePoint now) {
   const Id id = ++last_id_;
-  entries_[id] = {.protected_peer = protected_peer,
-                  .phase_began = now,
-                  .progressed = now};
+  entries_[id] = {
+      .protected_peer = protected_peer, .phase_began = now, .progressed = now};
   callers_ += protected_peer ? 0 : 1;
   return id;
 }
@@ -120,7 +122,8 @@
   }
   const bool whole = protected_peer || bytes <= kSmallRequestBytes;
   const std::size_t usable =
-      whole ? limits_.bytes : limits_.bytes - limits_.bytes / kReservedBytesPart;
+      whole ? limits_.bytes
+            : limits_.bytes - limits_.bytes / kReservedBytesPart;
   return running_ + bytes <= usable;
 }
 
@@ -136,6 +139,7 @@
     }
     // Bytes weighted by the time since the last byte and by the age.
     const double score = static_cast<double>(entry.held) *
+                         (entry.protected_peer ? kProtectedWeight : 1.0) *
                          (1.0 + Seconds(now - entry.progressed) +
                           0.1 * Seconds(now - entry.phase_began));
     if (score > most) {
@@ -148,9 +152,8 @@
 
 std::optional<MemoryBudget::Id> MemoryBudget::NextExcessConnection() const {
   const std::size_t reserved = limits_.connections / kReservedConnectionsPart;
-  if (limits_.connections == 0 ||
-      (callers_ <= limits_.connections - reserved &&
-       entries_.size() <= limits_.connections)) {
+  if (limits_.connections == 0 || (callers_ <= limits_.connections - reserved &&
+                                   entries_.size() <= limits_.connections)) {
     return std::nullopt;
   }
   std::optional<Id> oldest;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -126,8 +126,8 @@
   std::size_t max_body_bytes = 0;
 };
 /// @param length size of the body, or nullopt if it is not known before its end
-using HeadCheck =
-    std::function<HeadVerdict(const Request&, std::optional<std::size_t> length)>;
+using HeadCheck = std::function<HeadVerdict(const Request&,
+                                            std::optional<std::size_t> length)>;
 
 struct ServerLimits {
   std::size_t max_body_bytes = 8U << 20U;
--- a/src/node/forward_codec.cc
+++ b/src/node/forward_codec.cc
@@ -53,7 +53,7 @@
   forward.set_host(request.host);
   forward.set_target(request.target);
   EncodeHeaders(request.headers, forward.mutable_headers());
-  forward.set_body(request.body);
+  forward.set_body(request.body.text());
   forward.set_organisation(request.organisation.value());
   forward.set_deadline_ms(static_cast<std::uint64_t>(deadline.count()));
   forward.set_resume_after(options.resume_after);
--- a/src/node/node_records.cc
+++ b/src/node/node_records.cc
@@ -22,6 +22,8 @@
 // rejected with status 431; for larger ones the HTTP library closes the
 // connection.
 constexpr std::size_t kReadableHeadersFactor = 4;
+// Keeps a manifest with a malformed time from closing all callers.
+constexpr milliseconds kMinHeadTimeout{1'000};
 // Callers reuse connections that were idle for up to four fifths of the idle
 // timeout in the manifest; doubling it covers a newer manifest that has not
 // reached this node yet.
@@ -76,8 +78,8 @@
       origins_.OnRoutesLeft(left);
       callers_.SetLimits(LimitsFor(catalog_.manifest()->limits));
       if (guard_ != nullptr) {
-        guard_->budget().SetHeadTimeout(
-            catalog_.manifest()->limits.header_timeout);
+        guard_->budget().SetHeadTimeout(std::max(
+            kMinHeadTimeout, catalog_.manifest()->limits.header_timeout));
       }
       batch_host_.OnManifestChanged();
     }
--- a/src/node/node_status.cc
+++ b/src/node/node_status.cc
@@ -133,11 +133,11 @@
   });
   closed_clients_timer_ = loop_.Every(kClosedClientsLogInterval, [this] {
     for (const auto& [reason, count] : closed_clients_) {
-      log_.Write("clients.closed",
-                 {{"reason", std::string(http::ToString(reason))},
-                  {"connections", count},
-                  {"bytes_held",
-                   static_cast<std::int64_t>(guard_->budget().held())}});
+      log_.Write(
+          "clients.closed",
+          {{"reason", std::string(http::ToString(reason))},
+           {"connections", count},
+           {"bytes_held", static_cast<std::int64_t>(guard_->budget().held())}});
     }
     closed_clients_.clear();
   });
--- a/src/serving/upstream_caller.cc
+++ b/src/serving/upstream_caller.cc
@@ -14,14 +14,16 @@
 }  // namespace
 
 std::string ContentDigest(const OutgoingRequest& request) {
-  std::string content;
+  const std::string& body = request.body;
+  std::string head;
   for (const std::string& part :
        {request.organisation.value(),
         std::to_string(static_cast<int>(request.method)), request.host,
-        request.target, request.body}) {
-    content += std::to_string(part.size()) + ':' + part;
+        request.target}) {
+    head += std::to_string(part.size()) + ':' + part;
   }
-  return base::Sha256Hex(content).substr(0, kDigestLength);
+  head += std::to_string(body.size()) + ':';
+  return base::Sha256Hex(head, body).substr(0, kDigestLength);
 }
 
 }  // namespace mulberryroad::serving
--- a/src/serving/upstream_caller.h
+++ b/src/serving/upstream_caller.h
@@ -15,6 +15,7 @@
 #include "http/client.h"
 #include "http/server_sent_events.h"
 #include "mulberryroad/ids.h"
+#include "serving/shared_body.h"
 #include "serving/upstreams.h"
 
 namespace mulberryroad::serving {
@@ -29,7 +30,7 @@
   std::string target;
   /// End-to-end headers of the caller, without hop-by-hop headers.
   http::Headers headers;
-  std::string body;
+  SharedBody body;
   /// Organisation of the caller; empty on open routes.
   OrganisationId organisation;
 };
