--- a/src/http/connection_guard.cc
+++ b/src/http/connection_guard.cc
@@ -38,6 +38,11 @@
 // Above the limit of a head, which evhttp checks itself.
 constexpr std::size_t kMaxReadAhead = 96U << 10U;
 
+// Bytes that evhttp holds for the content of a chunked body. It moves each
+// chunk into a buffer of its own, which leaves a part of the memory unused: 32
+// MB of content took 46 MB.
+std::size_t ChunkedBytes(std::size_t content) { return content + content / 2; }
+
 std::string Trim(std::string_view text) {
   const auto first = text.find_first_not_of(" \t\r");
   if (first == std::string_view::npos) {
@@ -331,7 +336,7 @@
 
 void ConnectionGuard::UpdateHeld(Connection& connection) {
   const std::size_t moved = connection.phase == ConnectionPhase::kBody
-                                ? connection.chunks.content()
+                                ? ChunkedBytes(connection.chunks.content())
                                 : 0;
   const std::size_t input =
       evbuffer_get_length(bufferevent_get_input(connection.stream));
