--- a/test/soak/deployment.cc
+++ b/test/soak/deployment.cc
@@ -121,7 +121,8 @@
          << "\n[listen]\nfront = \"" << ToString(node.front)
          << "\"\nreadiness = \"" << ToString(node.readiness)
          << "\"\ncontrol = \"" << ToString(peers[i])
-         << "\"\n[limits]\ncpuShare = 1.0\ncores = 1\n[bounds]\ngraceS = "
+         << "\"\n[limits]\ncpuShare = 1.0\ncores = 1\nmemoryMb = 512\nmaxFds = "
+            "3075\n[bounds]\ngraceS = "
          << kGrace.count()
          << "\nleaseMs = 3000\nrevokeMs = 5000\nusageWindowS = 5\nstatusS = "
             "120\n[platform]\naddr = \""
