--- a/src/node/node_records.cc
+++ b/src/node/node_records.cc
@@ -163,6 +163,7 @@
            cold_.SetServices(catalog_.manifest()->services, clock_.now())) {
         log_.Write("manifest.cold_clamped", {{"service", service.value()}});
       }
+      upstream_watch_.SetSlowStartServices(*catalog_.manifest());
       LogMissingPriorities(*catalog_.manifest());
     }
     log_.Write("manifest", {{"version", version}, {"in_force", newer}});
--- a/src/node/upstream_watch.cc
+++ b/src/node/upstream_watch.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -94,6 +95,19 @@
   item_loads_.OnRegistered(registration, !has_snapshot_, now);
 }
 
+// Where upstreams are at full speed at once, a slow start only leaves slots
+// idle and delays the longest items of a step.
+void UpstreamWatch::SetSlowStartServices(const serving::Manifest& manifest) {
+  std::set<TargetId> services;
+  for (const serving::Service& service : manifest.services) {
+    if (service.cold_start.after_start > milliseconds(0)) {
+      services.insert(service.name);
+    }
+  }
+  request_loads_.SetSlowStartServices(services);
+  item_loads_.SetSlowStartServices(std::move(services));
+}
+
 void UpstreamWatch::StartPaceOfDomain(const FailureDomainId& domain) {
   const Instant now = clock_.now();
   for (const auto& [id, registration] : directory_.all()) {
--- a/src/node/upstream_watch.h
+++ b/src/node/upstream_watch.h
@@ -12,6 +12,7 @@
 #include "mulberryroad/clock.h"
 #include "platform/partition_store.h"
 #include "serving/cold_upstreams.h"
+#include "serving/manifest.h"
 #include "serving/upstream_statements.h"
 #include "serving/upstreams.h"
 
@@ -41,6 +42,8 @@
   /// Returns true once a snapshot has been applied.
   bool has_snapshot() const { return has_snapshot_; }
 
+  /// Limits slow starts to the services whose upstreams are cold after a start.
+  void SetSlowStartServices(const serving::Manifest& manifest);
   /// Starts the slow start of the upstreams of a domain that was returned.
   void StartPaceOfDomain(const FailureDomainId& domain);
 
--- a/src/serving/upstreams.cc
+++ b/src/serving/upstreams.cc
@@ -247,6 +247,10 @@
 void UpstreamLoads::StartPace(const UpstreamId& id, PaceCause cause,
                               Instant now) {
   Load& load = loads_[id];
+  if (slow_start_services_.has_value() &&
+      !slow_start_services_->contains(load.service)) {
+    return;
+  }
   std::chrono::milliseconds spread{0};
   // Nothing is delayed while no upstream's latency is known, as at the start of
   // the whole system.
--- a/src/serving/upstreams.h
+++ b/src/serving/upstreams.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "mulberryroad/clock.h"
@@ -173,6 +174,11 @@
                     Instant now);
   /// Begins a slow start of a registered upstream.
   void StartPace(const UpstreamId& id, PaceCause cause, Instant now);
+  /// Limits slow starts to the upstreams of these services. Without a call, all
+  /// services have them.
+  void SetSlowStartServices(std::set<TargetId> services) {
+    slow_start_services_ = std::move(services);
+  }
   /// Sets this node's name, from which the delays of its first requests to
   /// started upstreams are derived.
   void set_node(const std::string& node) { node_ = node; }
@@ -281,6 +287,7 @@
   std::map<UpstreamId, Load> loads_;
   UpstreamHealth health_;
   std::string node_;
+  std::optional<std::set<TargetId>> slow_start_services_;
   sigc::signal<void(const PaceBegin&)> on_pace_begun_;
   sigc::signal<void(const PaceEnd&)> on_settled_;
   OtherNodesLoad* other_nodes_ = nullptr;
