--- a/src/node/main.cc
+++ b/src/node/main.cc
@@ -2,46 +2,34 @@
 
 #include <popt.h>
 
-#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
-#include <iterator>
-#include <nlohmann/json.hpp>
-#include <optional>
 #include <sstream>
 #include <string>
 #include <utility>
 #include <variant>
-#include <vector>
 
 #include "base/decision_log.h"
+#include "node/manifest_report.h"
 #include "node/node.h"
-#include "platform/manifest_codec.h"
-#include "platform/manifest_fields.h"
 #include "platform/names.h"
 #include "platform/settings_codec.h"
-#include "serving/manifest_check.h"
 
 namespace {
 
 namespace adapter = mulberryroad::platform_adapter;
-namespace serving = mulberryroad::serving;
 
 constexpr int kExitOk = 0;
 constexpr int kExitFailure = 1;
 constexpr int kExitBadSettings = 2;
-constexpr int kExitBadManifest = 2;
 
 struct Options {
   std::string settings_path;
   bool check_only = false;
-  /// Manifest to check; empty to run the node.
-  std::string manifest_path;
-  /// Manifest in force, with which it is compared; empty without one.
-  std::string in_force_path;
-  bool json_output = false;
+  /// Its manifest path is empty to run the node.
+  mulberryroad::node::ManifestCheckOptions manifest_check;
 };
 
 // Returns the value of an option, which popt has allocated; empty if it was not
@@ -89,13 +77,13 @@
     options.settings_path = from_environment;
   }
   options.check_only = check_only != 0;
-  options.manifest_path = TakeValue(manifest);
-  options.in_force_path = TakeValue(in_force);
+  options.manifest_check.manifest_path = TakeValue(manifest);
+  options.manifest_check.in_force_path = TakeValue(in_force);
   const std::string format = TakeValue(output);
-  options.json_output = format == "json";
-  const bool checks_manifest = !options.manifest_path.empty();
+  options.manifest_check.json_output = format == "json";
+  const bool checks_manifest = !options.manifest_check.manifest_path.empty();
   if ((!checks_manifest &&
-       (!options.in_force_path.empty() || !format.empty())) ||
+       (!options.manifest_check.in_force_path.empty() || !format.empty())) ||
       (!format.empty() && format != "text" && format != "json")) {
     std::fprintf(
         stderr,
@@ -106,68 +94,6 @@
   return options;
 }
 
-std::optional<std::string> ReadFile(const std::string& path) {
-  std::ifstream file(path);
-  if (!file) {
-    return std::nullopt;
-  }
-  return std::string(std::istreambuf_iterator<char>(file), {});
-}
-
-// Checks a manifest and compares it with the one in force, if any.
-std::vector<serving::Finding> FindingsFor(const Options& options) {
-  const auto text = ReadFile(options.manifest_path);
-  if (!text.has_value()) {
-    return {{serving::Severity::kError, "manifest",
-             "cannot read " + options.manifest_path}};
-  }
-  std::vector<serving::Finding> findings = adapter::CheckManifestFields(*text);
-  const auto manifest = adapter::DecodeManifest(*text);
-  if (manifest.has_value()) {
-    std::ranges::move(serving::CheckManifest(*manifest),
-                      std::back_inserter(findings));
-  }
-  if (options.in_force_path.empty()) {
-    return findings;
-  }
-  const auto in_force =
-      adapter::DecodeManifest(ReadFile(options.in_force_path).value_or(""));
-  if (!in_force.has_value()) {
-    findings.push_back({serving::Severity::kError, "manifest in force",
-                        options.in_force_path + " cannot be read as one"});
-  } else if (manifest.has_value()) {
-    std::ranges::move(serving::CompareManifests(*in_force, *manifest),
-                      std::back_inserter(findings));
-  }
-  return findings;
-}
-
-int CheckManifestFile(const Options& options) {
-  int exit_code = kExitOk;
-  nlohmann::json list = nlohmann::json::array();
-  for (const serving::Finding& finding : FindingsFor(options)) {
-    const std::string severity(serving::SeverityName(finding.severity));
-    if (finding.severity == serving::Severity::kError) {
-      exit_code = kExitBadManifest;
-    }
-    if (options.json_output) {
-      list.push_back({{"severity", severity},
-                      {"subject", finding.subject},
-                      {"message", finding.message}});
-    } else {
-      std::printf("%s: %s: %s\n", severity.c_str(), finding.subject.c_str(),
-                  finding.message.c_str());
-    }
-  }
-  if (options.json_output) {
-    // Names can hold bytes that are not UTF-8.
-    std::printf("%s\n", list.dump(2, ' ', /*ensure_ascii=*/false,
-                                  nlohmann::json::error_handler_t::replace)
-                            .c_str());
-  }
-  return exit_code;
-}
-
 // Reads and decodes the settings file.
 std::variant<mulberryroad::node::Settings, adapter::SettingsErrors>
 ReadSettings(const std::string& path) {
@@ -209,8 +135,8 @@
   // A closed connection is reported by the failed write instead of SIGPIPE.
   std::signal(SIGPIPE, SIG_IGN);
   const Options options = ReadOptions(argc, argv);
-  if (!options.manifest_path.empty()) {
-    return CheckManifestFile(options);
+  if (!options.manifest_check.manifest_path.empty()) {
+    return mulberryroad::node::CheckManifestFile(options.manifest_check);
   }
   auto decoded = ReadSettings(options.settings_path);
   if (const auto* errors = std::get_if<adapter::SettingsErrors>(&decoded)) {
