--- a/test/admission_queue_test.cc
+++ b/test/admission_queue_test.cc
@@ -12,7 +12,6 @@
 namespace mulberryroad::serving {
 namespace {
 
-using std::chrono::duration_cast;
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 using Ticket = AdmissionQueue::Ticket;
