Findings of clang-tidy in two tests

Cause: a product in int and the type short. Change: explicit types; checks, crowd and bounds are the same. Result: clang-tidy is clean on both files.

--- a/test/memory_budget_test.cc
+++ b/test/memory_budget_test.cc
@@ -20,7 +20,8 @@
 // Guards against a budget in which the largest legal body never fits.
 Test(memory_budget, largest_body_fits_into_the_smallest_machine) {
   const MemoryBudget budget(LimitsFor(120, 3'075));
-  cr_expect(budget.HasRoomFor(2 * 32 * kMega, /*protected_peer=*/false));
+  cr_expect(
+      budget.HasRoomFor(std::size_t{64} * kMega, /*protected_peer=*/false));
   cr_expect_eq(LimitsFor(0, 0).enabled(), false);
 }
 
--- a/test/process/hostile_clients_process_test.cc
+++ b/test/process/hostile_clients_process_test.cc
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
@@ -374,7 +375,8 @@
     std::string reply;
     while (fd >= 0 && steady_clock::now() < end && reply.size() < 12) {
       const bool sending = sent < head.size() + body_bytes;
-      pollfd ready{fd, static_cast<short>(POLLIN | (sending ? POLLOUT : 0)), 0};
+      pollfd ready{
+          fd, static_cast<std::int16_t>(POLLIN | (sending ? POLLOUT : 0)), 0};
       poll(&ready, 1, 100);
       std::string_view bytes;
       if (sent < head.size()) {
