Slots are shared only where the settings say so; the heap keeps 4 MB

A fixed mmap threshold also fixes the trim threshold at 128 KB, so that the heap was returned and grown again with each large message; slot reports cost small nodes messages without a gain shown. Change: M_TRIM_THRESHOLD 4 MB and M_MMAP_THRESHOLD 1 MB with a guard; shareSlots (default false) switches slot reports.

--- a/src/http/connection_guard.cc
+++ b/src/http/connection_guard.cc
@@ -230,7 +230,10 @@
       sweep_timer_(loop.Every(kSweepInterval, [this] { Sweep(); })) {
   // Large bodies are mapped on their own, so that their memory is returned when
   // they are freed; by default the threshold grows with the largest one.
-  mallopt(M_MMAP_THRESHOLD, 256 << 10);
+  mallopt(M_MMAP_THRESHOLD, 1 << 20);
+  // A fixed mapping threshold also fixes this one, at 128 KB by default: the
+  // heap would be returned and grown again with each large message.
+  mallopt(M_TRIM_THRESHOLD, 4 << 20);
 }
 
 ConnectionGuard::~ConnectionGuard() { *alive_ = false; }
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -254,7 +254,9 @@
     store_relay_.Register(*peer_server_);
     permits_.Register(*peer_server_);
     forward_server_.Register(*peer_server_);
-    slots_.Register(*peer_server_);
+    if (settings_.share_slots) {
+      slots_.Register(*peer_server_);
+    }
     if (!peer_server_->Listen(*settings_.peer_address)) {
       *reason = "cannot listen on " + ToString(*settings_.peer_address);
       return false;
@@ -302,7 +304,9 @@
 
 void Node::Impl::UpdatePeers() {
   std::set<Endpoint> peers = permits_.owner_addresses();
-  slots_.Update(peers);
+  if (settings_.share_slots) {
+    slots_.Update(peers);
+  }
   for (const Endpoint& seed : settings_.seeds) {
     peers.insert(seed);
   }
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -55,6 +55,8 @@
   double cold_bound_factor = 1.5;
   /// ... and this number of requests on top.
   double cold_bound_requests = 5;
+  /// Whether this node reports its slots in use to other nodes and uses theirs.
+  bool share_slots = false;
   /// Memory of this VM in MB; 0 if not known.
   std::size_t memory_mb = 0;
   /// File descriptors of this process; 0 if not known.
--- a/src/node/slot_exchange.cc
+++ b/src/node/slot_exchange.cc
@@ -34,7 +34,6 @@
       process_(std::move(process)),
       own_address_(std::move(own_address)),
       waiting_(std::move(waiting)) {
-  loads_.SetOtherNodesLoad(this);
   metrics_.Gauge("slots_in_use_by_others", [this] {
     return static_cast<double>(reported_.total(clock_.now()));
   });
@@ -46,6 +45,7 @@
 }
 
 void SlotExchange::Register(http::Server& server) {
+  loads_.SetOtherNodesLoad(this);
   server.Route(http::Method::kPost, kSlotsPath,
                [this](const std::shared_ptr<http::Exchange>& exchange) {
                  ReplyToPeer(exchange);
