Comments of slot reports, shared bodies and placement name what they describe

Cause: a read of the change as a newcomer. Change: three comments; a parameter's text no longer mentions preferences, which were left out.

--- a/src/batches/item_placement.h
+++ b/src/batches/item_placement.h
@@ -52,9 +52,7 @@
 /// @param avoid upstream that is chosen only if there is no other; may be empty
 /// @param length_share expected length of the item, as a share of the longest
 ///     item of its batch
-/// @param draw random number in [0, 1) that breaks ties among candidates
-/// without
-///     a preference
+/// @param draw random number in [0, 1) that breaks ties
 const PlacementCandidate* ChooseItemUpstream(
     const std::vector<PlacementCandidate>& candidates,
     const std::optional<std::string>& software, const UpstreamId& avoid,
--- a/src/node/slot_exchange.h
+++ b/src/node/slot_exchange.h
@@ -97,10 +97,10 @@
   /// Runs of this node by upstream, without those that have none.
   std::map<UpstreamId, std::uint32_t> own_;
   std::uint64_t last_sequence_ = 0;
-  /// Whether the counts have changed since the schedule was last told so.
+  /// Whether the counts have changed since the last call of OnChanged().
   bool changed_ = false;
   bool send_posted_ = false;
-  /// Activity that the schedule was told last.
+  /// Activity passed to the last call of OnChanged().
   bool scheduled_active_ = false;
   base::Timer send_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/serving/shared_body.h
+++ b/src/serving/shared_body.h
@@ -13,12 +13,12 @@
 class SharedBody {
  public:
   SharedBody() : SharedBody(std::string()) {}
-  // NOLINTNEXTLINE(google-explicit-constructor): stands for a string
+  // NOLINTNEXTLINE(google-explicit-constructor): replaces a string
   SharedBody(std::string text)
       : text_(std::make_shared<const std::string>(std::move(text))) {}
-  // NOLINTNEXTLINE(google-explicit-constructor): stands for a string
+  // NOLINTNEXTLINE(google-explicit-constructor): replaces a string
   SharedBody(const char* text) : SharedBody(std::string(text)) {}
-  // NOLINTNEXTLINE(google-explicit-constructor): stands for a string
+  // NOLINTNEXTLINE(google-explicit-constructor): replaces a string
   operator const std::string&() const { return *text_; }
 
   const std::string& text() const { return *text_; }
