--- a/review/kit-2/kit.h
+++ b/review/kit-2/kit.h
@@ -138,12 +138,13 @@
   }
   timeval timeout{};
   timeout.tv_sec = static_cast<time_t>(timeout_s);
-  timeout.tv_usec =
-      static_cast<suseconds_t>((timeout_s - static_cast<double>(timeout.tv_sec)) * 1e6);
+  timeout.tv_usec = static_cast<suseconds_t>(
+      (timeout_s - static_cast<double>(timeout.tv_sec)) * 1e6);
   setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
   setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof(timeout));
   const sockaddr_in address = Loopback(port);
-  if (connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
+  if (connect(fd, reinterpret_cast<const sockaddr*>(&address),
+              sizeof(address)) != 0) {
     close(fd);
     return -1;
   }
@@ -153,7 +154,7 @@
 // ---------------------------------------------------------------------- HTTP
 
 struct Message {
-  std::string first_line;  // of the head
+  std::string first_line;                      // of the head
   std::map<std::string, std::string> headers;  // names in lower case
   std::string body;
 
@@ -207,7 +208,8 @@
         c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
       }
       const std::size_t value = line.find_first_not_of(' ', colon + 1);
-      message.headers[name] = value == std::string::npos ? "" : line.substr(value);
+      message.headers[name] =
+          value == std::string::npos ? "" : line.substr(value);
     }
     buffer_.erase(0, end + 4);
     if (message.header("transfer-encoding") == "chunked") {
@@ -271,28 +273,33 @@
 
 using Headers = std::vector<std::pair<std::string, std::string>>;
 
-inline std::string Response(int status, const std::string& body, const Headers& headers = {}) {
+inline std::string Response(int status, const std::string& body,
+                            const Headers& headers = {}) {
   std::string text = "HTTP/1.1 " + std::to_string(status) + " Status\r\n";
   for (const auto& [name, value] : headers) {
     text += name + ": " + value + "\r\n";
   }
-  return text + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  return text + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
 }
 
 inline std::string Request(const std::string& method, const std::string& path,
-                           const std::string& body, const Headers& headers = {}) {
+                           const std::string& body,
+                           const Headers& headers = {}) {
   std::string text = method + " " + path + " HTTP/1.1\r\n";
   for (const auto& [name, value] : headers) {
     text += name + ": " + value + "\r\n";
   }
-  return text + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  return text + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
 }
 
 /// Sends one request on a new connection. Returns nullopt without a complete
 /// answer.
-inline std::optional<Message> Call(int port, const std::string& method, const std::string& path,
-                                   const std::string& body, Headers headers = {},
-                                   double timeout_s = 5) {
+inline std::optional<Message> Call(int port, const std::string& method,
+                                   const std::string& path,
+                                   const std::string& body,
+                                   Headers headers = {}, double timeout_s = 5) {
   headers.emplace_back("Connection", "close");
   const int fd = Connect(port, timeout_s);
   if (fd < 0) {
@@ -312,12 +319,14 @@
   using Handler = std::function<bool(int fd, const Message& request)>;
 
   /// @param handler answers a request; returns false to close the connection
-  explicit Server(Handler handler) : handler_(std::move(handler)), port_(FreePort()) {
+  explicit Server(Handler handler)
+      : handler_(std::move(handler)), port_(FreePort()) {
     fd_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int yes = 1;
     setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
     const sockaddr_in address = Loopback(port_);
-    if (bind(fd_, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0 ||
+    if (bind(fd_, reinterpret_cast<const sockaddr*>(&address),
+             sizeof(address)) != 0 ||
         listen(fd_, 512) != 0) {
       std::exit(kCannotRun);
     }
@@ -356,7 +365,8 @@
   for (std::size_t i = 0; i < in.size(); i += 3) {
     std::uint32_t word = 0;
     for (std::size_t j = 0; j < 3; ++j) {
-      word = (word << 8U) | (i + j < in.size() ? static_cast<unsigned char>(in[i + j]) : 0U);
+      word = (word << 8U) |
+             (i + j < in.size() ? static_cast<unsigned char>(in[i + j]) : 0U);
     }
     for (std::size_t j = 0; j < 4; ++j) {
       out += i + j <= in.size() ? digits[(word >> (18 - 6 * j)) & 63U] : '=';
@@ -369,7 +379,8 @@
   std::string out;
   for (std::size_t i = 0; i < in.size(); ++i) {
     if (in[i] == '%' && i + 2 < in.size()) {
-      out += static_cast<char>(std::strtol(in.substr(i + 1, 2).c_str(), nullptr, 16));
+      out += static_cast<char>(
+          std::strtol(in.substr(i + 1, 2).c_str(), nullptr, 16));
       i += 2;
     } else {
       out += in[i];
@@ -383,7 +394,8 @@
   std::size_t at = target.find('?');
   while (at != std::string::npos) {
     const std::size_t end = target.find('&', at + 1);
-    const std::string pair = target.substr(at + 1, end == std::string::npos ? end : end - at - 1);
+    const std::string pair =
+        target.substr(at + 1, end == std::string::npos ? end : end - at - 1);
     const std::size_t equals = pair.find('=');
     if (equals != std::string::npos) {
       query[Decoded(pair.substr(0, equals))] = Decoded(pair.substr(equals + 1));
@@ -399,7 +411,10 @@
 /// faults.
 class Platform {
  public:
-  Platform() : server_([this](int fd, const Message& request) { return Serve(fd, request); }) {
+  Platform()
+      : server_([this](int fd, const Message& request) {
+          return Serve(fd, request);
+        }) {
     std::thread([this] {
       while (true) {
         Sleep(0.05);
@@ -410,7 +425,8 @@
   int port() const { return server_.port(); }
 
   /// Writes a record as the operator, a trainer or a replica does.
-  void Put(const std::string& topic, const std::string& key, const std::string& value) {
+  void Put(const std::string& topic, const std::string& key,
+           const std::string& value) {
     const std::lock_guard lock(mutex_);
     Take(topic, partitions_[{topic, 0}],
          std::string(1, static_cast<char>(key.size())) + key + value);
@@ -436,7 +452,8 @@
   };
   struct Group {
     std::uint64_t generation = 0;
-    std::map<std::string, Clock::time_point> members;  // with the end of their time
+    std::map<std::string, Clock::time_point>
+        members;  // with the end of their time
     std::map<PartitionId, Holding> holdings;
   };
 
@@ -447,11 +464,13 @@
     }
     return text;
   }
-  static void Take(const std::string& topic, Partition& partition, std::string content) {
+  static void Take(const std::string& topic, Partition& partition,
+                   std::string content) {
     if (topic.starts_with("keyed.") && !content.empty()) {
       const auto length = static_cast<unsigned char>(content[0]);
       const std::string key = content.substr(1, length);
-      const std::string value = content.substr(std::min<std::size_t>(content.size(), 1U + length));
+      const std::string value =
+          content.substr(std::min<std::size_t>(content.size(), 1U + length));
       if (value.empty()) {
         partition.newest.erase(key);
       } else {
@@ -493,7 +512,8 @@
     return SendAll(fd, answer);
   }
 
-  std::string Append(const PartitionId& id, std::map<std::string, std::string>& query,
+  std::string Append(const PartitionId& id,
+                     std::map<std::string, std::string>& query,
                      const std::string& body) {
     const std::lock_guard lock(mutex_);
     if (id.first == "keyed.op" || id.first == "keyed.servers") {
@@ -501,14 +521,16 @@
     }
     Partition& partition = partitions_[id];
     const std::size_t end = partition.records.size();
-    if (query.contains("at") && std::strtoull(query["at"].c_str(), nullptr, 10) != end) {
+    if (query.contains("at") &&
+        std::strtoull(query["at"].c_str(), nullptr, 10) != end) {
       return Response(412, json{{"endOffset", end}}.dump());
     }
     Producer* producer = nullptr;
     std::uint64_t sequence = 0;
     if (query.contains("producer")) {
       producer = &partition.producers[query["producer"]];
-      const std::uint64_t epoch = std::strtoull(query["epoch"].c_str(), nullptr, 10);
+      const std::uint64_t epoch =
+          std::strtoull(query["epoch"].c_str(), nullptr, 10);
       sequence = std::strtoull(query["seq"].c_str(), nullptr, 10);
       if (epoch < producer->epoch) {
         return Response(409, json{{"why", "fenced"}}.dump());
@@ -522,21 +544,25 @@
           return answer;
         }
       }
-      if (producer->sequence.has_value() && sequence != *producer->sequence + 1) {
+      if (producer->sequence.has_value() &&
+          sequence != *producer->sequence + 1) {
         return Response(
-            409, json{{"why", "seq"}, {"expected", *producer->sequence + 1}}.dump());
+            409,
+            json{{"why", "seq"}, {"expected", *producer->sequence + 1}}.dump());
       }
     }
     for (std::size_t at = 0; at + 4 <= body.size();) {
       std::size_t length = 0;
       for (int i = 0; i < 4; ++i) {
-        length = (length << 8U) | static_cast<unsigned char>(body[at + static_cast<std::size_t>(i)]);
+        length = (length << 8U) | static_cast<unsigned char>(
+                                      body[at + static_cast<std::size_t>(i)]);
       }
       Take(id.first, partition, body.substr(at + 4, length));
       at += 4 + length;
     }
     const std::string answer = Response(
-        200, json{{"offset", end}, {"endOffset", partition.records.size()}}.dump());
+        200,
+        json{{"offset", end}, {"endOffset", partition.records.size()}}.dump());
     if (producer != nullptr) {
       producer->sequence = sequence;
       producer->answers.emplace_back(sequence, answer);
@@ -548,17 +574,19 @@
     return answer;
   }
 
-  std::string Read(const PartitionId& id, std::map<std::string, std::string>& query) {
+  std::string Read(const PartitionId& id,
+                   std::map<std::string, std::string>& query) {
     const std::size_t from = std::strtoull(query["from"].c_str(), nullptr, 10);
-    const auto until =
-        Clock::now() + std::chrono::milliseconds(std::atoi(query["waitMs"].c_str()));
+    const auto until = Clock::now() + std::chrono::milliseconds(
+                                          std::atoi(query["waitMs"].c_str()));
     std::unique_lock lock(mutex_);
     while (partitions_[id].records.size() <= from &&
            changed_.wait_until(lock, until) != std::cv_status::timeout) {
     }
     const Partition& partition = partitions_[id];
     std::string body = Number(partition.records.size(), 8) + Number(0, 8);
-    for (std::size_t at = from; at < partition.records.size() && body.size() < 1'000'000; ++at) {
+    for (std::size_t at = from;
+         at < partition.records.size() && body.size() < 1'000'000; ++at) {
       body += Number(partition.records[at].size(), 4) + partition.records[at];
     }
     return Response(200, body);
@@ -571,8 +599,8 @@
                  {"hasMore", false},
                  {"endOffset", partition.records.size()}};
     std::size_t bytes = 0;
-    for (auto entry = partition.newest.upper_bound(after); entry != partition.newest.end();
-         ++entry) {
+    for (auto entry = partition.newest.upper_bound(after);
+         entry != partition.newest.end(); ++entry) {
       if (body["items"].size() == 500 || bytes > 1'000'000) {
         body["hasMore"] = true;
         break;
@@ -611,7 +639,8 @@
     const bool joins = !group.members.contains(member);
     group.members[member] =
         Clock::now() + std::chrono::milliseconds(body.value("ttlMs", 1'000));
-    for (const std::string& topic : body.value("topics", std::vector<std::string>())) {
+    for (const std::string& topic :
+         body.value("topics", std::vector<std::string>())) {
       for (int part = 0; part < kPartitions; ++part) {
         group.holdings.try_emplace({topic, part});
       }
@@ -632,7 +661,8 @@
         parts.push_back({part.first, part.second, 0});
       }
     }
-    return Response(200, json{{"generation", group.generation}, {"parts", parts}}.dump());
+    return Response(
+        200, json{{"generation", group.generation}, {"parts", parts}}.dump());
   }
 
   std::string Owners(const std::string& name) {
@@ -648,8 +678,9 @@
     const std::lock_guard lock(mutex_);
     for (auto& [name, group] : groups_) {
       const auto now = Clock::now();
-      if (std::erase_if(group.members,
-                        [now](const auto& member) { return member.second < now; }) > 0) {
+      if (std::erase_if(group.members, [now](const auto& member) {
+            return member.second < now;
+          }) > 0) {
         Deal(group);
       }
     }
@@ -683,7 +714,9 @@
       : platform_(platform),
         options_(std::move(options)),
         born_(UnixMillis()),
-        server_([this](int fd, const Message& request) { return Serve(fd, request); }) {
+        server_([this](int fd, const Message& request) {
+          return Serve(fd, request);
+        }) {
     Register();
     std::thread([this] {
       while (true) {
@@ -720,7 +753,9 @@
                   {"seq", seq_.load()},
                   {"born", born_}};
     if (!options_.model.empty()) {
-      entry["models"] = {{{"name", options_.model}, {"version", 1}, {"adapters", json::array()}}};
+      entry["models"] = {{{"name", options_.model},
+                          {"version", 1},
+                          {"adapters", json::array()}}};
     }
     platform_.Put("keyed.servers", options_.id, entry.dump());
   }
@@ -732,63 +767,76 @@
     const std::string target = request.word(1);
     const std::string id = request.header("request-id");
     if (target == "/v1/report") {
-      json body = {{"stage", "both"},    {"models", json::array()}, {"busy", false},
-                   {"seq", seq_.load()}, {"numWaiting", 0},         {"numRunning", running_.load()}};
+      json body = {{"stage", "both"}, {"models", json::array()},
+                   {"busy", false},   {"seq", seq_.load()},
+                   {"numWaiting", 0}, {"numRunning", running_.load()}};
       if (!options_.model.empty()) {
-        body["models"] = {{{"name", options_.model}, {"version", 1}, {"adapters", json::array()}}};
+        body["models"] = {{{"name", options_.model},
+                           {"version", 1},
+                           {"adapters", json::array()}}};
       }
       return SendAll(fd, Response(200, body.dump()));
     }
     if (target == "/v1/order") {
       return SendAll(fd, Response(200, "{}"));
     }
-    static const std::set<std::string> methods = {"GET", "POST", "PUT", "DELETE"};
+    static const std::set<std::string> methods = {"GET", "POST", "PUT",
+                                                  "DELETE"};
     if (!methods.contains(request.word(0))) {
-      record().Line("replica %s cannot read a request, its line is: %.80s", options_.id.c_str(),
-                    request.first_line.c_str());
+      record().Line("replica %s cannot read a request, its line is: %.80s",
+                    options_.id.c_str(), request.first_line.c_str());
       SendAll(fd, Response(400, ""));
       return false;
     }
     const std::string expected = request.header("expect-instance");
     if (!expected.empty() && expected != options_.id) {
-      return SendAll(fd, Response(421, "", {{"Request-Id", id}, {"Not-Executed", "1"}}));
+      return SendAll(
+          fd, Response(421, "", {{"Request-Id", id}, {"Not-Executed", "1"}}));
     }
     if (id.empty()) {
       return SendAll(fd, Response(400, "", {{"Not-Executed", "1"}}));
     }
     if (running_ >= options_.slots) {
-      return SendAll(fd, Response(503, "", {{"Request-Id", id}, {"Not-Executed", "1"}}));
+      return SendAll(
+          fd, Response(503, "", {{"Request-Id", id}, {"Not-Executed", "1"}}));
     }
     ++running_;
     ++runs_;
-    record().Line("replica %s runs id=%s %s tenant=%s body=%zu bytes", options_.id.c_str(),
-                  id.c_str(), request.first_line.c_str(), request.header("tenant").c_str(),
-                  request.body.size());
-    const std::optional<bool> taken = options_.serve ? options_.serve(fd, request) : std::nullopt;
-    const bool keep =
-        taken.has_value() ? *taken : options_.model.empty() ? Plain(fd, id) : Stream(fd, request);
+    record().Line("replica %s runs id=%s %s tenant=%s body=%zu bytes",
+                  options_.id.c_str(), id.c_str(), request.first_line.c_str(),
+                  request.header("tenant").c_str(), request.body.size());
+    const std::optional<bool> taken =
+        options_.serve ? options_.serve(fd, request) : std::nullopt;
+    const bool keep = taken.has_value()        ? *taken
+                      : options_.model.empty() ? Plain(fd, id)
+                                               : Stream(fd, request);
     --running_;
     return keep;
   }
 
   bool Plain(int fd, const std::string& id) {
     Sleep(0.01);
-    return SendAll(fd, Response(200, "answer to " + id,
-                                {{"Request-Id", id}, {"Server-Seal", "seal-" + id}}));
+    return SendAll(
+        fd, Response(200, "answer to " + id,
+                     {{"Request-Id", id}, {"Server-Seal", "seal-" + id}}));
   }
 
   bool Stream(int fd, const Message& request) {
     const std::string id = request.header("request-id");
-    if (!SendAll(fd, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: " + id +
-                         "\r\nServer-Seal: seal-" + id +
-                         "\r\nWeight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n")) {
+    if (!SendAll(fd,
+                 "HTTP/1.1 200 OK\r\nContent-Type: "
+                 "text/event-stream\r\nRequest-Id: " +
+                     id + "\r\nServer-Seal: seal-" + id +
+                     "\r\nWeight-Versions: 1\r\nTransfer-Encoding: "
+                     "chunked\r\n\r\n")) {
       return false;
     }
-    for (int event = std::atoi(request.header("last-event-id").c_str()) + 1; event <= kEvents;
-         ++event) {
+    for (int event = std::atoi(request.header("last-event-id").c_str()) + 1;
+         event <= kEvents; ++event) {
       Sleep(0.02);
-      const std::string text = "id: " + std::to_string(event) + "\ndata: " + id + "-" +
-                               std::to_string(event) + "\n\n";
+      const std::string text = "id: " + std::to_string(event) +
+                               "\ndata: " + id + "-" + std::to_string(event) +
+                               "\n\n";
       char size[16];
       std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
       if (!SendAll(fd, size + text + "\r\n")) {
@@ -825,8 +873,8 @@
 /// platform does both.
 class Node {
  public:
-  Node(int index, const std::string& folder, int platform_port, const NodePorts& ports,
-       const std::vector<NodePorts>& all, int memory_mb)
+  Node(int index, const std::string& folder, int platform_port,
+       const NodePorts& ports, const std::vector<NodePorts>& all, int memory_mb)
       : name_("edge-zone-1-" + std::to_string(index + 1)),
         settings_(folder + "/" + name_ + ".toml"),
         log_(folder + "/" + name_ + ".log"),
@@ -834,31 +882,48 @@
         memory_mb_(memory_mb) {
     std::string seeds;
     for (std::size_t i = 0; i < all.size() && i < 3; ++i) {
-      seeds += (i == 0 ? "\"127.0.0.1:" : ",\"127.0.0.1:") + std::to_string(all[i].control) + "\"";
+      seeds += (i == 0 ? "\"127.0.0.1:" : ",\"127.0.0.1:") +
+               std::to_string(all[i].control) + "\"";
     }
-    const auto at = [](int port) { return "\"127.0.0.1:" + std::to_string(port) + "\""; };
+    const auto at = [](int port) {
+      return "\"127.0.0.1:" + std::to_string(port) + "\"";
+    };
     std::ofstream(settings_)
-        << "node = \"" << name_ << "\"\nrole = \"node\"\nmachineClass = \"edge\"\n"
-        << "serves = [\"edge\",\"control\"]\nip = \"127.0.0.1\"\nzone = \"zone-1\"\n"
-        << "region = \"region-1\"\ninternalPorts = [" << ports.metrics << ", 0]\n"
-        << "seedNodes = [" << seeds << "]\nbootstrap = true\ninTolerance = false\n"
+        << "node = \"" << name_
+        << "\"\nrole = \"node\"\nmachineClass = \"edge\"\n"
+        << "serves = [\"edge\",\"control\"]\nip = \"127.0.0.1\"\nzone = "
+           "\"zone-1\"\n"
+        << "region = \"region-1\"\ninternalPorts = [" << ports.metrics
+        << ", 0]\n"
+        << "seedNodes = [" << seeds
+        << "]\nbootstrap = true\ninTolerance = false\n"
         << "discovery = \"platform\"\nentry = \"vip\"\nheartbeatMs = 1200\n"
         << "[zones]\nzone-1 = \"region-1\"\n"
-        << "[listen]\nfront = " << at(ports.front) << "\nreadiness = " << at(ports.ready)
+        << "[listen]\nfront = " << at(ports.front)
+        << "\nreadiness = " << at(ports.ready)
         << "\ncontrol = " << at(ports.control) << "\n"
         << "[limits]\ncpuShare = 0.5\ncores = 1\nmemoryMb = " << memory_mb
         << "\nmaxFds = 8200\nlinkMbps = 1000.0\ndiskMb = 0\n"
         << "[faultTolerance]\nmachines = 1\nzones = 0\nregions = 0\n"
-        << "[bounds]\nseedLagS = 3\naddrReuseS = 2\ncontactMs = 3000\nackMs = 4000\n"
-        << "catchUpS = 4.3\ndrainMs = 2000\ngraceS = " << kGraceSeconds << "\nlossSlackMs = 200\n"
-        << "configApplyMs = 2000\nrevertSlackMs = 250\nmaxSkewMs = 5000\nstrictRevoke = false\n"
-        << "revokeMs = 5000\nrequireFencing = true\nleaseMs = 3000\nthawSlackMs = 300\n"
-        << "usageWindowS = 5\nusageTolerance = 0.05\nusageLateS = 10\nrecoveryS = 12\n"
-        << "passMs = 120\nretryAfterS = 0\nfinishS = 10\nstatusS = 120\ncancelMs = 3000\n"
+        << "[bounds]\nseedLagS = 3\naddrReuseS = 2\ncontactMs = 3000\nackMs = "
+           "4000\n"
+        << "catchUpS = 4.3\ndrainMs = 2000\ngraceS = " << kGraceSeconds
+        << "\nlossSlackMs = 200\n"
+        << "configApplyMs = 2000\nrevertSlackMs = 250\nmaxSkewMs = "
+           "5000\nstrictRevoke = false\n"
+        << "revokeMs = 5000\nrequireFencing = true\nleaseMs = "
+           "3000\nthawSlackMs = 300\n"
+        << "usageWindowS = 5\nusageTolerance = 0.05\nusageLateS = "
+           "10\nrecoveryS = 12\n"
+        << "passMs = 120\nretryAfterS = 0\nfinishS = 10\nstatusS = "
+           "120\ncancelMs = 3000\n"
         << "settleMs = 1000\nquotaOverage = 0.1\n"
-        << "[platform]\naddr = " << at(platform_port) << "\nform = \"log\"\nwritesPerS = 800\n"
-        << "readsPerS = 2000\nparts = 12\nappendMs = 2.0\npartMbS = 20.0\nreadMbS = 80.0\n"
-        << "recordBytes = 262144\ncallBytes = 2097152\nretentionS = 300\npartMb = 200\n"
+        << "[platform]\naddr = " << at(platform_port)
+        << "\nform = \"log\"\nwritesPerS = 800\n"
+        << "readsPerS = 2000\nparts = 12\nappendMs = 2.0\npartMbS = "
+           "20.0\nreadMbS = 80.0\n"
+        << "recordBytes = 262144\ncallBytes = 2097152\nretentionS = "
+           "300\npartMb = 200\n"
         << "ttlMinMs = 1000\n"
         << "[cloud]\naddr = " << at(platform_port) << "\nratePerS = 50.0\n"
         << "duties = [\"metering\",\"autoscale\"]\ndutyPerS = 50.0\n";
@@ -881,7 +946,8 @@
     return false;
   }
   bool Ready(double timeout_s) const {
-    const auto answer = Call(ports_.ready, "GET", "/v1/readyz", "", {}, timeout_s);
+    const auto answer =
+        Call(ports_.ready, "GET", "/v1/readyz", "", {}, timeout_s);
     return answer.has_value() && answer->status() == 200;
   }
 
@@ -897,7 +963,8 @@
     std::size_t size = 0;
     std::size_t resident = 0;
     file >> size >> resident;
-    return static_cast<double>(resident) * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
+    return static_cast<double>(resident) *
+           static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
   }
   double peak_mb() const { return peak_mb_; }
 
@@ -916,7 +983,8 @@
     peak_mb_ = std::max(peak_mb_, used);
     const bool over = used > memory_mb_ * 1.048576;
     if (over) {
-      record().Line("%s uses %.0f MB, its machine has %d: killed", name_.c_str(), used, memory_mb_);
+      record().Line("%s uses %.0f MB, its machine has %d: killed",
+                    name_.c_str(), used, memory_mb_);
       kill(pid_, SIGKILL);
     }
     int status = 0;
@@ -951,7 +1019,8 @@
       dup2(log, 1);
       dup2(log, 2);
       setenv("MULBERRYROAD_SETTINGS", settings_.c_str(), 1);
-      execl("target/mulberry-node", "target/mulberry-node", static_cast<char*>(nullptr));
+      execl("target/mulberry-node", "target/mulberry-node",
+            static_cast<char*>(nullptr));
       _exit(127);
     }
   }
@@ -970,7 +1039,8 @@
 // ---------------------------------------------------------------- deployment
 
 inline json Manifest(int timeout_ms = 2'000) {
-  const auto route = [](const char* name, const char* kind, const char* service, int timeout) {
+  const auto route = [](const char* name, const char* kind, const char* service,
+                        int timeout) {
     return json{{"name", name},
                 {"host", "case.example"},
                 {"pathPrefix", std::string("/") + name + "/"},
@@ -988,23 +1058,27 @@
   steps["singleVersion"] = false;
   steps["sticky"] = true;
   steps["resumable"] = true;
-  return {{"version", 7},
-          {"routes", {route("reports", "idempotent", "desk", timeout_ms), steps}},
-          {"services",
-           {{{"name", "desk"}, {"healthPath", "/healthz"}, {"maxConns", 110}, {"protocol", "h1"}},
-            {{"name", "engines"},
-             {"healthPath", "/healthz"},
-             {"maxConns", 180},
-             {"protocol", "h1"},
-             {"engine", {{"slots", 16}, {"models", {{{"name", "m0"}}}}}}}}},
-          {"limits",
-           {{"maxHeaderBytes", 16'384},
-            {"maxBodyBytes", 33'554'432},
-            {"headerTimeoutMs", 3'000},
-            {"idleTimeoutMs", 15'000}}},
-          {"tenants",
-           {{{"name", "tenant-a"}, {"apiKeys", {"key-a"}}, {"priority", 1}},
-            {{"name", "tenant-b"}, {"apiKeys", {"key-b"}}, {"priority", 1}}}}};
+  return {
+      {"version", 7},
+      {"routes", {route("reports", "idempotent", "desk", timeout_ms), steps}},
+      {"services",
+       {{{"name", "desk"},
+         {"healthPath", "/healthz"},
+         {"maxConns", 110},
+         {"protocol", "h1"}},
+        {{"name", "engines"},
+         {"healthPath", "/healthz"},
+         {"maxConns", 180},
+         {"protocol", "h1"},
+         {"engine", {{"slots", 16}, {"models", {{{"name", "m0"}}}}}}}}},
+      {"limits",
+       {{"maxHeaderBytes", 16'384},
+        {"maxBodyBytes", 33'554'432},
+        {"headerTimeoutMs", 3'000},
+        {"idleTimeoutMs", 15'000}}},
+      {"tenants",
+       {{{"name", "tenant-a"}, {"apiKeys", {"key-a"}}, {"priority", 1}},
+        {{"name", "tenant-b"}, {"apiKeys", {"key-b"}}, {"priority", 1}}}}};
 }
 
 inline Headers CallerHeaders(const std::string& key, const std::string& id,
@@ -1019,7 +1093,9 @@
   return {{"id", id},
           {"path", "/steps/3/91c4"},
           {"headers",
-           {{"Model", "m0"}, {"Token-Count", "16,400"}, {"Prompt-Prefix", "9c2e41:16"}}},
+           {{"Model", "m0"},
+            {"Token-Count", "16,400"},
+            {"Prompt-Prefix", "9c2e41:16"}}},
           {"body", "q83vEjRWeJA="},
           {"tokens", 416},
           {"group", group}};
@@ -1036,8 +1112,10 @@
     const char* setting = std::getenv("TROUBLE");
     trouble = setting == nullptr || std::string(setting) != "0";
     const char* temporary = std::getenv("CASE_FOLDER");
-    if (argc != 2 || temporary == nullptr || access("target/mulberry-node", X_OK) != 0) {
-      std::fprintf(stderr, "usage: run.sh, after the build of the deploy file\n");
+    if (argc != 2 || temporary == nullptr ||
+        access("target/mulberry-node", X_OK) != 0) {
+      std::fprintf(stderr,
+                   "usage: run.sh, after the build of the deploy file\n");
       std::exit(kCannotRun);
     }
     folder = temporary;
@@ -1045,21 +1123,28 @@
     record().Line("begin, with%s trouble", trouble ? "" : "out");
   }
 
-  [[noreturn]] void End(int code, std::vector<std::unique_ptr<Node>>& nodes, const char* reason) {
+  [[noreturn]] void End(int code, std::vector<std::unique_ptr<Node>>& nodes,
+                        const char* reason) {
     for (const auto& node : nodes) {
       node->Stop();
     }
     record().Line("%s: %s",
-                  code == kHeld ? "the rule held" : code == kBroken ? "BROKEN" : "could not run",
+                  code == kHeld     ? "the rule held"
+                  : code == kBroken ? "BROKEN"
+                                    : "could not run",
                   reason);
     std::printf("%s: %s\n",
-                code == kHeld ? "held" : code == kBroken ? "broken" : "could not run", reason);
+                code == kHeld     ? "held"
+                : code == kBroken ? "broken"
+                                  : "could not run",
+                reason);
     std::fflush(stdout);
     std::_Exit(code);
   }
 };
 
-inline std::vector<std::unique_ptr<Node>> StartNodes(const Case& run, const Platform& platform,
+inline std::vector<std::unique_ptr<Node>> StartNodes(const Case& run,
+                                                     const Platform& platform,
                                                      int count, int memory_mb) {
   std::vector<NodePorts> drawn;
   for (int i = 0; i < count; ++i) {
@@ -1068,7 +1153,8 @@
   std::vector<std::unique_ptr<Node>> nodes;
   for (int i = 0; i < count; ++i) {
     nodes.push_back(std::make_unique<Node>(i, run.folder, platform.port(),
-                                           drawn[static_cast<std::size_t>(i)], drawn, memory_mb));
+                                           drawn[static_cast<std::size_t>(i)],
+                                           drawn, memory_mb));
   }
   return nodes;
 }
