--- a/review/7/case.cc
+++ b/review/7/case.cc
@@ -1,7 +1,7 @@
 // The only replica of one of two services is taken away while a step runs whose
 // items go to both.
 
-#include "../kit-2/kit.h"
+#include "../kit-2.h"
 
 namespace {
 
--- a/review/9/case.cc
+++ b/review/9/case.cc
@@ -1,6 +1,6 @@
 // One answer of one replica holds a body of line feeds.
 
-#include "../kit-2/kit.h"
+#include "../kit-2.h"
 
 namespace {
 
--- a/review/kit-2/kit.h
+++ b/review/kit-2.h
@@ -2,8 +2,8 @@
 // platform's store and duty calls, replicas, and the nodes under test as child
 // processes. Everything but the nodes runs in threads of the case's program.
 
-#ifndef MULBERRYROAD_REVIEW_KIT_2_KIT_H_
-#define MULBERRYROAD_REVIEW_KIT_2_KIT_H_
+#ifndef MULBERRYROAD_REVIEW_KIT_2_H_
+#define MULBERRYROAD_REVIEW_KIT_2_H_
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -1161,4 +1161,4 @@
 
 }  // namespace kit
 
-#endif  // MULBERRYROAD_REVIEW_KIT_2_KIT_H_
+#endif  // MULBERRYROAD_REVIEW_KIT_2_H_
