--- a/test/fakes/platform/fake_replica.cc
+++ b/test/fakes/platform/fake_replica.cc
@@ -216,7 +216,8 @@
 }
 
 void FakeReplica::RunPlain(const Exchange& exchange, const std::string& id) {
-  steps_.After(kWorkTime, [this, exchange, id] {
+  const milliseconds work{NumberOf(exchange->request(), kWorkMillisHeader)};
+  steps_.After(std::max(kWorkTime, work), [this, exchange, id] {
     --running_;
     if (exchange->request().body.starts_with(kCrashingBody)) {
       std::_Exit(EXIT_FAILURE);
@@ -229,7 +230,10 @@
       Reply(exchange, kServerError, "{}", {{"Request-Id", id}});
       return;
     }
-    Reply(exchange, kOk, AnswerText(id),
+    std::string answer = AnswerText(id);
+    answer.resize(std::max<std::size_t>(
+        answer.size(), NumberOf(exchange->request(), kAnswerBytesHeader)));
+    Reply(exchange, kOk, answer,
           {{"Request-Id", id},
            {"Server-Seal", options_.id + "." + id},
            {"Content-Type", "text/plain"}});
--- a/test/fakes/platform/fake_replica.h
+++ b/test/fakes/platform/fake_replica.h
@@ -56,6 +56,10 @@
 inline constexpr char kFailingScorerPath[] = "/scores/fails";
 /// Start of a body under which a plain service ends.
 inline constexpr char kCrashingBody[] = "crash";
+/// Headers of a plain request that set the size of its answer and the least
+/// time until it.
+inline constexpr char kAnswerBytesHeader[] = "answer-bytes";
+inline constexpr char kWorkMillisHeader[] = "work-ms";
 /// Body of a plain answer.
 std::string AnswerText(const std::string& request);
 
