Server reads requests with one incremental parser

What callers saw: a few clients ended a node for want of memory, with bodies of GET and other methods in chunks, contradictory framings, line feeds alone, or heads of many short fields.

Cause: evhttp read and stored the requests, a guard parsed the same bytes again to count them, and each fault lay where the two differed.

Change: RequestParser wraps Boost.Beast's incremental parser, bounds all that is no content, and hands out parts of the body without storing them. ServerSession, one for each connection, counts a part in the budget before it stores it, refuses what cannot be served, and writes the response before it reads on. ConnectionGuard keeps the shared budget alone; responses that nobody reads count as such, and close their connection when the budget is used up. ChunkCounter and its test are gone with the second reader: request_parser tests the same body in pieces of any size, and all else that a request may hold.

Why it works: what is stored and what is counted is the same byte at the same place, and no byte is read while nobody counts it.

--- a/src/http/memory_budget.cc
+++ b/src/http/memory_budget.cc
@@ -49,6 +49,8 @@
       return "body_too_large";
     case CloseReason::kNotAdmitted:
       return "not_admitted";
+    case CloseReason::kMalformed:
+      return "malformed";
   }
   return "unknown";
 }
@@ -81,21 +83,30 @@
     return;
   }
   const Entry& entry = found->second;
-  held_ -= entry.held;
-  running_ -= entry.phase == ConnectionPhase::kRunning ? entry.held : 0;
+  Remove(entry);
   callers_ -= entry.protected_peer ? 0 : 1;
   entries_.erase(found);
 }
 
+void MemoryBudget::Add(const Entry& entry) {
+  held_ += entry.total();
+  running_ += entry.phase == ConnectionPhase::kRunning ? entry.total() : 0;
+}
+
+void MemoryBudget::Remove(const Entry& entry) {
+  held_ -= entry.total();
+  running_ -= entry.phase == ConnectionPhase::kRunning ? entry.total() : 0;
+}
+
 void MemoryBudget::SetPhase(Id id, ConnectionPhase phase, TimePoint now) {
   const auto found = entries_.find(id);
   if (found == entries_.end() || found->second.phase == phase) {
     return;
   }
   Entry& entry = found->second;
-  running_ -= entry.phase == ConnectionPhase::kRunning ? entry.held : 0;
-  running_ += phase == ConnectionPhase::kRunning ? entry.held : 0;
+  Remove(entry);
   entry.phase = phase;
+  Add(entry);
   entry.phase_began = now;
   entry.progressed = now;
 }
@@ -109,11 +120,23 @@
   if (bytes > entry.held) {
     entry.progressed = now;
   }
-  held_ += bytes - entry.held;
-  if (entry.phase == ConnectionPhase::kRunning) {
-    running_ += bytes - entry.held;
-  }
+  Remove(entry);
   entry.held = bytes;
+  Add(entry);
+}
+
+void MemoryBudget::SetUnsent(Id id, std::size_t bytes, TimePoint now) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) {
+    return;
+  }
+  Entry& entry = found->second;
+  if (bytes < entry.unsent) {
+    entry.progressed = now;
+  }
+  Remove(entry);
+  entry.unsent = bytes;
+  Add(entry);
 }
 
 bool MemoryBudget::HasRoomFor(std::size_t bytes, bool protected_peer) const {
@@ -134,11 +157,8 @@
   std::optional<Id> victim;
   double most = 0;
   for (const auto& [id, entry] : entries_) {
-    if (entry.phase == ConnectionPhase::kRunning || entry.held == 0) {
-      continue;
-    }
     // Bytes weighted by the time since the last byte and by the age.
-    const double score = static_cast<double>(entry.held) *
+    const double score = static_cast<double>(entry.closable()) *
                          (entry.protected_peer ? kProtectedWeight : 1.0) *
                          (1.0 + Seconds(now - entry.progressed) +
                           0.1 * Seconds(now - entry.phase_began));
--- a/src/http/memory_budget.h
+++ b/src/http/memory_budget.h
@@ -23,6 +23,8 @@
   kBodyTooLarge,
   /// No route, no valid key, or refused by the owner of the server.
   kNotAdmitted,
+  /// Not a request that the server can parse.
+  kMalformed,
 };
 /// Returns the name of a reason for metrics and logs.
 std::string_view ToString(CloseReason reason);
@@ -47,7 +49,7 @@
 
 /// What a connection does at the moment.
 enum class ConnectionPhase {
-  /// Between requests, or unread bytes of a response are left.
+  /// Between requests, or the rest of a refused request is discarded.
   kIdle,
   /// Some bytes of a head were received.
   kHead,
@@ -55,6 +57,8 @@
   kBody,
   /// The request was passed to its handler and has no complete response.
   kRunning,
+  /// The response is complete, and some of it is not sent.
+  kWriting,
 };
 
 /// Counts what connections hold. Performs no I/O and reads no clock.
@@ -78,16 +82,21 @@
   void Close(Id id);
   /// Sets what a connection does. Entering kHead or kBody starts its time.
   void SetPhase(Id id, ConnectionPhase phase, TimePoint now);
-  /// Sets the bytes that a connection holds. An increase counts as progress.
+  /// Sets the bytes that a connection holds besides its response. An increase
+  /// counts as progress.
   void SetHeld(Id id, std::size_t bytes, TimePoint now);
+  /// Sets the bytes of a response that the client has not taken. A decrease
+  /// counts as progress.
+  void SetUnsent(Id id, std::size_t bytes, TimePoint now);
 
   /// Returns whether a request that will hold so many bytes until its response
   /// fits beside the requests that run already. Incomplete bodies do not count,
   /// as they are closed for it.
   bool HasRoomFor(std::size_t bytes, bool protected_peer) const;
   /// Returns the connection to close while the budget is exceeded: the largest
-  /// and slowest of those that no handler works on; nullopt if the budget is
-  /// not exceeded or no such connection is left.
+  /// and slowest of those that no handler works on, or whose client does not
+  /// read the response; nullopt if the budget is not exceeded or no such
+  /// connection is left.
   std::optional<Id> NextVictim(TimePoint now) const;
   /// Returns the connection to close while too many are open: the one that has
   /// been without a complete request for the longest time.
@@ -108,12 +117,25 @@
     bool protected_peer = false;
     ConnectionPhase phase = ConnectionPhase::kIdle;
     std::size_t held = 0;
+    std::size_t unsent = 0;
     TimePoint phase_began;
     TimePoint progressed;
+
+    std::size_t total() const { return held + unsent; }
+    /// Bytes that are given back by closing the connection, unless that ends a
+    /// request whose response is still awaited.
+    std::size_t closable() const {
+      return phase == ConnectionPhase::kRunning ? unsent : total();
+    }
   };
 
+  /// Changes the sums by what an entry holds.
+  void Add(const Entry& entry);
+  void Remove(const Entry& entry);
+
   BudgetLimits limits_;
   std::map<Id, Entry> entries_;
+  /// Bytes of all connections, with their responses.
   std::size_t held_ = 0;
   /// Part of held_ in phase kRunning.
   std::size_t running_ = 0;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -1,5 +1,4 @@
-// HTTP server based on evhttp: routing, complete and chunked responses, and
-// graceful shutdown.
+// HTTP server: routing, complete and chunked responses, and graceful shutdown.
 
 #ifndef MULBERRYROAD_SRC_HTTP_SERVER_H_
 #define MULBERRYROAD_SRC_HTTP_SERVER_H_
@@ -15,51 +14,26 @@
 #include <string>
 #include <string_view>
 #include <utility>
-#include <vector>
 
 #include "base/event_loop.h"
+#include "http/request.h"
 #include "mulberryroad/endpoint.h"
 
-struct event;
-struct evhttp;
-struct evhttp_bound_socket;
-struct evhttp_request;
+struct evconnlistener;
+struct sockaddr;
 
 namespace mulberryroad::http {
 
-enum class Method { kGet, kPost, kPut, kDelete };
-
-struct Header {
-  std::string name;
-  std::string value;
-};
-using Headers = std::vector<Header>;
-
 class ConnectionGuard;
+class ServerSession;
+struct ServerContext;
 
-/// A complete request. Header names are in lower case.
-struct Request {
-  Method method = Method::kGet;
-  std::string path;
-  /// Path and query as received.
-  std::string target;
-  std::map<std::string, std::string> query;
-  std::map<std::string, std::string> headers;
-  std::string body;
-  /// Total size of the header lines as received, in bytes.
-  std::size_t header_bytes = 0;
-
-  /// Returns the value of a header by its lower-case name, or nullopt.
-  std::optional<std::string> header(const std::string& name) const;
-  /// Returns the value of a query parameter, or nullopt.
-  std::optional<std::string> parameter(const std::string& name) const;
-};
-
-/// A request and its response. Holds a reference to itself until the response
-/// is complete or the connection is closed. Belongs to the event loop's thread.
+/// A request and its response. The session of its connection holds a reference
+/// until the response is complete or the connection is closed. Belongs to the
+/// event loop's thread.
 class Exchange : public std::enable_shared_from_this<Exchange> {
  public:
-  Exchange(base::EventLoop& loop, evhttp_request* native, Request request);
+  Exchange(std::shared_ptr<ServerSession> session, Request request);
   ~Exchange();
   Exchange(const Exchange&) = delete;
   Exchange& operator=(const Exchange&) = delete;
@@ -91,28 +65,19 @@
 
  private:
   friend class Server;
+  friend class ServerSession;
 
-  void MonitorCaller();
-  void StartCallerEvent(int fd, int events);
-  void OnCallerEvent(int fd, int events);
-  void OnCallerDisconnected();
   void OnConnectionClosed();
-  void StopWatchingClose();
   void Detach();
 
-  base::EventLoop& loop_;
-  evhttp_request* native_;
-  event* caller_event_ = nullptr;
+  /// Null once the response is complete or the connection is closed.
+  std::shared_ptr<ServerSession> session_;
   Request request_;
   bool response_started_ = false;
   bool streaming_ = false;
   bool closed_ = false;
-  bool close_after_reply_ = false;
   sigc::signal<void()> on_disconnected_;
   std::function<void()> on_detached_;
-  std::shared_ptr<ConnectionGuard> guard_;
-  // Set while evhttp may still call back with a pointer to this exchange.
-  std::shared_ptr<Exchange> self_;
 };
 
 using Handler = std::function<void(std::shared_ptr<Exchange>)>;
@@ -130,7 +95,9 @@
                                             std::optional<std::size_t> length)>;
 
 struct ServerLimits {
+  /// Larger bodies get 413 before they are read.
   std::size_t max_body_bytes = 8U << 20U;
+  /// Bound of the request line and the headers; larger ones get 431.
   std::size_t max_header_bytes = 64U << 10U;
   /// Time after which a connection is closed if the client sends nothing,
   /// within a request or between requests.
@@ -156,17 +123,17 @@
   void Route(Method method, std::string path_prefix, Handler handler);
   /// Sets the handler for requests without a route. The default replies 404.
   void SetFallbackHandler(Handler handler);
-  /// Sets the handler for requests whose body exceeds the limit, whatever their
-  /// route. The default replies 413. Bodies of more than four times the limit
-  /// are rejected by evhttp and do not reach the handler.
+  /// Sets the handler for requests whose body exceeds the limit and arrived
+  /// with the head, whatever their route. The default replies 413. Larger ones
+  /// are refused by their head and do not reach the handler.
   void SetOversizeHandler(Handler handler);
   /// Bounds the connections by a guard that other servers may share. Must be
   /// called before Listen.
   /// @param protected_peer whether callers leave a share for this server
   void SetGuard(std::shared_ptr<ConnectionGuard> guard, bool protected_peer);
   /// Sets the check of requests that match no route and whose body has not been
-  /// received; without it they are rejected like by the default handler. Has an
-  /// effect only with a guard.
+  /// received. Without it their bodies are read only if a fallback handler is
+  /// set.
   void SetHeadCheck(HeadCheck check);
   /// Adds "Connection: close" to the responses to all later requests, so that
   /// callers reconnect elsewhere.
@@ -177,28 +144,26 @@
   std::size_t open_exchanges() const { return open_exchanges_; }
 
  private:
-  static void OnRequest(evhttp_request* native, void* self);
-  void Dispatch(evhttp_request* native);
+  static void OnAccept(evconnlistener* listener, int socket, sockaddr* address,
+                       int address_size, void* self);
+  static void OnAcceptError(evconnlistener* listener, void* self);
+  void Dispatch(const std::shared_ptr<Exchange>& exchange);
   const Handler* FindHandler(Method method, const std::string& path) const;
   HeadVerdict CheckHead(const Request& request,
                         std::optional<std::size_t> length) const;
 
-  base::EventLoop& loop_;
-  ServerLimits limits_;
-  evhttp* http_;
-  evhttp_bound_socket* socket_ = nullptr;
+  std::shared_ptr<ServerContext> context_;
+  evconnlistener* listener_ = nullptr;
+  /// Enables the listener again after it failed to accept a connection.
+  base::Timer accept_timer_;
   std::map<std::pair<Method, std::string>, Handler> routes_;
+  /// Empty for the default.
   Handler fallback_;
+  /// Empty for the default.
   Handler oversize_;
-  bool draining_ = false;
-  /// True if open connections may still have the previous client timeout.
-  bool limits_changed_ = false;
+  HeadCheck head_check_;
   std::size_t open_exchanges_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-  std::shared_ptr<ConnectionGuard> guard_;
-  bool protected_peer_ = false;
-  HeadCheck head_check_;
-  HeadCheck guard_check_;
 };
 
 }  // namespace mulberryroad::http
--- /dev/null
+++ b/src/http/server_session.h
@@ -0,0 +1,154 @@
+// One connection of an HTTP server: reads requests one after the other, and
+// writes the response to each before it reads the next.
+
+#ifndef MULBERRYROAD_SRC_HTTP_SERVER_SESSION_H_
+#define MULBERRYROAD_SRC_HTTP_SERVER_SESSION_H_
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "base/event_loop.h"
+#include "http/connection_guard.h"
+#include "http/request_parser.h"
+#include "http/server.h"
+
+struct bufferevent;
+struct evbuffer;
+struct event;
+
+namespace mulberryroad::http {
+
+class ServerSession;
+
+/// What a server and its sessions share.
+struct ServerContext {
+  ServerContext(base::EventLoop& event_loop, ServerLimits server_limits)
+      : loop(event_loop), limits(server_limits) {}
+
+  base::EventLoop& loop;
+  ServerLimits limits;
+  std::shared_ptr<ConnectionGuard> guard;
+  bool protected_peer = false;
+  /// Whether later responses end their connections.
+  bool draining = false;
+  /// Decides about a request whose body has not been received.
+  HeadCheck check_head;
+  /// Passes a complete request to its handler.
+  std::function<void(std::shared_ptr<Exchange>)> dispatch;
+  std::set<std::shared_ptr<ServerSession>> sessions;
+};
+
+/// Holds itself, through the context, until its connection is closed. Belongs
+/// to the event loop's thread.
+class ServerSession : public std::enable_shared_from_this<ServerSession> {
+ public:
+  /// @param socket a connected socket, which the session owns
+  ServerSession(std::shared_ptr<ServerContext> context, int socket);
+  ~ServerSession();
+  ServerSession(const ServerSession&) = delete;
+  ServerSession& operator=(const ServerSession&) = delete;
+
+  /// Begins to read requests. May close the connection.
+  void Start();
+  /// Closes the connection at once. An exchange that is open is told so.
+  void Close();
+
+  /// Sends a complete response to the request that runs.
+  void Respond(int status, std::string_view body, const Headers& headers);
+  /// Starts a response whose size is not known.
+  void StartStream(int status, const Headers& headers);
+  void WriteStream(std::string_view bytes);
+  void FinishStream();
+  /// Closes the connection so that the client sees a started response as
+  /// incomplete.
+  void Abort();
+
+  base::EventLoop& loop() { return context_->loop; }
+
+  /// Time for which what a refused client still sends is read and discarded,
+  /// so that it can read the response.
+  static constexpr std::chrono::milliseconds kLingerTime{1'000};
+
+ private:
+  enum class State {
+    /// Reads a head, or waits for one.
+    kHead,
+    kBody,
+    /// The request was passed to its handler.
+    kRunning,
+    /// The response is complete, and some of it is not sent.
+    kWriting,
+    /// The request was refused. What arrives is discarded.
+    kLingering,
+    kClosed,
+  };
+  struct ElementHandler;
+
+  static void OnReadable(bufferevent* stream, void* self);
+  static void OnWritten(bufferevent* stream, void* self);
+  static void OnEvent(bufferevent* stream, base::EventFlags events, void* self);
+
+  void BeginRequest();
+  void ReadElements();
+  void OnHead(RequestParser::Head head);
+  void OnBodyPart(std::string_view bytes);
+  /// Decides about a request whose body is not complete.
+  /// @return whether the body may be read
+  bool CheckHead();
+  void Dispatch();
+  void OnResponseSent();
+  void OnTimeout();
+  void WatchClient();
+  void StopWatchingClient();
+  void OnClientEvent(int events);
+  void Refuse(const HeadVerdict& verdict, CloseReason reason);
+  void OnGuardCloses(CloseReason reason);
+  void Measure();
+  void CountHeld();
+  void SetState(State state);
+  void SetPhase(ConnectionPhase phase);
+  void WriteHead(int status, Headers headers,
+                 std::optional<std::size_t> body_bytes);
+  void EndResponse();
+  void DiscardInput();
+
+  bool reading() const {
+    return state_ == State::kHead || state_ == State::kBody;
+  }
+  evbuffer* input() const;
+  evbuffer* output() const;
+  int fd() const;
+
+  std::shared_ptr<ServerContext> context_;
+  bufferevent* stream_;
+  ConnectionGuard::Id id_ = 0;
+  State state_ = State::kHead;
+  std::chrono::milliseconds timeout_{0};
+  std::optional<RequestParser> parser_;
+  /// The request that is being read, or runs, without its body.
+  RequestParser::Head head_;
+  std::string body_;
+  bool head_checked_ = false;
+  std::size_t max_body_bytes_ = 0;
+  /// Bytes counted for a running request.
+  std::size_t running_bytes_ = 0;
+  /// Bytes in the kernel that are not read while a request runs.
+  std::size_t unread_bytes_ = 0;
+  bool close_after_response_ = false;
+  /// Whether the response that is being sent has chunks.
+  bool chunked_ = false;
+  bool streaming_ = false;
+  std::shared_ptr<Exchange> exchange_;
+  event* client_event_ = nullptr;
+  base::Timer linger_timer_;
+};
+
+}  // namespace mulberryroad::http
+
+#endif  // MULBERRYROAD_SRC_HTTP_SERVER_SESSION_H_
--- a/test/http_server_test.cc
+++ b/test/http_server_test.cc
@@ -152,3 +152,105 @@
   cr_assert_eq(errno, ECONNRESET);
   close(caller);
 }
+
+namespace {
+
+/// A server whose default handler answers with the size of the body.
+class EchoServer {
+ public:
+  EchoServer() {
+    server_.SetFallbackHandler([](const std::shared_ptr<Exchange>& exchange) {
+      exchange->Reply(200, std::to_string(exchange->request().body.size()));
+    });
+    cr_assert(server_.Listen(Endpoint{"127.0.0.1", port_}));
+  }
+
+  /// Sends bytes and returns what the server answers until it pauses.
+  std::string Send(int client, const std::string& bytes) {
+    cr_assert(send(client, bytes.data(), bytes.size(), 0) ==
+              static_cast<ssize_t>(bytes.size()));
+    const Timer stop =
+        loop_.After(std::chrono::milliseconds(100), [this] { loop_.Stop(); });
+    loop_.Run();
+    std::string received(64U << 10U, '\0');
+    const ssize_t size =
+        recv(client, received.data(), received.size(), MSG_DONTWAIT);
+    received.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
+    return received;
+  }
+  std::uint16_t port() const { return port_; }
+
+ private:
+  EventLoop loop_;
+  Server server_{loop_, ServerLimits{.max_body_bytes = 1'000}};
+  std::uint16_t port_ = mulberryroad::fakes::FreePort();
+};
+
+std::string Status(const std::string& response) {
+  return response.substr(0, response.find("\r\n"));
+}
+
+}  // namespace
+
+Test(http_server, interim_response_precedes_an_expected_body) {
+  EchoServer server;
+  const int client = Connect(server.port());
+  const std::string head =
+      "POST / HTTP/1.1\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n";
+  cr_expect(server.Send(client, head) == "HTTP/1.1 100 Continue\r\n\r\n");
+  cr_expect(server.Send(client, "abc").ends_with("\r\n\r\n3"));
+  // No interim response if the body is there, or if the request is refused.
+  cr_expect(Status(server.Send(client, head + "abc")) == "HTTP/1.1 200 OK");
+  cr_expect(Status(server.Send(client,
+                               "POST / HTTP/1.1\r\nContent-Length: 1001\r\n"
+                               "Expect: 100-continue\r\n\r\n")) ==
+            "HTTP/1.1 413 Payload Too Large");
+  close(client);
+}
+
+// Guards against responses in another order, or to a part of a body.
+Test(http_server, pipelined_requests_are_answered_in_order) {
+  EchoServer server;
+  const int client = Connect(server.port());
+  std::string sent;
+  for (int size = 1; size <= 9; ++size) {
+    sent += "GET / HTTP/1.1\r\nContent-Length: " + std::to_string(size) +
+            "\r\n\r\n" + std::string(static_cast<std::size_t>(size), 'x');
+  }
+  const std::string received = server.Send(client, sent);
+  std::string sizes;
+  for (std::size_t at = received.find("\r\n\r\n"); at != std::string::npos;
+       at = received.find("\r\n\r\n", at + 1)) {
+    sizes += received.substr(at + 4, 1);
+  }
+  cr_expect_str_eq(sizes.c_str(), "123456789");
+  close(client);
+}
+
+// Guards against a refusal that is lost in the reset of its connection.
+Test(http_server, refused_client_reads_the_response) {
+  EchoServer server;
+  const int client = Connect(server.port());
+  const std::string response =
+      server.Send(client, "POST / HTTP/1.1\r\nContent-Length: 500000\r\n\r\n" +
+                              std::string(400'000, 'x'));
+  cr_expect(Status(response) == "HTTP/1.1 413 Payload Too Large");
+  cr_expect_neq(response.find("not run"), std::string::npos);
+  close(client);
+}
+
+Test(http_server, http_1_0_connections_end_with_the_response) {
+  EchoServer server;
+  int client = Connect(server.port());
+  std::string response = server.Send(client, "GET / HTTP/1.0\r\n\r\n");
+  cr_expect(Status(response) == "HTTP/1.0 200 OK");
+  char byte = 0;
+  cr_expect_eq(recv(client, &byte, 1, MSG_DONTWAIT), 0);
+  close(client);
+  client = Connect(server.port());
+  response =
+      server.Send(client, "GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n");
+  cr_expect_neq(response.find("Connection: keep-alive"), std::string::npos);
+  cr_expect_eq(recv(client, &byte, 1, MSG_DONTWAIT), -1);
+  close(client);
+}
--- a/test/memory_budget_test.cc
+++ b/test/memory_budget_test.cc
@@ -6,8 +6,6 @@
 
 #include <chrono>
 
-#include "http/connection_guard.h"
-
 namespace mulberryroad::http {
 namespace {
 
@@ -81,17 +79,25 @@
   cr_expect_neq(excess.value_or(0), peer);
 }
 
-// Guards against a limit that framing uses up, or that pieces circumvent.
-Test(chunk_counter, counts_content_in_pieces_of_any_size) {
-  const std::string body = "4;a=b\r\nwxyz\r\n0a\r\n0123456789\r\n0\r\n\r\n";
-  for (std::size_t size = 1; size <= body.size(); ++size) {
-    ChunkCounter counter;
-    for (std::size_t at = 0; at < body.size(); at += size) {
-      counter.Add(std::string_view(body).substr(at, size));
-    }
-    cr_expect_eq(counter.content(), 14, "%zu in pieces of %zu",
-                 counter.content(), size);
+// Guards against responses that nobody reads and that count as running.
+Test(memory_budget, closes_connections_that_do_not_read_their_response) {
+  MemoryBudget budget({.bytes = 10 * kMega});
+  const auto reading = budget.Open(false, kStart);
+  const auto stalled = budget.Open(false, kStart);
+  for (const auto id : {reading, stalled}) {
+    budget.SetPhase(id, ConnectionPhase::kRunning, kStart);
+    budget.SetHeld(id, 4 * kMega, kStart);
+    budget.SetUnsent(id, 2 * kMega, kStart);
   }
+  const auto later = kStart + seconds(5);
+  budget.SetUnsent(reading, 1 * kMega, later);
+  cr_expect_eq(budget.held(), 11 * kMega);
+  cr_expect_eq(budget.NextVictim(later).value_or(0), stalled);
+  budget.Close(stalled);
+  cr_expect_eq(budget.held(), 5 * kMega);
+  budget.SetPhase(reading, ConnectionPhase::kWriting, later);
+  cr_expect(budget.HasRoomFor(9 * kMega, false));
+  cr_expect(!budget.NextVictim(later).has_value());
 }
 
 }  // namespace
