Submissions are decoded and encoded item by item

What callers saw: one submission of 6 MB took a node of 64 MB to 239,032 KB with empty items, and to 499,144 KB with nested ones.

Cause: the decoder built the whole JSON tree before it looked at an item, then all items as messages, then their records; the size of a chunk was computed anew for each item.

What is malformed ends the reading.

Why it works: a decoder holds the text, one item and its records, whatever the items are.

--- a/src/batches/batch_table.cc
+++ b/src/batches/batch_table.cc
@@ -96,30 +96,47 @@
   return found == batches_.end() ? nullptr : &found->second;
 }
 
+RecordBuilder::RecordBuilder(std::string batch, std::size_t max_record_bytes)
+    : batch_(std::move(batch)),
+      max_record_bytes_(max_record_bytes),
+      records_(1) {}
+
+// The encoding of a message with a repeated field is the sequence of the
+// encodings with one element each.
+void RecordBuilder::Add(const v1::BatchItem& item) {
+  v1::BatchChunk single;
+  *single.add_items() = item;
+  if (!chunk_.empty() &&
+      chunk_.size() + item.ByteSizeLong() > max_record_bytes_) {
+    CloseChunk();
+  }
+  single.AppendToString(&chunk_);
+  ++items_;
+}
+
+void RecordBuilder::CloseChunk() {
+  chunk_.shrink_to_fit();
+  records_.push_back({Encode(ChunkKey{batch_, chunks_++}),
+                      std::exchange(chunk_, std::string())});
+}
+
+std::vector<platform::KeyedRecord> RecordBuilder::Build(
+    v1::BatchRecord accepted) {
+  CloseChunk();
+  accepted.set_items(items_);
+  accepted.set_chunks(chunks_);
+  records_[0] = {Encode(AcceptedKey{batch_}), accepted.SerializeAsString()};
+  return std::exchange(records_, std::vector<platform::KeyedRecord>(1));
+}
+
 std::vector<platform::KeyedRecord> MakeRecords(
     v1::BatchRecord accepted, const std::vector<v1::BatchItem>& items,
     std::size_t max_record_bytes) {
-  std::vector<platform::KeyedRecord> records(1);
-  v1::BatchChunk chunk;
-  std::uint32_t chunks = 0;
-  const auto close_chunk = [&] {
-    records.push_back({Encode(ChunkKey{accepted.batch(), chunks++}),
-                       chunk.SerializeAsString()});
-    chunk.Clear();
-  };
+  RecordBuilder builder(accepted.batch(), max_record_bytes);
   for (const v1::BatchItem& item : items) {
-    if (chunk.items_size() > 0 &&
-        chunk.ByteSizeLong() + item.ByteSizeLong() > max_record_bytes) {
-      close_chunk();
-    }
-    *chunk.add_items() = item;
+    builder.Add(item);
   }
-  close_chunk();
-  accepted.set_items(static_cast<std::uint32_t>(items.size()));
-  accepted.set_chunks(chunks);
-  records[0] = {Encode(AcceptedKey{accepted.batch()}),
-                accepted.SerializeAsString()};
-  return records;
+  return builder.Build(std::move(accepted));
 }
 
 }  // namespace mulberryroad::batches
--- a/src/batches/batch_table.h
+++ b/src/batches/batch_table.h
@@ -70,6 +70,35 @@
   std::map<std::string, Batch> batches_;
 };
 
+/// Encodes a batch as records for one append, item by item, so that the items
+/// need not be in memory together.
+class RecordBuilder {
+ public:
+  /// @param batch id of the batch
+  /// @param max_record_bytes upper bound of a chunk's size, exceeded only by a
+  ///     chunk with a single larger item
+  RecordBuilder(std::string batch, std::size_t max_record_bytes);
+
+  void Add(const v1::BatchItem& item);
+  std::uint32_t items() const { return items_; }
+  /// Returns the batch record, then the items in chunks. The builder is empty
+  /// afterwards.
+  /// @param accepted the batch record; its counts are filled in
+  std::vector<platform::KeyedRecord> Build(v1::BatchRecord accepted);
+
+ private:
+  void CloseChunk();
+
+  std::string batch_;
+  std::size_t max_record_bytes_;
+  /// The first record is the one of the batch.
+  std::vector<platform::KeyedRecord> records_;
+  /// Encoded items of the last chunk.
+  std::string chunk_;
+  std::uint32_t chunks_ = 0;
+  std::uint32_t items_ = 0;
+};
+
 /// Encodes a batch as records for one append: the batch record, then the items
 /// in chunks.
 /// @param max_record_bytes upper bound of a chunk's size, exceeded only by a
--- a/test/contract/platform_adapter_test.cc
+++ b/test/contract/platform_adapter_test.cc
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "batches/batch_table.h"
 #include "platform/batch_codec.h"
 #include "platform/headers.h"
 #include "platform/json.h"
@@ -328,6 +329,67 @@
   cr_assert(!DecodingError(R"({"items":[]})").empty());
 }
 
+// Guards against submissions whose decoder takes many times their size.
+Test(batch_codec, submission_exceeds_a_bound_of_its_decoder) {
+  const auto with = [](const std::string& item) {
+    return R"({"x":[{"y":[]}],"items":[{"id":"i0","path":"/","body":""},)" +
+           item + R"(],"model":{"z":1}})";
+  };
+  const auto item = [](const std::string& fields) {
+    return R"({"id":"i1","path":"/","body":"")" + fields + "}";
+  };
+  cr_expect(DecodingError(with(item(R"(,"z":[{"a":[1,"b"]}])"))).empty());
+  std::string fields;
+  for (std::size_t i = 0; i < kMaxItemValues; ++i) {
+    fields += ",\"a\":1";
+  }
+  cr_expect(DecodingError(with(item(fields))).starts_with("item 1: more than"));
+  const std::string open(kMaxSubmissionDepth, '[');
+  const std::string close(kMaxSubmissionDepth, ']');
+  const std::string nested = open + close;
+  for (const std::string& body :
+       {with(item(",\"a\":" + nested)), R"({"x":)" + nested + "}"}) {
+    cr_expect(DecodingError(body).starts_with("values are nested"), "%s",
+              DecodingError(body).c_str());
+  }
+  for (const char* body :
+       {"", "[]", "7", "{}", R"({"items":{"a":{}}})", R"({"items":[7]})",
+        R"({"items":[[]]})", R"({"items":[{"id":"i","path":"/","body":""}]} x)",
+        R"({"items":[{"id":"i","path":"/","body":""}])"}) {
+    cr_expect(!DecodingError(body).empty(), "%s", body);
+  }
+}
+
+// Guards against records that depend on how a batch is encoded.
+Test(batch_codec, record_builder_closes_chunks_at_the_limit) {
+  constexpr std::size_t kMaxRecordBytes = 200;
+  batches::RecordBuilder builder("b1", kMaxRecordBytes);
+  std::vector<std::string> added;
+  for (int i = 0; i < 50; ++i) {
+    v1::BatchItem item;
+    item.set_id("i" + std::to_string(i));
+    item.set_body(std::string(static_cast<std::size_t>(i) * 7, 'x'));
+    builder.Add(item);
+    added.push_back(item.SerializeAsString());
+  }
+  const auto records = builder.Build({});
+  v1::BatchRecord accepted;
+  cr_assert(accepted.ParseFromString(*records[0].value));
+  cr_expect_eq(accepted.items(), 50);
+  cr_expect_eq(accepted.chunks() + 1, records.size());
+  std::vector<std::string> read;
+  for (std::size_t i = 1; i < records.size(); ++i) {
+    v1::BatchChunk chunk;
+    cr_assert(chunk.ParseFromString(*records[i].value));
+    cr_expect(chunk.items_size() == 1 ||
+              records[i].value->size() <= kMaxRecordBytes + 8);
+    for (const v1::BatchItem& item : chunk.items()) {
+      read.push_back(item.SerializeAsString());
+    }
+  }
+  cr_expect(read == added);
+}
+
 // An item runs for the organisation that submitted it, regardless of the
 // headers of the item.
 // Guards against items that smuggle a request of their own to an upstream.
