The client sends the length of every body

Cause: the caller's Content-Length concerns one connection and is dropped; evhttp adds one for POST and PUT only, and writes the body of any method.

Change: the client sets Content-Length for each request with a body.

Evidence: http_client::body_of_each_method_is_sent_with_its_length fails without the change: the server receives the body as a second request. It passes with it, on one connection.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -258,6 +258,9 @@
       evhttp_add_header(headers, "Host", ToString(request_.endpoint).c_str());
     }
     if (!request_.body.empty()) {
+      // evhttp sets the length of bodies of POST and PUT only.
+      evhttp_add_header(headers, "Content-Length",
+                        std::to_string(request_.body.size()).c_str());
       // Not copied: the buffer owns the body, which is sent once.
       auto* body = new std::string(std::move(request_.body));
       evbuffer_add_reference(
--- a/test/http_client_test.cc
+++ b/test/http_client_test.cc
@@ -83,6 +83,40 @@
                fixture.proxy.accepted());
 }
 
+// Guards against a body that the server reads as the next request of the
+// connection.
+Test(http_client, body_of_each_method_is_sent_with_its_length) {
+  Fixture fixture;
+  std::vector<std::string> received;
+  fixture.server.SetFallbackHandler(
+      [&received](const std::shared_ptr<Exchange>& exchange) {
+        received.push_back(exchange->request().body);
+        exchange->Reply(200, "{}");
+      });
+  const std::string body = "GET /inner HTTP/1.1\r\nHost: x\r\n\r\n";
+  const std::vector<Method> methods = {Method::kGet, Method::kPost,
+                                       Method::kPut, Method::kDelete};
+  for (const Method method : methods) {
+    for (const std::string& sent : {body, std::string()}) {
+      const std::size_t before = received.size();
+      ClientRequest request;
+      request.endpoint = fixture.proxy.endpoint();
+      request.method = method;
+      request.path = "/";
+      request.body = sent;
+      std::optional<Result> result;
+      fixture.client.Send(std::move(request),
+                          [&result](Result done) { result = std::move(done); });
+      cr_assert(fakes::RunUntil(fixture.loop,
+                                [&result] { return result.has_value(); }));
+      cr_assert(std::holds_alternative<Response>(*result));
+      cr_assert_eq(received.size(), before + 1);
+      cr_expect_str_eq(received.back().c_str(), sent.c_str());
+    }
+  }
+  cr_expect_eq(fixture.proxy.accepted(), 1);
+}
+
 Test(http_client, request_sent_from_callback_reuses_connection) {
   Fixture fixture;
   int answered = 0;
