Each status line of a response is checked

What callers saw: behind an interim response, status lines such as "0200", "200OK" and "+200" counted as 200 and were passed on.

Cause: evhttp reads a status with atoi; the client's check of the line ran once a call, for the interim response only.

Change: an interim response makes the next status line be checked.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -378,8 +378,13 @@
   static int OnHeaders(evhttp_request* native, void* argument) {
     auto* self = static_cast<ActiveCall*>(argument);
     const int status = evhttp_request_get_response_code(native);
-    if (self->finished_ || self->answer_rejected_ ||
-        (status >= kFirstStatus && status < kFirstFinalStatus)) {
+    if (self->finished_ || self->answer_rejected_) {
+      return 0;
+    }
+    if (status >= kFirstStatus && status < kFirstFinalStatus) {
+      // The status line of the next response may be received already.
+      self->status_line_checked_ = false;
+      self->CheckStatusLine();
       return 0;
     }
     if (status < kFirstStatus || status > kLastStatus) {
--- a/test/upstream_client_test.cc
+++ b/test/upstream_client_test.cc
@@ -177,6 +177,8 @@
       {"HTTP/1.1 -5 OK", false},
       {"HTTP/1.1 600 OK", false},
       {"HTTP/1.1 099 OK", false},
+      {"HTTP/1.1 000 OK", false},
+      {"HTTP/1.1 000", false},
       {"HTTP/1.1 101 Upgrade", false},
       {"HTTP/2.0 200 OK", false},
       {"200 OK", false},
@@ -197,6 +199,33 @@
   }
 }
 
+// Guards against a final status that is checked only if no interim response
+// precedes it.
+Test(upstream_client, malformed_status_line_after_an_interim_response) {
+  const std::vector<std::pair<std::string, bool>> cases = {
+      {"HTTP/1.1 200 OK", true},    {"HTTP/1.1 000 OK", false},
+      {"HTTP/1.1 0200 OK", false},  {"HTTP/1.1 200OK", false},
+      {"HTTP/1.1 +200 OK", false},  {"HTTP/1.1 200,5 OK", false},
+      {"HTTP/1.1 2000 OK", false},  {"HTTP/1.1 20 OK", false},
+      {"HTTP/1.1 \t200 OK", false}, {"HTTP/1.1 101 Upgrade", false},
+      {"HTTP/1.1 0x1 OK", false},   {"HTTP/1.1 600 OK", false},
+  };
+  for (const auto& [line, valid] : cases) {
+    Fixture fixture([line = line](int) {
+      return RawAnswer{"HTTP/1.1 100 Continue\r\n\r\n" + line +
+                           "\r\nRequest-Id: r1\r\nServer-Seal: s\r\n"
+                           "Content-Length: 5\r\n\r\nwhole",
+                       AfterAnswer::kKeepOpen,
+                       {}};
+    });
+    const serving::UpstreamOutcome outcome = fixture.Send("r1");
+    cr_expect_eq(std::holds_alternative<serving::CompleteResponse>(outcome),
+                 valid, "%s", line.c_str());
+    cr_expect(valid || std::holds_alternative<serving::MayHaveRun>(outcome),
+              "%s", line.c_str());
+  }
+}
+
 // Guards against an error whose text is forwarded as events of a stream.
 Test(upstream_client, body_of_another_type_is_read_as_events) {
   const std::string error = "{\"error\":\"full\"}\n\n";
