Received bytes are counted once for each read

Cause: the session counted each part of a body, two look-ups in the budget for a chunk of one byte. What arrives is counted before the loop; moving it from the input to the request does not change the sum. An exchange keeps its session while a response is counted, which may close the connection.

Measured: hostile_framings::chunk* passes, as do the tests of http_server.

--- a/src/http/exchange.cc
+++ b/src/http/exchange.cc
@@ -18,8 +18,10 @@
     return;
   }
   response_started_ = true;
+  // Counting the response may close the connection.
   const std::shared_ptr<Exchange> self = shared_from_this();
-  session_->Respond(status, body, headers);
+  const std::shared_ptr<ServerSession> session = session_;
+  session->Respond(status, body, headers);
   Detach();
 }
 
@@ -30,20 +32,23 @@
   response_started_ = true;
   streaming_ = true;
   const std::shared_ptr<Exchange> self = shared_from_this();
-  session_->StartStream(status, headers);
+  const std::shared_ptr<ServerSession> session = session_;
+  session->StartStream(status, headers);
 }
 
 void Exchange::Write(std::string_view chunk) {
   if (streaming_ && session_ != nullptr) {
     const std::shared_ptr<Exchange> self = shared_from_this();
-    session_->WriteStream(chunk);
+    const std::shared_ptr<ServerSession> session = session_;
+    session->WriteStream(chunk);
   }
 }
 
 void Exchange::Finish() {
   if (streaming_ && session_ != nullptr) {
     const std::shared_ptr<Exchange> self = shared_from_this();
-    session_->FinishStream();
+    const std::shared_ptr<ServerSession> session = session_;
+    session->FinishStream();
     Detach();
   }
 }
--- a/src/http/server_session.cc
+++ b/src/http/server_session.cc
@@ -250,7 +250,10 @@
   }
 }
 
+// Counts what arrived before any of it is stored: the sum does not grow as
+// bytes move from the input to the request.
 void ServerSession::ReadElements() {
+  CountHeld();
   bool read_on = true;
   while (read_on && reading()) {
     const std::size_t available = evbuffer_get_length(input());
@@ -308,17 +311,13 @@
   return true;
 }
 
-// Counts the bytes before it stores them.
 void ServerSession::OnBodyPart(std::string_view bytes) {
   if (head_checked_ && body_.size() + bytes.size() > max_body_bytes_) {
     Refuse(NotRun(kPayloadTooLarge, "the body is too large"),
            CloseReason::kBodyTooLarge);
     return;
   }
-  CountHeld();
-  if (state_ == State::kBody) {
-    body_.append(bytes);
-  }
+  body_.append(bytes);
 }
 
 void ServerSession::Dispatch() {
