--- a/src/http/request_parser.cc
+++ b/src/http/request_parser.cc
@@ -64,10 +64,10 @@
 
 }  // namespace
 
-/// Receives the fields that Beast's parser finds.
-class RequestParser::Fields : public BeastParser {
+/// Receives what the parser of Boost.Beast finds.
+class RequestParser::Impl : public BeastParser {
  public:
-  explicit Fields(std::size_t max_head_bytes) : max_bytes_(max_head_bytes) {
+  explicit Impl(std::size_t max_head_bytes) : max_bytes_(max_head_bytes) {
     header_limit(static_cast<std::uint32_t>(max_head_bytes));
     body_limit(boost::none);
     eager(false);
@@ -135,10 +135,10 @@
   Malformed failure_;
 };
 
-void RequestParser::Fields::on_request_impl(beast::http::verb verb,
-                                            string_view /*method*/,
-                                            string_view target, int version,
-                                            error_code& error) {
+void RequestParser::Impl::on_request_impl(beast::http::verb verb,
+                                          string_view /*method*/,
+                                          string_view target, int version,
+                                          error_code& error) {
   const std::optional<Method> method = ParseMethod(verb);
   if (!method.has_value()) {
     Fail(kNotImplemented, "the method is not supported", &error);
@@ -152,9 +152,9 @@
   stored_bytes_ = request_.target.size() + request_.path.size();
 }
 
-void RequestParser::Fields::on_field_impl(beast::http::field field,
-                                          string_view name, string_view value,
-                                          error_code& error) {
+void RequestParser::Impl::on_field_impl(beast::http::field field,
+                                        string_view name, string_view value,
+                                        error_code& error) {
   // A trailer must not change what the head said.
   if (is_header_done()) {
     return;
@@ -186,9 +186,9 @@
   request_.headers[internal::LowerCase(std::string(View(name)))] = View(value);
 }
 
-void RequestParser::Fields::on_chunk_header_impl(std::uint64_t size,
-                                                 string_view extensions,
-                                                 error_code& error) {
+void RequestParser::Impl::on_chunk_header_impl(std::uint64_t size,
+                                               string_view extensions,
+                                               error_code& error) {
   chunk_left_ = size;
   extension_bytes_ += extensions.size();
   if (extension_bytes_ > max_bytes_) {
@@ -196,7 +196,7 @@
   }
 }
 
-RequestParser::Malformed RequestParser::Fields::FailureOf(
+RequestParser::Malformed RequestParser::Impl::FailureOf(
     const error_code& error) const {
   if (failure_.status != 0) {
     return failure_;
@@ -211,7 +211,7 @@
 }
 
 // Clients may send empty lines before a request (RFC 9112, section 2.2).
-std::size_t RequestParser::Fields::SkipEmptyLines(std::string_view input) {
+std::size_t RequestParser::Impl::SkipEmptyLines(std::string_view input) {
   const std::size_t first = input.find_first_not_of("\r\n");
   const std::size_t skipped =
       first == std::string_view::npos ? input.size() : first;
@@ -220,7 +220,7 @@
   return skipped;
 }
 
-RequestParser::Head RequestParser::Fields::TakeHead() {
+RequestParser::Head RequestParser::Impl::TakeHead() {
   head_taken_ = true;
   Head head;
   head.request = std::move(request_);
@@ -233,8 +233,8 @@
   return head;
 }
 
-RequestParser::Element RequestParser::Fields::Read(std::string_view input,
-                                                   std::size_t* consumed) {
+RequestParser::Element RequestParser::Impl::Read(std::string_view input,
+                                                 std::size_t* consumed) {
   *consumed = 0;
   if (!got_some()) {
     *consumed = SkipEmptyLines(input);
@@ -287,7 +287,7 @@
 }
 
 RequestParser::RequestParser(std::size_t max_head_bytes)
-    : fields_(std::make_unique<Fields>(max_head_bytes)) {}
+    : impl_(std::make_unique<Impl>(max_head_bytes)) {}
 
 RequestParser::~RequestParser() = default;
 RequestParser::RequestParser(RequestParser&&) noexcept = default;
@@ -295,13 +295,13 @@
 
 RequestParser::Element RequestParser::Read(std::string_view input,
                                            std::size_t* consumed) {
-  return fields_->Read(input, consumed);
+  return impl_->Read(input, consumed);
 }
 
-bool RequestParser::started() const { return fields_->started(); }
+bool RequestParser::started() const { return impl_->started(); }
 
 std::size_t RequestParser::stored_bytes() const {
-  return fields_->stored_bytes();
+  return impl_->stored_bytes();
 }
 
 }  // namespace mulberryroad::http
--- a/src/http/request_parser.h
+++ b/src/http/request_parser.h
@@ -69,9 +69,9 @@
   std::size_t stored_bytes() const;
 
  private:
-  class Fields;
+  class Impl;
 
-  std::unique_ptr<Fields> fields_;
+  std::unique_ptr<Impl> impl_;
 };
 
 }  // namespace mulberryroad::http
