A handler's "Connection: close" ends the connection

What callers saw: a client that waited for the rest of a response, or for the end of a connection that the response had announced.

Change: the header closes the connection after the response, and is sent once.

--- a/src/http/server_session.cc
+++ b/src/http/server_session.cc
@@ -383,6 +383,16 @@
 void ServerSession::WriteHead(int status, Headers headers,
                               std::optional<std::size_t> body_bytes) {
   RemoveMalformed(&headers);
+  // A handler may end the connection by the header.
+  close_after_response_ =
+      close_after_response_ ||
+      std::any_of(headers.begin(), headers.end(), [](const Header& header) {
+        return internal::LowerCase(header.name) == "connection" &&
+               internal::LowerCase(header.value) == "close";
+      });
+  std::erase_if(headers, [](const Header& header) {
+    return internal::LowerCase(header.name) == "connection";
+  });
   std::string text =
       "HTTP/1." + std::to_string(head_.minor_version) + " " +
       std::to_string(status) + " " +
--- a/test/http_server_test.cc
+++ b/test/http_server_test.cc
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <chrono>
 #include <memory>
@@ -254,3 +255,30 @@
   cr_expect_eq(recv(client, &byte, 1, MSG_DONTWAIT), -1);
   close(client);
 }
+
+// Guards against a client that waits for the rest of a response, or for the end
+// of a connection that the response announced.
+Test(http_server, connection_stays_open_after_a_handler_closes_it) {
+  EventLoop loop;
+  Server server(loop, ServerLimits());
+  const std::uint16_t port = mulberryroad::fakes::FreePort();
+  cr_assert(server.Listen(Endpoint{"127.0.0.1", port}));
+  server.SetFallbackHandler([](const std::shared_ptr<Exchange>& exchange) {
+    exchange->Reply(200, "part",
+                    {{"connection", "close"}, {"Content-Length", "9"}});
+  });
+  const int client = Connect(port);
+  const std::string request = "GET / HTTP/1.1\r\n\r\n";
+  send(client, request.data(), request.size(), 0);
+  const Timer stop =
+      loop.After(std::chrono::milliseconds(100), [&] { loop.Stop(); });
+  loop.Run();
+  std::string received(1'024, '\0');
+  received.resize(static_cast<std::size_t>(
+      std::max<ssize_t>(0, recv(client, received.data(), received.size(), 0))));
+  cr_expect(received.ends_with("\r\n\r\npart"));
+  cr_expect_neq(received.find("Connection: close"), std::string::npos);
+  char byte = 0;
+  cr_expect_eq(recv(client, &byte, 1, MSG_DONTWAIT), 0);
+  close(client);
+}
