Read the parser of requests as a newcomer

Comments say what a caller may rely on; numbers have names; an unused accessor and two move operations are gone. No check, bound or behaviour changes.

--- a/src/http/connection_guard.h
+++ b/src/http/connection_guard.h
@@ -19,7 +19,7 @@
   using Id = MemoryBudget::Id;
   /// Called once for each connection that is closed or refused.
   using Report = std::function<void(CloseReason)>;
-  /// How the guard reaches a session. Neither is called by Open.
+  /// Callbacks of a session. Open calls neither.
   struct Session {
     /// Closes the connection or refuses its request. May call Close.
     std::function<void(CloseReason)> close;
@@ -59,7 +59,7 @@
   MemoryBudget budget_;
   Report report_;
   std::map<Id, Session> sessions_;
-  /// Closing a connection may change what others hold.
+  /// Set while connections are closed, which calls SetHeld again.
   bool closing_ = false;
   /// Highest number of bytes held since freed memory was last returned.
   std::size_t peak_held_ = 0;
--- a/src/http/memory_budget.h
+++ b/src/http/memory_budget.h
@@ -122,14 +122,14 @@
     TimePoint progressed;
 
     std::size_t total() const { return held + unsent; }
-    /// Bytes that are given back by closing the connection, unless that ends a
-    /// request whose response is still awaited.
+    /// Bytes that count in the choice of a connection to close. A request that
+    /// runs is closed for the response that its client does not read alone.
     std::size_t closable() const {
       return phase == ConnectionPhase::kRunning ? unsent : total();
     }
   };
 
-  /// Changes the sums by what an entry holds.
+  /// Add an entry to the sums, or take it out of them.
   void Add(const Entry& entry);
   void Remove(const Entry& entry);
 
--- a/src/http/request_parser.cc
+++ b/src/http/request_parser.cc
@@ -290,8 +290,6 @@
     : impl_(std::make_unique<Impl>(max_head_bytes)) {}
 
 RequestParser::~RequestParser() = default;
-RequestParser::RequestParser(RequestParser&&) noexcept = default;
-RequestParser& RequestParser::operator=(RequestParser&&) noexcept = default;
 
 RequestParser::Element RequestParser::Read(std::string_view input,
                                            std::size_t* consumed) {
--- a/src/http/request_parser.h
+++ b/src/http/request_parser.h
@@ -54,8 +54,8 @@
   ///     chunk extensions together
   explicit RequestParser(std::size_t max_head_bytes);
   ~RequestParser();
-  RequestParser(RequestParser&&) noexcept;
-  RequestParser& operator=(RequestParser&&) noexcept;
+  RequestParser(const RequestParser&) = delete;
+  RequestParser& operator=(const RequestParser&) = delete;
 
   /// Reads the next element. Not to be called again after End or Malformed.
   /// @param input bytes of the connection from the first that was not consumed
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -132,8 +132,8 @@
   /// @param protected_peer whether callers leave a share for this server
   void SetGuard(std::shared_ptr<ConnectionGuard> guard, bool protected_peer);
   /// Sets the check of requests that match no route and whose body has not been
-  /// received. Without it their bodies are read only if a fallback handler is
-  /// set.
+  /// received. Without a check their bodies are read if a fallback handler is
+  /// set, and they are rejected with 404 otherwise.
   void SetHeadCheck(HeadCheck check);
   /// Adds "Connection: close" to the responses to all later requests, so that
   /// callers reconnect elsewhere.
--- a/src/http/server_session.cc
+++ b/src/http/server_session.cc
@@ -31,6 +31,7 @@
 constexpr int kServiceUnavailable = 503;
 constexpr int kFirstFinalStatus = 200;
 constexpr char kDefaultContentType[] = "application/json";
+constexpr char kRetryAfterSeconds[] = "1.000";
 // A running request holds its body as the caller sent it and, while an upstream
 // reads it, as it is sent.
 constexpr std::size_t kBodyCopies = 2;
@@ -55,7 +56,7 @@
   verdict.status = status;
   verdict.body = R"({"error":")" + error + R"(","verdict":"not run"})";
   if (status == kServiceUnavailable) {
-    verdict.headers.push_back({"Retry-After", "1.000"});
+    verdict.headers.push_back({"Retry-After", kRetryAfterSeconds});
   }
   return verdict;
 }
--- a/src/http/server_session.h
+++ b/src/http/server_session.h
@@ -56,21 +56,23 @@
 
   /// Begins to read requests. May close the connection.
   void Start();
-  /// Closes the connection at once. An exchange that is open is told so.
+  /// Closes the connection at once, which an open exchange signals by
+  /// on_disconnected.
   void Close();
 
   /// Sends a complete response to the request that runs.
   void Respond(int status, std::string_view body, const Headers& headers);
-  /// Starts a response whose size is not known.
+  /// Starts a response whose size is not known: in chunks, or, for HTTP/1.0, up
+  /// to the end of the connection.
   void StartStream(int status, const Headers& headers);
+  /// Adds bytes to a started response; none if it ended.
   void WriteStream(std::string_view bytes);
+  /// Completes a started response.
   void FinishStream();
   /// Closes the connection so that the client sees a started response as
   /// incomplete.
   void Abort();
 
-  base::EventLoop& loop() { return context_->loop; }
-
   /// Time for which what a refused client still sends is read and discarded,
   /// so that it can read the response.
   static constexpr std::chrono::milliseconds kLingerTime{1'000};
@@ -109,7 +111,9 @@
   void OnClientEvent(int events);
   void Refuse(const HeadVerdict& verdict, CloseReason reason);
   void OnGuardCloses(CloseReason reason);
+  /// Looks up what the kernel holds unread, and counts it.
   void Measure();
+  /// Reports to the guard what the session holds. May close the connection.
   void CountHeld();
   void SetState(State state);
   void SetPhase(ConnectionPhase phase);
@@ -127,13 +131,16 @@
 
   std::shared_ptr<ServerContext> context_;
   bufferevent* stream_;
+  /// Id at the guard; 0 without one.
   ConnectionGuard::Id id_ = 0;
   State state_ = State::kHead;
+  /// The client timeout that is set at the stream.
   std::chrono::milliseconds timeout_{0};
   std::optional<RequestParser> parser_;
   /// The request that is being read, or runs, without its body.
   RequestParser::Head head_;
   std::string body_;
+  /// Whether CheckHead was called for the request.
   bool head_checked_ = false;
   std::size_t max_body_bytes_ = 0;
   /// Bytes counted for a running request.
@@ -143,8 +150,10 @@
   bool close_after_response_ = false;
   /// Whether the response that is being sent has chunks.
   bool chunked_ = false;
+  /// Whether the size of the response was not known at its start.
   bool streaming_ = false;
   std::shared_ptr<Exchange> exchange_;
+  /// Reports that the client disconnects while a request runs.
   event* client_event_ = nullptr;
   base::Timer linger_timer_;
 };
--- a/test/process/hostile_clients.h
+++ b/test/process/hostile_clients.h
@@ -1,5 +1,5 @@
-// One mulberry-node with an upstream and the platform's stand-in, and crowds of
-// clients that play scripts of bytes against it.
+// Fixture of process tests: a mulberry-node with stand-ins of an upstream and
+// of the platform, and clients that send it scripted bytes.
 
 #ifndef MULBERRYROAD_TEST_PROCESS_HOSTILE_CLIENTS_H_
 #define MULBERRYROAD_TEST_PROCESS_HOSTILE_CLIENTS_H_
@@ -162,7 +162,8 @@
   std::size_t sent_ = 0;
 };
 
-/// One node with one upstream and the platform's stand-in.
+/// Starts a node with stand-ins of an upstream and of the platform, and ends
+/// them with the test. Measures the memory and descriptors of the node.
 class NodeRun {
  public:
   NodeRun(const std::string& name, std::size_t memory_mb, std::size_t max_fds,
@@ -214,9 +215,10 @@
 
   const Endpoint& front() const { return front_; }
 
-  /// Plays scripts by a crowd, each by every n-th client, and measures. The
+  /// Plays scripts by many clients, and measures the node meanwhile. The
   /// connections stay open.
-  /// @param scripts must outlive the run
+  /// @param scripts client i plays script i modulo their number; must outlive
+  ///     the run
   void Attack(const std::vector<Script>& scripts, std::size_t clients) {
     for (std::size_t i = 0; i < clients; ++i) {
       crowd_.push_back(
@@ -235,8 +237,8 @@
     }
   }
 
-  /// Closes the connections of the crowd, whose requests may hold the slots of
-  /// the upstream.
+  /// Closes the connections of the clients, so that their requests leave the
+  /// slots of the upstream to an ordinary one.
   void CloseCrowd() { crowd_.clear(); }
 
   /// Sends an ordinary request, and again after a refusal.
@@ -461,7 +463,7 @@
 
 inline std::string Filler() { return std::string(64U << 10U, 'x'); }
 
-/// Plays scripts by a crowd against one node, then checks it.
+/// Plays scripts against one node, then checks it.
 /// @param name names the directory of the run
 inline void RunAttack(const char* name, std::vector<Script> scripts,
                       std::size_t clients = kClients) {
--- a/test/process/hostile_framings_process_test.cc
+++ b/test/process/hostile_framings_process_test.cc
@@ -16,9 +16,12 @@
 
 // Enough clients to use all connections that kMaxFds leaves to callers.
 constexpr std::size_t kManyClients = 56;
-// Descriptors of a node whose requests and attempts use more than half of them.
+// Leaves callers twice as many descriptors as are reserved.
 constexpr std::size_t kManyFds = 600;
 constexpr std::size_t kMaxHeadBytes = 16'384;
+// Fields of a head just below the 65,536 bytes that a node reads at most.
+constexpr std::size_t kFieldsBytes = 64'000;
+constexpr std::size_t kFieldsWriteBytes = 16U << 10U;
 constexpr std::size_t kAnswerBytes = kMega;
 constexpr std::size_t kChunkBytes = 0x4000;
 // Longer than the attack, so that no slot of the upstream becomes free in it.
@@ -62,7 +65,7 @@
   return scripts;
 }
 
-// A request that the node refuses, with a body that is valid or not.
+// A submission of copies of an item, as large as a body may be.
 std::string Submission(const std::string& item) {
   std::string body = R"({"items":[)";
   while (body.size() + 2 * item.size() + 2 < kMaxBodyBytes) {
@@ -170,7 +173,8 @@
 }
 
 Test(hostile_framings, heads_of_many_short_fields) {
-  RunAttack("fields", {{"GET / HTTP/1.1\r\n", "a:\r\n", 64'000, 16U << 10U}},
+  RunAttack("fields",
+            {{"GET / HTTP/1.1\r\n", "a:\r\n", kFieldsBytes, kFieldsWriteBytes}},
             kManyClients);
 }
 
@@ -195,7 +199,7 @@
       kManyClients);
 }
 
-// Large fields and bodies of requests that wait for an upstream.
+// Fields of requests that wait for an upstream.
 Test(hostile_framings, running_requests_with_many_fields) {
   std::string fields = "Work-Ms: " + std::to_string(kWorkMillis);
   for (int i = 0; fields.size() < kMaxHeadBytes - 1'000; ++i) {
