The append of a batch holds its records once

Cause: the records of the batch were held by the caller of the append, by its callback for the next attempt and by the store's interface, and once more as text that grew step by step. The budget counts a request twice.

Why it works: beside the text of the request, which is freed once it is read, a batch is in memory as records and as the text that is sent.

--- a/src/batches/batch_client.cc
+++ b/src/batches/batch_client.cc
@@ -39,8 +39,10 @@
                          std::vector<KeyedRecord> records, RetryLimits limits,
                          std::function<void(StoreResult)> on_result) {
   const Instant give_up = clock_.now() + limits.max_duration;
-  Append(BatchPartition(batch), std::move(records), std::move(limits), give_up,
-         /*maybe_stored=*/false, std::move(on_result));
+  Append(BatchPartition(batch),
+         std::make_shared<const std::vector<KeyedRecord>>(std::move(records)),
+         std::move(limits), give_up, /*maybe_stored=*/false,
+         std::move(on_result));
 }
 
 void BatchClient::End(const BatchRef& batch, RetryLimits limits,
@@ -48,8 +50,10 @@
   v1::BatchEnd end;
   end.set_ended_ms(UnixTime(clock_.wall_now()).count());
   const Instant give_up = clock_.now() + limits.max_duration;
+  const std::vector<KeyedRecord> records = {
+      {Encode(EndKey{batch.id}), end.SerializeAsString()}};
   Append(BatchPartition(batch),
-         {{Encode(EndKey{batch.id}), end.SerializeAsString()}},
+         std::make_shared<const std::vector<KeyedRecord>>(records),
          std::move(limits), give_up, /*maybe_stored=*/false,
          std::move(on_result));
 }
@@ -57,13 +61,13 @@
 // Retrying is safe: the records have fixed keys and content, so that appending
 // them twice is idempotent.
 void BatchClient::Append(const platform::PartitionId& partition,
-                         std::vector<KeyedRecord> records, RetryLimits limits,
+                         SharedRecords records, RetryLimits limits,
                          Instant give_up, bool maybe_stored,
                          std::function<void(StoreResult)> on_result) {
   const auto remaining =
       std::chrono::duration_cast<milliseconds>(give_up - clock_.now());
   store_.Append(
-      partition, records, {},
+      partition, *records, {},
       std::clamp(remaining, kRetryInterval, kAppendTimeout),
       [self = shared_from_this(), partition, records,
        limits = std::move(limits), give_up, maybe_stored,
--- a/src/batches/batch_client.h
+++ b/src/batches/batch_client.h
@@ -121,9 +121,12 @@
   static constexpr std::size_t kMaxCachedRecords = 512;
 
  private:
-  void Append(const platform::PartitionId& partition,
-              std::vector<platform::KeyedRecord> records, RetryLimits limits,
-              Instant give_up, bool maybe_stored,
+  using SharedRecords =
+      std::shared_ptr<const std::vector<platform::KeyedRecord>>;
+
+  /// @param records shared by all attempts, as a batch may be large
+  void Append(const platform::PartitionId& partition, SharedRecords records,
+              RetryLimits limits, Instant give_up, bool maybe_stored,
               std::function<void(StoreResult)> on_result);
   void ReadPage(const BatchRef& batch, std::uint32_t position, Instant until,
                 std::function<void(ReadResult)> on_result);
--- a/src/platform/partition_store.h
+++ b/src/platform/partition_store.h
@@ -117,8 +117,9 @@
  public:
   virtual ~PartitionStore() = default;
   /// Appends records atomically.
+  /// @param records used until Append returns
   virtual void Append(const PartitionId& partition,
-                      std::vector<KeyedRecord> records,
+                      const std::vector<KeyedRecord>& records,
                       AppendCondition condition,
                       std::chrono::milliseconds timeout,
                       OnOutcome<AppendOutcome> on_outcome) = 0;
--- a/test/fakes/memory_store.h
+++ b/test/fakes/memory_store.h
@@ -37,7 +37,7 @@
   std::map<std::string, platform::GroupAssignment> shares;
 
   void Append(const platform::PartitionId& id,
-              std::vector<platform::KeyedRecord> records,
+              const std::vector<platform::KeyedRecord>& records,
               platform::AppendCondition condition,
               std::chrono::milliseconds timeout,
               platform::OnOutcome<platform::AppendOutcome> done) override {
--- a/test/process/hostile_framings_process_test.cc
+++ b/test/process/hostile_framings_process_test.cc
@@ -23,6 +23,10 @@
 constexpr std::size_t kFieldsBytes = 64'000;
 constexpr std::size_t kFieldsWriteBytes = 16U << 10U;
 constexpr std::size_t kAnswerBytes = kMega;
+constexpr std::size_t kItemBodyBytes = 1'000;
+// Of each of the clients; together less than a sixth of the smallest machine's
+// budget, so that a submission of the largest size still fits beside them.
+constexpr std::size_t kUnfinishedBytes = 600'000;
 constexpr std::size_t kChunkBytes = 0x4000;
 // Longer than the attack, so that no slot of the upstream becomes free in it.
 constexpr int kWorkMillis = 5'000;
@@ -279,5 +283,40 @@
   run.Check();
 }
 
+// A submission of the largest size, with items of ordinary size.
+std::string LargestSubmission() {
+  std::string body = R"({"items":[)";
+  const std::string item_body(kItemBodyBytes, 'A');
+  for (int i = 0; body.size() + 2 * kItemBodyBytes < kRealMaxBodyBytes; ++i) {
+    body += (i > 0 ? "," : "") + json{{"id", std::to_string(i)},
+                                      {"path", "/streams/1"},
+                                      {"body", item_body}}
+                                     .dump();
+  }
+  return body + "]}";
+}
+
+// Guards against a submission that holds more copies than are counted.
+Test(hostile_framings, largest_submission_on_the_smallest_machine) {
+  const TestLock lock;
+  NodeRun run("largest-submission", kSmallestMemoryMb, kSmallestMaxFds,
+              kRealMaxBodyBytes);
+  const int status = run.Submit(LargestSubmission());
+  cr_expect_eq(status, 202, "the submission got %d", status);
+  run.Check();
+}
+
+Test(hostile_framings, largest_submission_beside_unfinished_bodies) {
+  const TestLock lock;
+  NodeRun run("submission", kSmallestMemoryMb, kSmallestMaxFds,
+              kRealMaxBodyBytes);
+  const std::vector<Script> scripts = {
+      {LegalHead(LengthOf(kMega)), Filler(), kUnfinishedBytes}};
+  run.Attack(scripts, kClients);
+  // It may be refused: the unfinished bodies use a part of the memory.
+  run.Submit(LargestSubmission());
+  run.Check();
+}
+
 }  // namespace
 }  // namespace mulberryroad::process
