--- a/src/batches/part_owner_storage.cc
+++ b/src/batches/part_owner_storage.cc
@@ -117,7 +117,7 @@
     deletions.push_back({Encode(ChunkKey{id, number}), std::nullopt});
   }
   context_.store.Append(
-      partition_, std::move(deletions), {}, kReadTimeout,
+      partition_, deletions, {}, kReadTimeout,
       [weak = weak_from_this(), id](const platform::AppendOutcome& outcome) {
         const auto owner = weak.lock();
         if (owner != nullptr &&
--- a/src/node/stream_origin_exchange.cc
+++ b/src/node/stream_origin_exchange.cc
@@ -437,7 +437,7 @@
           }
         }
         if (!deletions.empty()) {
-          store_.Append(partition, std::move(deletions), {}, kStoreTimeout,
+          store_.Append(partition, deletions, {}, kStoreTimeout,
                         [](const platform::AppendOutcome&) {});
         }
         if (page->has_more && !page->records.empty()) {
--- a/src/store/fenced_writer.cc
+++ b/src/store/fenced_writer.cc
@@ -60,8 +60,8 @@
     records.insert(records.end(), entry.records.begin(), entry.records.end());
   }
   store_.Append(
-      partition_, std::move(records),
-      platform::WriterFence{writer_, epoch_, sequence_}, kAppendTimeout,
+      partition_, records, platform::WriterFence{writer_, epoch_, sequence_},
+      kAppendTimeout,
       [self = shared_from_this()](const platform::AppendOutcome& outcome) {
         self->OnOutcome(outcome);
       });
--- a/test/contract/store_client_test.cc
+++ b/test/contract/store_client_test.cc
@@ -40,10 +40,10 @@
   StoreFixture() { cr_assert(fake_.Listen(endpoint_)); }
 
   platform::AppendOutcome Append(const PartitionId& partition,
-                                 std::vector<KeyedRecord> records,
+                                 const std::vector<KeyedRecord>& records,
                                  const platform::AppendCondition& condition) {
     return Wait<platform::AppendOutcome>([&](auto done) {
-      store_.Append(partition, std::move(records), condition, kTimeout, done);
+      store_.Append(partition, records, condition, kTimeout, done);
     });
   }
   platform::ReadOutcome Read(const PartitionId& partition,
