Items of accepted batches have a bound

What callers saw: sixteen submissions of 6 MB, one after the other under ids of their own and each answered 202, took a node with 64 MB (65,536 KB) to 228,940 KB, and to 233,412 KB after a restart; with items of a few bytes to 1,502,292 KB, on the smallest machine (122,880 KB) as well.

Cause: the budget counts a submission until its 202. Then the owner of the partition holds its items twice until the batch ends, uncounted, and a new owner reads all batches of the partition at once.

Change: BatchItems holds items once, ItemMemory counts them for all partitions of a node, and MemoryBudget reserves the bytes beside the connections. A batch without memory stays in the store and is read once there is room. The table of a partition holds no items. A submission that no owner of this size could open is rejected with 413.

Why it works: what an owner holds is taken from the same budget as requests before it is stored, and given back when the batch ends or the partition goes.

--- a/src/batches/batch_context.h
+++ b/src/batches/batch_context.h
@@ -10,6 +10,7 @@
 #include "base/event_loop.h"
 #include "base/metrics.h"
 #include "base/structured_log.h"
+#include "batches/item_memory.h"
 #include "batches/scorer_limit.h"
 #include "mulberryroad/clock.h"
 #include "mulberryroad/store.pb.h"
@@ -35,6 +36,7 @@
   base::StructuredLog& log;
   base::Metrics& metrics;
   platform::PartitionStore& store;
+  ItemMemory& item_memory;
   const serving::Catalog& catalog;
   const serving::UpstreamDirectory& directory;
   /// Load, latency and health of the upstreams that run items.
--- a/src/batches/batch_table.cc
+++ b/src/batches/batch_table.cc
@@ -42,7 +42,7 @@
                             const platform::KeyedRecord& record) {
   Batch& batch = batches_[key.batch];
   v1::ResultRecord result;
-  if (result.ParseFromString(*record.value)) {
+  if (!batch.ended && result.ParseFromString(*record.value)) {
     batch.listed.insert(result.item());
     batch.next_position = std::max(batch.next_position, key.position + 1);
   }
@@ -50,9 +50,10 @@
 
 void BatchTable::ApplyValue(const ProgressKey& key,
                             const platform::KeyedRecord& record) {
+  Batch& batch = batches_[key.batch];
   v1::ProgressRecord progress;
-  if (progress.ParseFromString(*record.value)) {
-    batches_[key.batch].progress[key.item][key.number] = std::move(progress);
+  if (!batch.ended && progress.ParseFromString(*record.value)) {
+    batch.progress[key.item][key.number] = std::move(progress);
   }
 }
 
@@ -60,18 +61,13 @@
                             const platform::KeyedRecord& /*record*/) {
   Batch& batch = batches_[key.batch];
   batch.ended = true;
-  batch.chunks.clear();
+  batch.listed.clear();
+  batch.progress.clear();
 }
 
 void BatchTable::ApplyValue(const ChunkKey& key,
-                            const platform::KeyedRecord& record) {
-  Batch& batch = batches_[key.batch];
-  batch.stored_chunks.insert(key.number);
-  v1::BatchChunk chunk;
-  if (!batch.ended && !batch.chunks.contains(key.number) &&
-      chunk.ParseFromString(*record.value)) {
-    batch.chunks[key.number] = std::move(chunk);
-  }
+                            const platform::KeyedRecord& /*record*/) {
+  batches_[key.batch].stored_chunks.insert(key.number);
 }
 
 void BatchTable::ApplyTombstone(const AcceptedKey& key) {
@@ -110,7 +106,9 @@
       chunk_.size() + item.ByteSizeLong() > max_record_bytes_) {
     CloseChunk();
   }
+  const std::size_t before = chunk_.size();
   single.AppendToString(&chunk_);
+  item_bytes_ += chunk_.size() - before;
   ++items_;
 }
 
--- a/src/batches/batch_table.h
+++ b/src/batches/batch_table.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "batches/batch_keys.h"
+#include "batches/item_memory.h"
 #include "mulberryroad/store.pb.h"
 #include "platform/partition_store.h"
 
@@ -24,11 +25,9 @@
   std::optional<v1::BatchRecord> accepted;
   /// Offset of the record under which the batch was accepted.
   platform::Offset offset = 0;
-  /// Chunks of items by number; empty once the batch has ended.
-  std::map<std::uint32_t, v1::BatchChunk> chunks;
-  /// Numbers of the chunks that are in the store.
+  /// Numbers of the chunks of items that are in the store.
   std::set<std::uint32_t> stored_chunks;
-  /// Ids of the items that have a result.
+  /// Ids of the items that have a result; empty once the batch has ended.
   std::set<std::string> listed;
   /// Stored events of unfinished items, by item id and record number.
   std::map<std::string, std::map<std::uint32_t, v1::ProgressRecord>> progress;
@@ -38,10 +37,11 @@
 
   /// True if the batch record and all chunks of items were read.
   bool complete() const {
-    return accepted.has_value() && chunks.size() >= accepted->chunks();
+    return accepted.has_value() && stored_chunks.size() >= accepted->chunks();
   }
 };
 
+/// Does not hold the items.
 class BatchTable {
  public:
   /// Applies a record; one without a value deletes its key.
@@ -81,6 +81,10 @@
 
   void Add(const v1::BatchItem& item);
   std::uint32_t items() const { return items_; }
+  /// Estimate of the memory that an owner needs for the items, in bytes.
+  std::size_t memory_need() const {
+    return ItemMemoryNeed(item_bytes_, items_);
+  }
   /// Returns the batch record, then the items in chunks. The builder is empty
   /// afterwards.
   /// @param accepted the batch record; its counts are filled in
@@ -97,6 +101,8 @@
   std::string chunk_;
   std::uint32_t chunks_ = 0;
   std::uint32_t items_ = 0;
+  /// Size of the encoded items.
+  std::size_t item_bytes_ = 0;
 };
 
 /// Encodes a batch as records for one append: the batch record, then the items
--- a/src/batches/part_owner.cc
+++ b/src/batches/part_owner.cc
@@ -1,8 +1,10 @@
 #include "batches/part_owner.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "http/text.h"
 
@@ -26,7 +28,9 @@
       partition_(std::move(partition)),
       epoch_(epoch),
       on_lost_(std::move(on_lost)),
-      permits_(context.permits, [this] { PostSchedule(); }) {}
+      permits_(context.permits, [this] { PostSchedule(); }),
+      items_(std::make_shared<BatchItems>(context.log, context.store,
+                                          partition_, context.item_memory)) {}
 
 void PartitionOwner::Start() {
   context_.log.Write("part.acquire",
@@ -52,6 +56,13 @@
 
 void PartitionOwner::FollowBatches() {
   store::TailHandler handler;
+  handler.on_snapshot_read =
+      [weak = weak_from_this()](platform::KeyedRecord* record) {
+        const auto owner = weak.lock();
+        if (owner != nullptr && owner->AddItems(*record)) {
+          record->value->clear();
+        }
+      };
   handler.on_snapshot = [weak = weak_from_this()](
                             const std::vector<platform::KeyedRecord>& records) {
     if (const auto owner = weak.lock()) {
@@ -73,6 +84,7 @@
   handler.on_page_end = [weak = weak_from_this()] {
     if (const auto owner = weak.lock()) {
       owner->UpdateCleanOffsets();
+      owner->LoadWaitingBatches();
       owner->ScheduleItems();
     }
   };
@@ -109,7 +121,21 @@
   orphans_.clear();
 }
 
+bool PartitionOwner::AddItems(const platform::KeyedRecord& record) {
+  const BatchKey key = Decode(record.key);
+  const auto* chunk = std::get_if<ChunkKey>(&key);
+  if (chunk == nullptr || !record.value.has_value()) {
+    return false;
+  }
+  const Batch* batch = table_.find(chunk->batch);
+  if (batch == nullptr || !batch->ended) {
+    items_->Add(*chunk, *record.value);
+  }
+  return true;
+}
+
 void PartitionOwner::OnRecord(const platform::KeyedRecord& record) {
+  AddItems(record);
   if (const auto id = table_.Apply(record)) {
     UpdateBatch(*id);
   }
@@ -119,6 +145,7 @@
   const Batch* batch = table_.find(id);
   if (batch == nullptr || batch->ended) {
     CloseBatch(id);
+    items_->Remove(id);
     if (batch != nullptr && !batch->stored_chunks.empty()) {
       DeleteChunks(id, *batch);
     }
@@ -128,6 +155,15 @@
       loading_results_.contains(id) || awaiting_manifest_.contains(id)) {
     return;
   }
+  if (!items_->IsLoaded(id, batch->accepted->chunks())) {
+    items_->Load(id, [weak = weak_from_this(), id] {
+      if (const auto owner = weak.lock(); owner && !owner->stopped_) {
+        owner->UpdateBatch(id);
+        owner->ScheduleItems();
+      }
+    });
+    return;
+  }
   ResultWriter& entry = WriterFor(id);
   if (entry.clean_from_offset.has_value() &&
       batch->offset >= *entry.clean_from_offset) {
@@ -147,6 +183,20 @@
   }
 }
 
+void PartitionOwner::LoadWaitingBatches() {
+  std::vector<std::pair<platform::Offset, std::string>> waiting;
+  for (const auto& [id, batch] : table_.all()) {
+    if (!batch.ended && batch.complete() &&
+        !items_->IsLoaded(id, batch.accepted->chunks())) {
+      waiting.emplace_back(batch.offset, id);
+    }
+  }
+  std::sort(waiting.begin(), waiting.end());
+  for (const auto& [offset, id] : waiting) {
+    UpdateBatch(id);
+  }
+}
+
 BatchLimits PartitionOwner::LimitsOf(const v1::BatchRecord& record,
                                      const BatchLimits* before) const {
   const WallTime accepted{milliseconds(record.accepted_ms())};
@@ -188,6 +238,10 @@
     return;
   }
   const v1::BatchRecord& record = *batch.accepted;
+  if (!items_->IsLoaded(id, record.chunks())) {
+    // Dropped meanwhile; LoadWaitingBatches reads them again.
+    return;
+  }
   BatchInfo info;
   info.id = id;
   info.organisation = OrganisationId(record.organisation());
@@ -195,10 +249,8 @@
   info.min_version = record.min_version();
   info.desired_groups = record.desired_groups();
   info.limits = LimitsOf(record, nullptr);
-  std::vector<v1::BatchItem>& items = items_[id];
-  for (const auto& [number, chunk] : batch.chunks) {
-    items.insert(items.end(), chunk.items().begin(), chunk.items().end());
-  }
+  items_->Open(id);
+  const std::vector<v1::BatchItem>& items = items_->open_items(id);
   for (const v1::BatchItem& item : items) {
     info.items.push_back(
         {item.id(), item.group(), context_.read_headers(item).expected_tokens,
@@ -236,7 +288,7 @@
 
 // Items are checked when they are submitted; earlier releases did not.
 void PartitionOwner::TerminateUnsendable(const std::string& id) {
-  const std::vector<v1::BatchItem>& items = items_[id];
+  const std::vector<v1::BatchItem>& items = items_->open_items(id);
   for (std::size_t i = 0; i < items.size(); ++i) {
     const bool sendable = http::IsRequestTarget(items[i].path()) &&
                           (!items[i].has_scorer() ||
@@ -273,7 +325,6 @@
   std::erase_if(progress_, of_batch);
   DeleteBatchProgress(id);
   std::erase_if(completed_, of_batch);
-  items_.erase(id);
   scheduler_.Close(id);
   context_.log.Write(
       "batch.close",
@@ -370,10 +421,7 @@
 }
 
 const v1::BatchItem* PartitionOwner::FindItem(const ItemRef& item) const {
-  const auto found = items_.find(item.batch);
-  return found == items_.end() || item.index >= found->second.size()
-             ? nullptr
-             : &found->second[item.index];
+  return items_->Find(item);
 }
 
 void PartitionOwner::ScheduleItems() {
--- a/src/batches/part_owner.h
+++ b/src/batches/part_owner.h
@@ -11,6 +11,7 @@
 
 #include "base/event_loop.h"
 #include "batches/batch_context.h"
+#include "batches/batch_items.h"
 #include "batches/batch_table.h"
 #include "batches/item_placement.h"
 #include "batches/item_run.h"
@@ -104,6 +105,12 @@
   void DeleteChunks(const std::string& id, const Batch& batch);
   void DeleteExpiredBatches();
   void OnRecord(const platform::KeyedRecord& record);
+  /// Keeps the items of a chunk, if the record is one.
+  /// @return whether it is
+  bool AddItems(const platform::KeyedRecord& record);
+  /// Reads the items of batches that had no memory, in the order in which they
+  /// were accepted. A batch does not wait for larger ones before it.
+  void LoadWaitingBatches();
   /// Opens, loads or closes a batch according to its state in the table.
   void UpdateBatch(const std::string& id);
   /// A run in progress and the item that it is for.
@@ -263,8 +270,7 @@
   /// Events of unfinished items that are not running, also of those that await
   /// a score.
   std::map<ItemRef, ItemProgress> progress_;
-  /// Items of the open batches, by batch id.
-  std::map<std::string, std::vector<v1::BatchItem>> items_;
+  std::shared_ptr<BatchItems> items_;
   /// Position of the next result, by batch id.
   std::map<std::string, std::uint32_t> next_position_;
   /// Sums over the completed items: estimated tokens, and events. Their ratio
--- a/src/batches/part_owner_storage.cc
+++ b/src/batches/part_owner_storage.cc
@@ -157,7 +157,7 @@
 // Restores the progress that an earlier owner stored for unfinished items.
 void PartitionOwner::RestoreProgress(const std::string& id,
                                      const Batch& batch) {
-  const std::vector<v1::BatchItem>& items = items_[id];
+  const std::vector<v1::BatchItem>& items = items_->open_items(id);
   for (std::size_t i = 0; i < items.size(); ++i) {
     const auto stored = batch.progress.find(items[i].id());
     if (stored == batch.progress.end() ||
@@ -276,7 +276,7 @@
 }
 
 void PartitionOwner::ReuseLeftovers(const std::string& id) {
-  const std::vector<v1::BatchItem>& items = items_[id];
+  const std::vector<v1::BatchItem>& items = items_->open_items(id);
   for (std::size_t i = 0; i < items.size(); ++i) {
     const ItemRef item{id, i};
     const auto [first, last] = leftovers_.equal_range(KeyOf(item));
@@ -312,7 +312,7 @@
 }
 
 void PartitionOwner::KeepLeftovers(const std::string& id) {
-  const std::vector<v1::BatchItem>& items = items_[id];
+  const std::vector<v1::BatchItem>& items = items_->open_items(id);
   std::map<std::string, bool> group_complete;
   for (std::size_t i = 0; i < items.size(); ++i) {
     const bool done = completed_.contains({id, i});
--- a/src/http/connection_guard.cc
+++ b/src/http/connection_guard.cc
@@ -54,7 +54,20 @@
   const auto now = steady_clock::now();
   budget_.SetHeld(id, bytes, now);
   budget_.SetUnsent(id, unsent, now);
-  peak_held_ = std::max(peak_held_, budget_.held());
+  CloseVictims();
+}
+
+bool ConnectionGuard::Reserve(std::size_t bytes) {
+  if (!budget_.Reserve(bytes)) {
+    return false;
+  }
+  CloseVictims();
+  return true;
+}
+
+void ConnectionGuard::CloseVictims() {
+  const auto now = steady_clock::now();
+  peak_bytes_ = std::max(peak_bytes_, budget_.held() + budget_.reserved());
   if (std::exchange(closing_, true)) {
     return;
   }
@@ -103,9 +116,10 @@
 }
 
 void ConnectionGuard::TrimMemory() {
-  if (peak_held_ > budget_.held() + kTrimBytes) {
+  const std::size_t bytes = budget_.held() + budget_.reserved();
+  if (peak_bytes_ > bytes + kTrimBytes) {
     malloc_trim(0);
-    peak_held_ = budget_.held();
+    peak_bytes_ = bytes;
   }
 }
 
--- a/src/http/connection_guard.h
+++ b/src/http/connection_guard.h
@@ -44,6 +44,10 @@
   /// @param bytes what it holds besides its response
   /// @param unsent bytes of the response that the client has not taken
   void SetHeld(Id id, std::size_t bytes, std::size_t unsent);
+  /// Sets the bytes that the process holds for other purposes, and closes
+  /// connections while the budget is exceeded.
+  /// @return see MemoryBudget::Reserve
+  bool Reserve(std::size_t bytes);
   /// Closes connections, perhaps the newest one, while too many are open.
   void CloseExcess();
   /// Records that a connection was closed or its request refused.
@@ -52,6 +56,7 @@
   static constexpr std::chrono::milliseconds kSweepInterval{250};
 
  private:
+  void CloseVictims();
   void CloseFor(Id id, CloseReason reason);
   void Sweep();
   void TrimMemory();
@@ -61,8 +66,9 @@
   std::map<Id, Session> sessions_;
   /// Set while connections are closed, which calls SetHeld again.
   bool closing_ = false;
-  /// Highest number of bytes held since freed memory was last returned.
-  std::size_t peak_held_ = 0;
+  /// Highest number of bytes held and reserved since freed memory was last
+  /// returned.
+  std::size_t peak_bytes_ = 0;
   base::Timer sweep_timer_;
 };
 
--- a/src/http/memory_budget.cc
+++ b/src/http/memory_budget.cc
@@ -20,6 +20,11 @@
 // Part of the bytes that large requests leave to small ones and to peers. A
 // request of 32 MB, which counts twice, still fits into 120 MB.
 constexpr std::size_t kReservedBytesPart = 16;
+// Part of the bytes that connections keep, whatever is reserved.
+constexpr std::size_t kConnectionBytesPart = 4;
+// Part of the bytes that may always be reserved, besides the budget: ordinary
+// batches do not wait for large requests.
+constexpr std::size_t kUncountedBytesPart = 16;
 // Requests up to this size may use the share that large bodies leave.
 constexpr std::size_t kSmallRequestBytes = 128U << 10U;
 // Average rate below which an incomplete body is closed under pressure after
@@ -55,6 +60,10 @@
   return "unknown";
 }
 
+std::size_t BudgetLimits::max_reserved() const {
+  return bytes - bytes / kConnectionBytesPart;
+}
+
 BudgetLimits LimitsFor(std::size_t memory_mb, std::size_t max_fds) {
   BudgetLimits limits;
   if (memory_mb > 0) {
@@ -139,6 +148,21 @@
   Add(entry);
 }
 
+std::size_t MemoryBudget::Counted(std::size_t reserved) const {
+  return reserved - std::min(reserved, limits_.bytes / kUncountedBytesPart);
+}
+
+bool MemoryBudget::Reserve(std::size_t bytes) {
+  const std::size_t usable = limits_.bytes - limits_.bytes / kReservedBytesPart;
+  const bool fits =
+      limits_.bytes == 0 || bytes <= reserved_ || Counted(bytes) == 0 ||
+      (bytes <= limits_.max_reserved() && running_ + Counted(bytes) <= usable);
+  if (fits) {
+    reserved_ = bytes;
+  }
+  return fits;
+}
+
 bool MemoryBudget::HasRoomFor(std::size_t bytes, bool protected_peer) const {
   if (limits_.bytes == 0) {
     return true;
@@ -147,11 +171,11 @@
   const std::size_t usable =
       whole ? limits_.bytes
             : limits_.bytes - limits_.bytes / kReservedBytesPart;
-  return running_ + bytes <= usable;
+  return running_ + Counted(reserved_) + bytes <= usable;
 }
 
 std::optional<MemoryBudget::Id> MemoryBudget::NextVictim(TimePoint now) const {
-  if (limits_.bytes == 0 || held_ <= limits_.bytes) {
+  if (limits_.bytes == 0 || held_ + Counted(reserved_) <= limits_.bytes) {
     return std::nullopt;
   }
   std::optional<Id> victim;
@@ -191,7 +215,8 @@
 std::vector<MemoryBudget::Expired> MemoryBudget::FindExpired(
     TimePoint now) const {
   std::vector<Expired> expired;
-  const bool pressure = limits_.bytes > 0 && held_ > limits_.bytes / 2;
+  const bool pressure =
+      limits_.bytes > 0 && held_ + Counted(reserved_) > limits_.bytes / 2;
   for (const auto& [id, entry] : entries_) {
     const auto age = now - entry.phase_began;
     if (entry.phase == ConnectionPhase::kHead && age > limits_.head_timeout) {
--- a/src/http/memory_budget.h
+++ b/src/http/memory_budget.h
@@ -40,6 +40,9 @@
   std::chrono::milliseconds body_timeout{30'000};
 
   bool enabled() const { return bytes > 0 || connections > 0; }
+  /// Bytes that the process may reserve for other purposes than connections; 0
+  /// for no limit.
+  std::size_t max_reserved() const;
 };
 
 /// Derives the limits from the memory and descriptors of the machine.
@@ -89,6 +92,12 @@
   /// counts as progress.
   void SetUnsent(Id id, std::size_t bytes, TimePoint now);
 
+  /// Sets the bytes that the process holds for other purposes than connections.
+  /// A share of them does not count against the connections.
+  /// @return false if running requests leave no room for so many; the number
+  ///     then stays as it was. A lower number is always accepted.
+  bool Reserve(std::size_t bytes);
+
   /// Returns whether a request that will hold so many bytes until its response
   /// fits beside the requests that run already. Incomplete bodies do not count,
   /// as they are closed for it.
@@ -110,6 +119,7 @@
   std::vector<Expired> FindExpired(TimePoint now) const;
 
   std::size_t held() const { return held_; }
+  std::size_t reserved() const { return reserved_; }
   std::size_t connections() const { return entries_.size(); }
 
  private:
@@ -129,6 +139,8 @@
     }
   };
 
+  /// Returns the part of reserved bytes that counts against the connections.
+  std::size_t Counted(std::size_t reserved) const;
   /// Add an entry to the sums, or take it out of them.
   void Add(const Entry& entry);
   void Remove(const Entry& entry);
@@ -139,6 +151,7 @@
   std::size_t held_ = 0;
   /// Part of held_ in phase kRunning.
   std::size_t running_ = 0;
+  std::size_t reserved_ = 0;
   std::size_t callers_ = 0;
   Id last_id_ = 0;
 };
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -135,11 +135,15 @@
                [this](const OrganisationId& id) { CountUsage(id); },
                platform_adapter::RetryAfter,
                &admission_},
+      item_memory_([this](std::size_t bytes) {
+        return guard_ == nullptr || guard_->Reserve(bytes);
+      }),
       batch_context_{loop_,
                      clock_,
                      log_,
                      metrics_,
                      store_,
+                     item_memory_,
                      catalog_,
                      directory_,
                      item_loads_,
@@ -200,6 +204,8 @@
       readiness_(loop_, {}),
       ingress_(
           serving_, batch_client_, settings_.max_record_bytes,
+          http::LimitsFor(settings_.memory_mb, settings_.max_fds)
+              .max_reserved(),
           [this] { return refusal_reason(); },
           [this](const base::RequestDuration& duration) {
             return drain_.Admits(duration);
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -126,6 +126,11 @@
   ForwardServer forward_server_;
   serving::AdmissionQueues admission_;
   serving::ServingContext serving_;
+  /// Null without limits.
+  std::shared_ptr<http::ConnectionGuard> guard_;
+  /// Closed connections by reason since the last log line.
+  std::map<http::CloseReason, std::int64_t> closed_clients_;
+  batches::ItemMemory item_memory_;
   batches::BatchContext batch_context_;
   std::shared_ptr<batches::BatchClient> batch_client_;
   batches::BatchHost batch_host_;
@@ -149,9 +154,6 @@
   base::Timer reload_timer_;
   base::Timer peers_timer_;
   base::Timer duty_links_timer_;
-  std::shared_ptr<http::ConnectionGuard> guard_;
-  /// Closed connections by reason since the last log line.
-  std::map<http::CloseReason, std::int64_t> closed_clients_;
   base::Timer closed_clients_timer_;
 };
 
--- a/src/store/keyed_tail.cc
+++ b/src/store/keyed_tail.cc
@@ -71,6 +71,9 @@
                 {"reason", "the key is no text"}});
   }
   for (platform::KeyedRecord& record : page.records) {
+    if (handler_.on_snapshot_read) {
+      handler_.on_snapshot_read(&record);
+    }
     snapshot_.push_back(std::move(record));
   }
   if (page.has_more && !page.records.empty()) {
--- a/src/store/keyed_tail.h
+++ b/src/store/keyed_tail.h
@@ -43,6 +43,10 @@
   /// store has dropped records that were not read yet. Replaces all earlier
   /// state.
   std::function<void(std::vector<platform::KeyedRecord>)> on_snapshot;
+  /// Called for each record of a snapshot as it is read, perhaps again if a
+  /// read fails. May take the value away, so that the values of a large
+  /// snapshot are not in memory together. May be null.
+  std::function<void(platform::KeyedRecord*)> on_snapshot_read;
   /// Receives each record after the snapshot, in order. A record without a
   /// value deletes its key.
   std::function<void(const platform::KeyedRecord&)> on_record;
--- a/test/batch_owners_test.cc
+++ b/test/batch_owners_test.cc
@@ -32,21 +32,16 @@
   fakes::FakePermits permits;
   ScorerLimits scorer_limits;
   std::mt19937_64 random{1};
-  BatchContext context{loop,
-                       clock,
-                       log,
-                       metrics,
-                       store,
-                       catalog,
-                       directory,
-                       loads,
-                       request_loads,
-                       scorer_limits,
-                       permits,
-                       upstreams,
-                       FailureDomainId("d1"),
-                       random,
-                       [](const v1::BatchItem&) { return ItemHeaders{}; }};
+  ItemMemory item_memory{[](std::size_t /*bytes*/) { return true; }};
+  BatchContext context{
+      loop,          clock,
+      log,           metrics,
+      store,         item_memory,
+      catalog,       directory,
+      loads,         request_loads,
+      scorer_limits, permits,
+      upstreams,     FailureDomainId("d1"),
+      random,        [](const v1::BatchItem&) { return ItemHeaders{}; }};
 };
 
 platform::GroupAssignment Share(std::uint64_t generation) {
--- a/test/fakes/part_owner_fixture.h
+++ b/test/fakes/part_owner_fixture.h
@@ -6,6 +6,7 @@
 #include <criterion/criterion.h>
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -57,22 +58,20 @@
   ScorerLimits scorer_limits;
   fakes::FakeUpstreams upstreams{loop};
   std::mt19937_64 random{1};
-  BatchContext context{loop,
-                       clock,
-                       log,
-                       metrics,
-                       store,
-                       catalog,
-                       directory,
-                       loads,
-                       request_loads,
-                       scorer_limits,
-                       permits,
-                       upstreams,
-                       FailureDomainId("d1"),
-                       random,
-                       [](const v1::BatchItem&) { return ItemHeaders{}; },
-                       kPartitions};
+  /// Bound of the memory of all items.
+  std::size_t max_item_bytes = std::numeric_limits<std::size_t>::max();
+  ItemMemory item_memory{
+      [this](std::size_t bytes) { return bytes <= max_item_bytes; }};
+  BatchContext context{
+      loop,          clock,
+      log,           metrics,
+      store,         item_memory,
+      catalog,       directory,
+      loads,         request_loads,
+      scorer_limits, permits,
+      upstreams,     FailureDomainId("d1"),
+      random,        [](const v1::BatchItem&) { return ItemHeaders{}; },
+      kPartitions};
   std::shared_ptr<BatchClient> client =
       std::make_shared<BatchClient>(loop, clock, store, kPartitions);
   /// Organisation that submits batches and reads results.
--- a/test/ingress_test.cc
+++ b/test/ingress_test.cc
@@ -17,19 +17,26 @@
   route.path_prefix = "/reports/";
   route.kind = serving::RouteKind::kIdempotent;
   route.services = {{TargetId("desk"), 1}};
-  manifest.routes = {route};
+  serving::Route batches = route;
+  batches.name = "steps";
+  batches.path_prefix = "/steps/";
+  batches.kind = serving::RouteKind::kBatch;
+  manifest.routes = {route, batches};
   manifest.organisations = {{OrganisationId("org"), {"key"}}};
   manifest.limits.max_header_bytes = 1'000;
   manifest.limits.max_body_bytes = 2'000;
   return manifest;
 }
 
+constexpr std::size_t kMaxBatchBytes = 4'000;
+
 /// HTTP server with an ingress, a store and an upstream.
 struct Fixture : fakes::ServingFixture {
   fakes::MemoryStore store{loop};
   Ingress ingress{context,
                   std::make_shared<batches::BatchClient>(loop, clock, store, 3),
                   1'000,
+                  kMaxBatchBytes,
                   [] { return std::nullopt; },
                   [this](const base::RequestDuration& duration) {
                     return duration.limit <= time_left;
@@ -111,5 +118,30 @@
   cr_assert_eq(fixture.SendRequest("/reports/1", "key", 0, 10).status, 200);
 }
 
+// Guards against a batch that no owner has the memory to open.
+Test(ingress, batch_over_the_memory_of_an_owner_is_accepted) {
+  Fixture fixture;
+  fixture.catalog.Apply(MakeManifest());
+  const auto submit = [&fixture](std::size_t items) {
+    std::string body = R"({"items":[)";
+    for (std::size_t i = 0; i < items; ++i) {
+      body += std::string(i > 0 ? "," : "") + R"({"id":")" + std::to_string(i) +
+              R"(","path":"/reports/1","body":""})";
+    }
+    return fixture
+        .Post("/steps/1",
+              {{"Host", "desk.example"},
+               {"Request-Id", "batch"},
+               {"Credential", "key"},
+               {"Deadline-Ms", "1000"}},
+              body + "]}")
+        .status;
+  };
+  const std::size_t most = kMaxBatchBytes / batches::ItemMemoryNeed(0, 1);
+  cr_expect_eq(submit(most), 413);
+  const int status = submit(most - 1);
+  cr_expect_eq(status, 202, "%d", status);
+}
+
 }  // namespace
 }  // namespace mulberryroad::platform_adapter
--- a/test/memory_budget_test.cc
+++ b/test/memory_budget_test.cc
@@ -100,5 +100,38 @@
   cr_expect(!budget.NextVictim(later).has_value());
 }
 
+// Guards against items of batches that leave requests no room, or the reverse.
+Test(memory_budget, reserved_bytes_and_requests_leave_room_to_each_other) {
+  MemoryBudget budget({.bytes = 16 * kMega});
+  cr_expect_not(budget.Reserve(13 * kMega));
+  cr_expect_eq(budget.reserved(), 0);
+  cr_expect(budget.Reserve(12 * kMega));
+  // A sixteenth does not count.
+  cr_expect(budget.HasRoomFor(4 * kMega, false));
+  cr_expect_not(budget.HasRoomFor(5 * kMega, false));
+  cr_expect(budget.Reserve(0));
+  const auto running = budget.Open(false, kStart);
+  budget.SetPhase(running, ConnectionPhase::kRunning, kStart);
+  budget.SetHeld(running, 15 * kMega, kStart);
+  cr_expect(budget.Reserve(kMega));
+  cr_expect_not(budget.Reserve(2 * kMega));
+}
+
+Test(memory_budget, reserved_bytes_close_incomplete_requests) {
+  MemoryBudget budget({.bytes = 16 * kMega});
+  const auto body = budget.Open(false, kStart);
+  budget.SetPhase(body, ConnectionPhase::kBody, kStart);
+  budget.SetHeld(body, 8 * kMega, kStart);
+  cr_expect_not(budget.NextVictim(kStart).has_value());
+  cr_expect(budget.Reserve(12 * kMega));
+  cr_expect_eq(budget.NextVictim(kStart).value_or(0), body);
+}
+
+Test(memory_budget, bytes_are_reserved_without_a_limit) {
+  MemoryBudget budget({.connections = 1'000});
+  cr_expect(budget.Reserve(1'000 * kMega));
+  cr_expect(budget.HasRoomFor(1'000 * kMega, false));
+}
+
 }  // namespace
 }  // namespace mulberryroad::http
--- /dev/null
+++ b/test/process/hostile_batches_process_test.cc
@@ -0,0 +1,80 @@
+// Accepted batches against one mulberry-node: each submission is inside the
+// limits, and all together need more memory than the machine has. The tests
+// guard against items that the owner of a partition holds without counting.
+
+#include <criterion/criterion.h>
+
+#include <cstddef>
+#include <string>
+
+#include "process/hostile_clients.h"
+
+namespace mulberryroad::process {
+namespace {
+
+constexpr std::size_t kItemBodyBytes = 1'000;
+constexpr std::size_t kSmallBodyBytes = 4;
+// Time in which the owner of the partition reads what was accepted.
+constexpr milliseconds kReadTime{3'000};
+
+// Returns a submission of the largest size that is allowed.
+// @param body_bytes size of each item's body
+std::string LargeSubmission(std::size_t body_bytes) {
+  std::string body = R"({"items":[)";
+  const std::string item_body(body_bytes, 'A');
+  for (int i = 0; body.size() + 2 * body_bytes + 100 < kMaxBodyBytes; ++i) {
+    body += (i > 0 ? "," : "") + json{{"id", std::to_string(i)},
+                                      {"path", "/streams/1"},
+                                      {"body", item_body}}
+                                     .dump();
+  }
+  return body + "]}";
+}
+
+std::string BatchId(std::size_t number) {
+  return "batch-" + std::to_string(number);
+}
+
+// Submits as many batches as there are clients. A refusal is allowed.
+void SubmitAll(NodeRun* run, const std::string& body) {
+  for (std::size_t i = 0; i < kClients; ++i) {
+    run->Submit(body, BatchId(i));
+    run->Measure();
+  }
+  run->Observe(kReadTime);
+}
+
+Test(hostile_batches, many_accepted_submissions) {
+  const TestLock lock;
+  NodeRun run("accepted", kMemoryMb, kMaxFds, kMaxBodyBytes);
+  SubmitAll(&run, LargeSubmission(kItemBodyBytes));
+  run.Check();
+}
+
+// Items of a few bytes need many times their size.
+Test(hostile_batches, many_submissions_of_small_items) {
+  const TestLock lock;
+  NodeRun run("accepted-small", kMemoryMb, kMaxFds, kMaxBodyBytes);
+  SubmitAll(&run, LargeSubmission(kSmallBodyBytes));
+  run.Check();
+}
+
+Test(hostile_batches, many_submissions_of_small_items_on_the_smallest_machine) {
+  const TestLock lock;
+  NodeRun run("smallest", kSmallestMemoryMb, kSmallestMaxFds, kMaxBodyBytes);
+  SubmitAll(&run, LargeSubmission(kSmallBodyBytes));
+  run.Check();
+}
+
+// What was accepted before is read at once.
+Test(hostile_batches, restart_with_many_accepted_submissions) {
+  const TestLock lock;
+  NodeRun run("restart", kMemoryMb, kMaxFds, kMaxBodyBytes);
+  SubmitAll(&run, LargeSubmission(kItemBodyBytes));
+  run.Restart();
+  run.Observe(kReadTime);
+  run.Check();
+}
+
+}  // namespace
+}  // namespace mulberryroad::process
--- a/test/process/hostile_clients.h
+++ b/test/process/hostile_clients.h
@@ -196,10 +196,7 @@
             {"leaving_after_ms", 0}}.dump()},
         Path("upstream.log"));
     WriteSettings();
-    node_ = std::make_unique<ChildProcess>(
-        std::string(bin_dir) + "/mulberry-node",
-        std::vector<std::string>{"--settings", Path("node.toml")},
-        Path("node.log"));
+    StartNode();
     PublishManifest(max_body_bytes);
     cr_assert(WaitReady(), "the node does not become ready");
   }
@@ -261,15 +258,41 @@
 
   /// Sends a batch once.
   /// @return the status; 0 if the connection was closed
-  int Submit(const std::string& body) const {
+  int Submit(const std::string& body, const std::string& id = "batch") const {
     return Request(
         front_,
         "POST /steps-a/train HTTP/1.1\r\nHost: " + std::string(soak::kHost) +
-            "\r\nRequest-Id: batch\r\nDeadline-Ms: 20000\r\n" +
+            "\r\nRequest-Id: " + id + "\r\nDeadline-Ms: 20000\r\n" +
             "Credential: " + soak::kKeyOfA,
         body.size(), body);
   }
 
+  /// Ends a batch.
+  /// @return the status; 0 if the connection was closed
+  int End(const std::string& id) const {
+    return Request(front_,
+                   "DELETE /v1/lots/" + id + " HTTP/1.1\r\nHost: " +
+                       std::string(soak::kHost) + "\r\nRequest-Id: end-" + id +
+                       "\r\nDeadline-Ms: 20000\r\nCredential: " + soak::kKeyOfA,
+                   0);
+  }
+
+  /// Kills the node and starts it again. The platform keeps its records.
+  void Restart() {
+    node_.reset();
+    StartNode();
+    cr_assert(WaitReady(), "the node does not become ready again");
+  }
+
+  /// Measures the node while nothing is sent.
+  void Observe(milliseconds duration) {
+    const auto end = steady_clock::now() + duration;
+    while (steady_clock::now() < end) {
+      MeasureAtIntervals();
+      std::this_thread::sleep_for(kSampleInterval);
+    }
+  }
+
   /// Checks what every test requires.
   void Check() {
     const int status = OrdinaryRequest(8, kMaxAttempts);
@@ -296,7 +319,8 @@
       if (line.starts_with("VmRSS:")) {
         resident = std::strtoull(line.c_str() + 6, nullptr, 10);
       } else if (line.starts_with("VmHWM:")) {
-        high_water_kb_ = std::strtoull(line.c_str() + 6, nullptr, 10);
+        high_water_kb_ = std::max<std::size_t>(
+            high_water_kb_, std::strtoull(line.c_str() + 6, nullptr, 10));
       }
     }
     std::error_code ignored;
@@ -314,6 +338,13 @@
     return "/proc/" + std::to_string(node_->pid()) + "/" + name;
   }
 
+  void StartNode() {
+    node_ = std::make_unique<ChildProcess>(
+        std::string(std::getenv("MULBERRY_BIN_DIR")) + "/mulberry-node",
+        std::vector<std::string>{"--settings", Path("node.toml")},
+        Path("node.log"));
+  }
+
   void MeasureAtIntervals() {
     if (steady_clock::now() >= next_sample_) {
       next_sample_ = steady_clock::now() + kSampleInterval;
