Items of ended batches are kept up to a number

What callers saw: sixteen submissions of 6 MB with items of a few bytes, each ended before the next, took the smallest machine (122,880 KB) to 170,708 KB, and to 159,880 KB with the items of open batches counted.

Cause: the owner keeps an entry for each item of an incomplete group for 30 s, with or without output, without a bound.

Change: it keeps 8,192 at most; further items start again.

Evidence: hostile_batches::submissions_that_are_ended_at_once failed before and takes 98,828 KB now.

Why it works: a batch of many items leaves no more than the bound behind.

--- a/src/batches/part_owner.h
+++ b/src/batches/part_owner.h
@@ -50,6 +50,8 @@
   /// How long outputs of incomplete groups are kept for reuse. Steps follow
   /// each other within seconds, so that a later resubmission is not expected.
   static constexpr std::chrono::milliseconds kLeftoverRetention{30'000};
+  /// Maximum number of outputs kept for reuse. Further items start again.
+  static constexpr std::size_t kMaxLeftovers = 8'192;
 
   /// Minimum time between a pass of `ScheduleItems` and the next one that run
   /// events cause.
--- a/src/batches/part_owner_storage.cc
+++ b/src/batches/part_owner_storage.cc
@@ -325,6 +325,14 @@
     if (group_complete[items[i].group()]) {
       continue;
     }
+    if (leftovers_.size() >= kMaxLeftovers) {
+      context_.log.Write(
+          "batch.leftovers_dropped",
+          {{"batch", id},
+           {"items", static_cast<std::int64_t>(items.size() - i)},
+           {"limit", static_cast<std::int64_t>(kMaxLeftovers)}});
+      break;
+    }
     Leftover leftover{{}, now};
     if (const auto done = completed_.find({id, i}); done != completed_.end()) {
       leftover.progress = std::move(done->second);
--- a/test/process/hostile_batches_process_test.cc
+++ b/test/process/hostile_batches_process_test.cc
@@ -76,5 +76,19 @@
   run.Check();
 }
 
+// What is kept of the items of an ended batch.
+Test(hostile_batches, submissions_that_are_ended_at_once) {
+  const TestLock lock;
+  NodeRun run("ended", kSmallestMemoryMb, kSmallestMaxFds, kMaxBodyBytes);
+  const std::string body = LargeSubmission(kSmallBodyBytes);
+  for (std::size_t i = 0; i < kClients; ++i) {
+    run.Submit(body, BatchId(i));
+    run.End(BatchId(i));
+    run.Measure();
+  }
+  run.Observe(kReadTime);
+  run.Check();
+}
+
 }  // namespace
 }  // namespace mulberryroad::process
