--- a/src/batches/part_owner.cc
+++ b/src/batches/part_owner.cc
@@ -60,7 +60,8 @@
       [weak = weak_from_this()](platform::KeyedRecord* record) {
         const auto owner = weak.lock();
         if (owner != nullptr && owner->AddItems(*record)) {
-          record->value->clear();
+          // Clearing the string would keep its memory.
+          record->value.emplace();
         }
       };
   handler.on_snapshot = [weak = weak_from_this()](
--- a/test/process/hostile_batches_process_test.cc
+++ b/test/process/hostile_batches_process_test.cc
@@ -71,7 +71,19 @@
   const TestLock lock;
   NodeRun run("restart", kMemoryMb, kMaxFds, kMaxBodyBytes);
   SubmitAll(&run, LargeSubmission(kItemBodyBytes));
-  run.Restart();
+  run.Check();
+  run.Restart(kMemoryMb);
+  run.Observe(kReadTime);
+  run.Check();
+}
+
+// A larger machine accepts more than this one has room for.
+Test(hostile_batches, batches_that_a_larger_machine_accepted) {
+  const TestLock lock;
+  NodeRun run("larger", kSmallestMemoryMb, kMaxFds, kMaxBodyBytes);
+  SubmitAll(&run, LargeSubmission(kItemBodyBytes));
+  run.Check();
+  run.Restart(kMemoryMb);
   run.Observe(kReadTime);
   run.Check();
 }
--- a/test/process/hostile_clients.h
+++ b/test/process/hostile_clients.h
@@ -277,9 +277,13 @@
                    0);
   }
 
-  /// Kills the node and starts it again. The platform keeps its records.
-  void Restart() {
+  /// Kills the node and starts it again on a machine with this memory. The
+  /// platform keeps its records, and the node is measured anew.
+  void Restart(std::size_t memory_mb) {
     node_.reset();
+    memory_mb_ = memory_mb;
+    peak_resident_kb_ = high_water_kb_ = peak_kb_ = peak_fds_ = 0;
+    WriteSettings();
     StartNode();
     cr_assert(WaitReady(), "the node does not become ready again");
   }
