Stand-ins ignore SIGPIPE

Cause: a stand-in that writes to a connection whose client is gone was ended by SIGPIPE, unless its test had ignored the signal for it. The platform's stand-in ended so under clients that stop a node's reads (seen in gdb), and the node then reached no store.

Change: all stand-ins ignore it; a closed connection is reported by the failed write.

--- a/test/fakes/program.cc
+++ b/test/fakes/program.cc
@@ -79,6 +79,8 @@
 }
 
 int RunUntilSignal(base::EventLoop* loop, bool listening) {
+  // A closed connection is reported by the failed write instead of SIGPIPE.
+  std::signal(SIGPIPE, SIG_IGN);
   if (!listening) {
     std::cerr << "the address can't be served\n";
     return 1;
