A connection may be closed before its first request

What callers saw: a node ended (SIGSEGV) as a client connected while all other connections were running requests.

Cause: the guard then closes the new connection, which asks its parser whether a request has begun; the parser was made only after the connection was admitted.

Change: a session has a parser from its construction on.

Why it works: there is no time in which a session is known to the guard and has no parser.

--- a/src/http/server_session.cc
+++ b/src/http/server_session.cc
@@ -139,7 +139,8 @@
 ServerSession::ServerSession(std::shared_ptr<ServerContext> context, int socket)
     : context_(std::move(context)),
       stream_(bufferevent_socket_new(context_->loop.base(), socket,
-                                     BEV_OPT_CLOSE_ON_FREE)) {}
+                                     BEV_OPT_CLOSE_ON_FREE)),
+      parser_(std::in_place, context_->limits.max_header_bytes) {}
 
 ServerSession::~ServerSession() { Close(); }
 
--- a/test/http_server_test.cc
+++ b/test/http_server_test.cc
@@ -10,14 +10,19 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "base/event_loop.h"
 #include "fakes/free_port.h"
+#include "http/connection_guard.h"
 #include "http/server.h"
 
 using mulberryroad::Endpoint;
 using mulberryroad::base::EventLoop;
 using mulberryroad::base::Timer;
+using mulberryroad::http::BudgetLimits;
+using mulberryroad::http::CloseReason;
+using mulberryroad::http::ConnectionGuard;
 using mulberryroad::http::Exchange;
 using mulberryroad::http::Method;
 using mulberryroad::http::Server;
@@ -123,6 +128,40 @@
   }
 }
 
+// Guards against a server that ends when a connection is closed before its
+// first request begins.
+Test(http_server, new_connection_while_all_others_run_requests) {
+  EventLoop loop;
+  Server server(loop, ServerLimits());
+  constexpr std::size_t kConnections = 16;
+  int refused = 0;
+  server.SetGuard(std::make_shared<ConnectionGuard>(
+                      loop, BudgetLimits{.connections = kConnections},
+                      [&refused](CloseReason /*reason*/) { ++refused; }),
+                  /*protected_peer=*/false);
+  const std::uint16_t port = mulberryroad::fakes::FreePort();
+  cr_assert(server.Listen(Endpoint{"127.0.0.1", port}));
+  std::vector<std::shared_ptr<Exchange>> running;
+  server.SetFallbackHandler(
+      [&running](const auto& exchange) { running.push_back(exchange); });
+  std::vector<int> clients;
+  const std::string request = "GET / HTTP/1.1\r\n\r\n";
+  const Timer connect = loop.Every(kPollInterval, [&] {
+    clients.push_back(Connect(port));
+    send(clients.back(), request.data(), request.size(), 0);
+    if (clients.size() == 2 * kConnections) {
+      loop.Stop();
+    }
+  });
+  loop.Run();
+  cr_expect_gt(refused, 0);
+  cr_expect_lt(running.size(), kConnections);
+  running.front()->Reply(200, "");
+  for (const int client : clients) {
+    close(client);
+  }
+}
+
 // Guards against an incomplete stream that looks complete: in HTTP/1.0 the end
 // of the connection ends the response.
 Test(http_server, aborted_stream_ends_like_a_complete_one) {
--- a/test/process/hostile_batches_process_test.cc
+++ b/test/process/hostile_batches_process_test.cc
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <string>
+#include <vector>
 
 #include "process/hostile_clients.h"
 
@@ -14,6 +15,8 @@
 
 constexpr std::size_t kItemBodyBytes = 1'000;
 constexpr std::size_t kSmallBodyBytes = 4;
+// Enough clients to use all connections that kMaxFds leaves to callers.
+constexpr std::size_t kManyClients = 56;
 // Time in which the owner of the partition reads what was accepted.
 constexpr milliseconds kReadTime{3'000};
 
@@ -31,6 +34,13 @@
   return body + "]}";
 }
 
+// Head of a request without a body.
+std::string Head(const std::string& start) {
+  return start + " HTTP/1.1\r\nHost: " + std::string(soak::kHost) +
+         "\r\nRequest-Id: h\r\nDeadline-Ms: 20000\r\nCredential: " +
+         soak::kKeyOfA + "\r\n\r\n";
+}
+
 std::string BatchId(std::size_t number) {
   return "batch-" + std::to_string(number);
 }
@@ -88,6 +98,29 @@
   run.Check();
 }
 
+// Each read of an item reads pages of the batch from the store.
+Test(hostile_batches, concurrent_reads_of_items) {
+  const TestLock lock;
+  NodeRun run("items", kMemoryMb, kMaxFds, kMaxBodyBytes);
+  run.Submit(LargeSubmission(kItemBodyBytes), BatchId(0));
+  run.Observe(kReadTime);
+  const std::string read = Head("GET /v1/items/" + BatchId(0) + "?id=none");
+  const std::vector<Script> scripts = {{read, read, kMaxSentBytes}};
+  run.Attack(scripts, kManyClients);
+  run.CloseCrowd();
+  run.Check();
+}
+
+Test(hostile_batches, concurrent_lookups_of_unknown_batches) {
+  const TestLock lock;
+  NodeRun run("lookups", kMemoryMb, kMaxFds, kMaxBodyBytes);
+  const std::string read = Head("GET /v1/lots/unknown");
+  const std::vector<Script> scripts = {{read, read, kMaxSentBytes}};
+  run.Attack(scripts, kManyClients);
+  run.CloseCrowd();
+  run.Check();
+}
+
 // What is kept of the items of an ended batch.
 Test(hostile_batches, submissions_that_are_ended_at_once) {
   const TestLock lock;
