A reset behind a pipelined request ends the request

What callers saw: a request ran on although its client had reset the connection, if the client had sent another request behind it.

Cause: behind a pipelined request only EV_CLOSED was watched, and libevent reports a reset as readable and writable alone.

Change: the session polls the socket every 100 ms from then on, without an event.

Why it works: poll reports errors and ends of the peer whatever is unread.

--- a/src/http/server_session.cc
+++ b/src/http/server_session.cc
@@ -5,6 +5,7 @@
 #include <event2/event.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -359,6 +360,7 @@
   if (client_event_ != nullptr) {
     event_free(std::exchange(client_event_, nullptr));
   }
+  client_poll_timer_.Cancel();
 }
 
 // A reset is reported as readable without EV_CLOSED, like a pipelined request,
@@ -375,11 +377,22 @@
     Close();
     return;
   }
-  event_del(client_event_);
-  event_assign(client_event_, context_->loop.base(), fd(),
-               static_cast<base::EventFlags>(EV_CLOSED),
-               event_get_callback(client_event_), this);
-  event_add(client_event_, nullptr);
+  StopWatchingClient();
+  client_poll_timer_ =
+      context_->loop.Every(kClientPollInterval, [self = weak_from_this()] {
+        if (const auto session = self.lock()) {
+          session->PollClient();
+        }
+      });
+}
+
+// A reset cannot be waited for by an event: libevent reports it as readable, as
+// are the unread bytes of the next request.
+void ServerSession::PollClient() {
+  pollfd client{fd(), POLLRDHUP, 0};
+  if (state_ == State::kRunning && poll(&client, 1, /*timeout=*/0) > 0) {
+    Close();
+  }
 }
 
 void ServerSession::WriteHead(int status, Headers headers,
--- a/src/http/server_session.h
+++ b/src/http/server_session.h
@@ -76,6 +76,9 @@
   /// Time for which what a refused client still sends is read and discarded,
   /// so that it can read the response.
   static constexpr std::chrono::milliseconds kLingerTime{1'000};
+  /// Interval at which the session checks whether a client that sent a request
+  /// ahead has disconnected.
+  static constexpr std::chrono::milliseconds kClientPollInterval{100};
 
  private:
   enum class State {
@@ -109,6 +112,8 @@
   void WatchClient();
   void StopWatchingClient();
   void OnClientEvent(int events);
+  /// Closes the connection if the client disconnected.
+  void PollClient();
   void Refuse(const HeadVerdict& verdict, CloseReason reason);
   void OnGuardCloses(CloseReason reason);
   /// Looks up what the kernel holds unread, and counts it.
@@ -155,6 +160,7 @@
   std::shared_ptr<Exchange> exchange_;
   /// Reports that the client disconnects while a request runs.
   event* client_event_ = nullptr;
+  base::Timer client_poll_timer_;
   base::Timer linger_timer_;
 };
 
--- a/test/http_server_test.cc
+++ b/test/http_server_test.cc
@@ -57,6 +57,8 @@
   const char* name;
   bool streamed;
   bool reset;
+  /// Sends another request while the first one runs.
+  bool pipelined = false;
 };
 
 class StreamingHandler {
@@ -95,6 +97,11 @@
   const std::string request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
   cr_assert(send(caller, request.data(), request.size(), 0) ==
             static_cast<ssize_t>(request.size()));
+  const Timer next_request = loop.After(std::chrono::milliseconds(20), [&] {
+    if (test_case.pipelined) {
+      send(caller, request.data(), request.size(), 0);
+    }
+  });
   const Timer disconnect = loop.After(std::chrono::milliseconds(50), [&] {
     test_case.reset ? Reset(caller) : static_cast<void>(close(caller));
   });
@@ -128,6 +135,19 @@
   }
 }
 
+// Guards against a request that runs on, and a loop that spins, since a reset
+// is not reported behind bytes that are not read.
+Test(http_server, reset_behind_a_pipelined_request) {
+  const DisconnectCase cases[] = {
+      {"before the response, closed", false, false, true},
+      {"before the response, reset", false, true, true},
+      {"during the response, closed", true, false, true},
+      {"during the response, reset", true, true, true}};
+  for (const DisconnectCase& test_case : cases) {
+    RunDisconnectCase(test_case);
+  }
+}
+
 // Guards against a server that ends when a connection is closed before its
 // first request begins.
 Test(http_server, new_connection_while_all_others_run_requests) {
