A session that the guard closes is not used again

Cause: two steps of a session count what it holds, by which the guard may close this very session, and go on with it: a refusal for too many connections writes to the freed stream, and a request is passed to its handler although its connection is closed.

Change: both look at the state first.

--- a/src/http/server_session.cc
+++ b/src/http/server_session.cc
@@ -338,6 +338,9 @@
   bufferevent_disable(stream_, EV_READ);
   SetState(State::kRunning);
   CountHeld();
+  if (state_ == State::kClosed) {
+    return;
+  }
   exchange_ =
       std::make_shared<Exchange>(shared_from_this(), std::move(head_.request));
   context_->dispatch(exchange_);
@@ -566,7 +569,8 @@
     Refuse(late ? NotRun(kRequestTimeout, "the request did not arrive in time")
                 : NotRun(kServiceUnavailable, "try again later"),
            reason);
-    if (reason != CloseReason::kTooManyConnections) {
+    if (reason != CloseReason::kTooManyConnections ||
+        state_ == State::kClosed) {
       return;
     }
     // The socket's buffer is empty, so that the response is written at once.
