--- a/test/process/hostile_clients.h
+++ b/test/process/hostile_clients.h
@@ -171,16 +171,17 @@
       : memory_mb_(memory_mb), max_fds_(max_fds) {
     const char* bin_dir = std::getenv("MULBERRY_BIN_DIR");
     cr_assert_not_null(bin_dir, "MULBERRY_BIN_DIR names no build directory");
+    bin_dir_ = bin_dir;
     work_dir_ = std::filesystem::temp_directory_path() /
                 ("hostile-" + name + "-" + std::to_string(getpid()));
     std::filesystem::create_directories(work_dir_);
     platform_ = std::make_unique<ChildProcess>(
-        std::string(bin_dir) + "/test/fake_platform",
+        bin_dir_ + "/test/fake_platform",
         std::vector<std::string>{"--listen=" + ToString(platform_address_),
                                  "--version=1"},
         Path("platform.log"));
     upstream_ = std::make_unique<ChildProcess>(
-        std::string(bin_dir) + "/test/fake_replica",
+        bin_dir_ + "/test/fake_replica",
         std::vector<std::string>{json{
             {"id", "u0"},
             {"service", "desk"},
@@ -344,7 +345,7 @@
 
   void StartNode() {
     node_ = std::make_unique<ChildProcess>(
-        std::string(std::getenv("MULBERRY_BIN_DIR")) + "/mulberry-node",
+        bin_dir_ + "/mulberry-node",
         std::vector<std::string>{"--settings", Path("node.toml")},
         Path("node.log"));
   }
@@ -465,6 +466,7 @@
 
   std::size_t memory_mb_;
   std::size_t max_fds_;
+  std::string bin_dir_;
   std::filesystem::path work_dir_;
   Endpoint platform_address_{"127.0.0.1", fakes::FreePort()};
   Endpoint upstream_address_{"127.0.0.1", fakes::FreePort()};
