Running requests count the connection to their upstream

Cause: the guard admits up to seven eighths of the descriptors that are left as connections of callers, and each running request may open one to an upstream besides; 200 reserved descriptors cover the mean alone.

Change: a caller's connection with a running request counts twice. Over the limit connections without one are closed, and without such a request gets 503 before it runs.

Why it works: callers' connections and those to upstreams are bounded together.

--- a/src/http/memory_budget.cc
+++ b/src/http/memory_budget.cc
@@ -99,12 +99,18 @@
 
 void MemoryBudget::Add(const Entry& entry) {
   held_ += entry.total();
-  running_ += entry.phase == ConnectionPhase::kRunning ? entry.total() : 0;
+  if (entry.phase == ConnectionPhase::kRunning) {
+    running_ += entry.total();
+    running_callers_ += entry.protected_peer ? 0 : 1;
+  }
 }
 
 void MemoryBudget::Remove(const Entry& entry) {
   held_ -= entry.total();
-  running_ -= entry.phase == ConnectionPhase::kRunning ? entry.total() : 0;
+  if (entry.phase == ConnectionPhase::kRunning) {
+    running_ -= entry.total();
+    running_callers_ -= entry.protected_peer ? 0 : 1;
+  }
 }
 
 void MemoryBudget::SetPhase(Id id, ConnectionPhase phase, TimePoint now) {
@@ -194,10 +200,15 @@
   return victim;
 }
 
-std::optional<MemoryBudget::Id> MemoryBudget::NextExcessConnection() const {
+bool MemoryBudget::HasExcessConnections() const {
   const std::size_t reserved = limits_.connections / kReservedConnectionsPart;
-  if (limits_.connections == 0 || (callers_ <= limits_.connections - reserved &&
-                                   entries_.size() <= limits_.connections)) {
+  return limits_.connections > 0 &&
+         (callers_ + running_callers_ > limits_.connections - reserved ||
+          entries_.size() + running_callers_ > limits_.connections);
+}
+
+std::optional<MemoryBudget::Id> MemoryBudget::NextExcessConnection() const {
+  if (!HasExcessConnections()) {
     return std::nullopt;
   }
   std::optional<Id> oldest;
--- a/src/http/memory_budget.h
+++ b/src/http/memory_budget.h
@@ -32,7 +32,8 @@
 struct BudgetLimits {
   /// Bytes that connections and requests may hold; 0 for no limit.
   std::size_t bytes = 0;
-  /// Open connections; 0 for no limit.
+  /// Open connections, and those to upstreams for the requests of callers that
+  /// run; 0 for no limit.
   std::size_t connections = 0;
   /// Time from the first byte of a head to its end.
   std::chrono::milliseconds head_timeout{3'000};
@@ -107,8 +108,12 @@
   /// read the response; nullopt if the budget is not exceeded or no such
   /// connection is left.
   std::optional<Id> NextVictim(TimePoint now) const;
+  /// Returns whether too many connections are open. A caller's connection whose
+  /// request runs counts twice, as the request needs one to an upstream.
+  bool HasExcessConnections() const;
   /// Returns the connection to close while too many are open: the one that has
-  /// been without a complete request for the longest time.
+  /// been without a complete request for the longest time; nullopt if there is
+  /// none.
   std::optional<Id> NextExcessConnection() const;
 
   struct Expired {
@@ -153,6 +158,8 @@
   std::size_t running_ = 0;
   std::size_t reserved_ = 0;
   std::size_t callers_ = 0;
+  /// Part of callers_ in phase kRunning.
+  std::size_t running_callers_ = 0;
   Id last_id_ = 0;
 };
 
--- a/src/http/server_session.cc
+++ b/src/http/server_session.cc
@@ -332,11 +332,19 @@
            CloseReason::kNoMemory);
     return;
   }
+  SetState(State::kRunning);
+  if (context_->guard != nullptr && !context_->protected_peer) {
+    context_->guard->CloseExcess();
+    if (context_->guard->budget().HasExcessConnections()) {
+      Refuse(NotRun(kServiceUnavailable, "try again later"),
+             CloseReason::kTooManyConnections);
+      return;
+    }
+  }
   close_after_response_ = close_after_response_ || context_->draining;
   head_.request.body = std::exchange(body_, {});
   WatchClient();
   bufferevent_disable(stream_, EV_READ);
-  SetState(State::kRunning);
   CountHeld();
   if (state_ == State::kClosed) {
     return;
--- a/test/memory_budget_test.cc
+++ b/test/memory_budget_test.cc
@@ -5,6 +5,7 @@
 #include <criterion/criterion.h>
 
 #include <chrono>
+#include <vector>
 
 namespace mulberryroad::http {
 namespace {
@@ -133,5 +134,28 @@
   cr_expect(budget.HasRoomFor(1'000 * kMega, false));
 }
 
+// Guards against running requests whose connections to upstreams exceed the
+// descriptors.
+Test(memory_budget, connection_with_a_running_request_counts_twice) {
+  MemoryBudget budget({.connections = 16});
+  std::vector<MemoryBudget::Id> callers;
+  for (int i = 0; i < 14; ++i) {
+    callers.push_back(budget.Open(false, kStart));
+  }
+  cr_expect_not(budget.HasExcessConnections());
+  budget.SetPhase(callers[0], ConnectionPhase::kRunning, kStart);
+  cr_expect_eq(budget.NextExcessConnection().value_or(0), callers[1]);
+  budget.Close(callers[1]);
+  cr_expect_not(budget.HasExcessConnections());
+  // A response ends the use of both.
+  budget.SetPhase(callers[0], ConnectionPhase::kWriting, kStart);
+  budget.Open(false, kStart);
+  cr_expect_not(budget.HasExcessConnections());
+  for (std::size_t i = 2; i < callers.size(); ++i) {
+    budget.SetPhase(callers[i], ConnectionPhase::kRunning, kStart);
+  }
+  cr_expect(budget.HasExcessConnections());
+}
+
 }  // namespace
 }  // namespace mulberryroad::http
