--- a/test/memory_budget_test.cc
+++ b/test/memory_budget_test.cc
@@ -138,9 +138,9 @@
 // descriptors.
 Test(memory_budget, connection_with_a_running_request_counts_twice) {
   MemoryBudget budget({.connections = 16});
-  std::vector<MemoryBudget::Id> callers;
-  for (int i = 0; i < 14; ++i) {
-    callers.push_back(budget.Open(false, kStart));
+  std::vector<MemoryBudget::Id> callers(14);
+  for (MemoryBudget::Id& caller : callers) {
+    caller = budget.Open(false, kStart);
   }
   cr_expect_not(budget.HasExcessConnections());
   budget.SetPhase(callers[0], ConnectionPhase::kRunning, kStart);
