--- a/test/part_owner_memory_test.cc
+++ b/test/part_owner_memory_test.cc
@@ -12,9 +12,11 @@
 constexpr std::uint64_t kFutureVersion = 9;
 constexpr std::uint64_t kServedVersion = 4;
 
-// Room for items of the fixture, which have some fifty bytes.
+// Above the size of an encoded item of the fixture, of some fifty bytes.
+constexpr std::size_t kMaxEncodedItemBytes = 100;
+
 std::size_t RoomFor(std::size_t items) {
-  return ItemMemoryNeed(items * 100, items);
+  return ItemMemoryNeed(items * kMaxEncodedItemBytes, items);
 }
 
 // Guards against an owner that holds all that was accepted.
--- a/test/process/hostile_batches_process_test.cc
+++ b/test/process/hostile_batches_process_test.cc
@@ -15,6 +15,8 @@
 
 constexpr std::size_t kItemBodyBytes = 1'000;
 constexpr std::size_t kSmallBodyBytes = 4;
+// Above the size of an item besides its body.
+constexpr std::size_t kItemFramingBytes = 100;
 // Enough clients to use all connections that kMaxFds leaves to callers.
 constexpr std::size_t kManyClients = 56;
 // Time in which the owner of the partition reads what was accepted.
@@ -25,7 +27,8 @@
 std::string LargeSubmission(std::size_t body_bytes) {
   std::string body = R"({"items":[)";
   const std::string item_body(body_bytes, 'A');
-  for (int i = 0; body.size() + 2 * body_bytes + 100 < kMaxBodyBytes; ++i) {
+  for (int i = 0;
+       body.size() + 2 * body_bytes + kItemFramingBytes < kMaxBodyBytes; ++i) {
     body += (i > 0 ? "," : "") + json{{"id", std::to_string(i)},
                                       {"path", "/streams/1"},
                                       {"body", item_body}}
@@ -34,7 +37,8 @@
   return body + "]}";
 }
 
-// Head of a request without a body.
+// Returns the head of a request without a body.
+// @param start method and target
 std::string Head(const std::string& start) {
   return start + " HTTP/1.1\r\nHost: " + std::string(soak::kHost) +
          "\r\nRequest-Id: h\r\nDeadline-Ms: 20000\r\nCredential: " +
