Split event streams in linear time

Cause: EventSplitter erased each event from the front of its buffer, which moves the rest, and searched the rest for both terminators each time. The work grew with the square of the chunk.

Change: each byte is searched once, and the bytes of all events are removed together. Empty lines make one event at most, so that they do not take many times their size as events either; an event has a bounded number of fields.

--- a/src/http/server_sent_events.cc
+++ b/src/http/server_sent_events.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::string_view kDataField = "data:";
+// "\n\r\n"
+constexpr std::size_t kMaxTerminatorBytes = 3;
 
 // Parses the fields of one event.
 RawEvent ParseEvent(std::string bytes) {
@@ -45,28 +47,70 @@
   return event;
 }
 
+// Returns the position after the empty line at a position, or the position
+// itself if there is none.
+std::size_t SkipEmptyLine(std::string_view text, std::size_t position) {
+  if (text.substr(position, 1) == "\n") {
+    return position + 1;
+  }
+  return text.substr(position, 2) == "\r\n" ? position + 2 : position;
+}
+
+// Returns the position after all empty lines at a position.
+std::size_t SkipEmptyLines(std::string_view text, std::size_t position) {
+  std::size_t next = SkipEmptyLine(text, position);
+  while (next > position) {
+    position = std::exchange(next, SkipEmptyLine(text, next));
+  }
+  return position;
+}
+
+// Returns the position after the first line feed that an empty line follows,
+// and after that line; npos if there is none.
+std::size_t FindEventEnd(std::string_view text, std::size_t position) {
+  for (std::size_t feed = text.find('\n', position);
+       feed != std::string_view::npos; feed = text.find('\n', feed + 1)) {
+    const std::size_t end = SkipEmptyLine(text, feed + 1);
+    if (end > feed + 1) {
+      return end;
+    }
+  }
+  return std::string_view::npos;
+}
+
 }  // namespace
 
 std::vector<RawEvent> EventSplitter::Feed(std::string_view bytes) {
   std::vector<RawEvent> events;
+  const auto add_event = [this, &events](std::size_t begin, std::size_t end) {
+    events.push_back(ParseEvent(pending_.substr(begin, end - begin)));
+    overflowed_ = overflowed_ || events.back().fields.size() > kMaxEventFields;
+  };
   // The terminator of an event may span the old and the new bytes.
-  std::size_t search_start = pending_.size() < 3 ? 0 : pending_.size() - 3;
+  std::size_t search = pending_.size() < kMaxTerminatorBytes
+                           ? 0
+                           : pending_.size() - kMaxTerminatorBytes;
   pending_ += bytes;
+  std::size_t begin = 0;
   while (true) {
-    const std::size_t lf_terminator = pending_.find("\n\n", search_start);
-    const std::size_t crlf_terminator = pending_.find("\n\r\n", search_start);
-    if (lf_terminator == std::string::npos &&
-        crlf_terminator == std::string::npos) {
+    if (search == begin) {
+      search = SkipEmptyLines(pending_, begin);
+    }
+    const std::size_t end = FindEventEnd(pending_, search);
+    if (end == std::string::npos) {
       break;
     }
-    const std::size_t end =
-        lf_terminator < crlf_terminator
-            ? lf_terminator + 2
-            : crlf_terminator + std::string_view("\n\r\n").size();
-    events.push_back(ParseEvent(pending_.substr(0, end)));
-    pending_.erase(0, end);
-    search_start = 0;
+    add_event(begin, end);
+    begin = search = end;
+  }
+  // Empty lines are passed on without the event that follows them.
+  if (const std::size_t end = SkipEmptyLines(pending_, begin);
+      end == pending_.size() && end > begin) {
+    add_event(begin, end);
+    begin = end;
   }
+  // Once for all events: removing each of them would move the rest each time.
+  pending_.erase(0, begin);
   if (pending_.size() > kMaxEventBytes) {
     overflowed_ = true;
     pending_.clear();
--- a/src/http/server_sent_events.h
+++ b/src/http/server_sent_events.h
@@ -31,15 +31,22 @@
 /// Splits a byte stream into events with all their fields and original bytes.
 class EventSplitter {
  public:
-  /// Consumes the next bytes and returns the events that they complete.
+  /// Consumes the next bytes and returns the events that they complete, in time
+  /// proportional to their number. Empty lines between events belong to the
+  /// next event, or, at the end of the bytes, form an event without fields.
   std::vector<RawEvent> Feed(std::string_view bytes);
 
   /// True if no partial event is buffered.
   bool between_events() const { return pending_.empty(); }
-  /// True once an event exceeded kMaxEventBytes; such events are dropped.
+  /// Size of the partial event.
+  std::size_t pending_bytes() const { return pending_.size(); }
+  /// True once an event exceeded kMaxEventBytes, and was dropped, or
+  /// kMaxEventFields.
   bool overflowed() const { return overflowed_; }
 
   static constexpr std::size_t kMaxEventBytes = 4U << 20U;
+  /// Maximum number of fields besides "id" and "data".
+  static constexpr std::size_t kMaxEventFields = 64;
 
  private:
   std::string pending_;
