Place each waiting item on its own

Cause: ItemScheduler::Place left the batch at the first item without capacity, and the placer's answer concerned that item's service alone. The same happened behind an item without a route, and behind one bound to a software version without a free upstream.

Change: the placer returns an upstream or none for one item, and the scheduler goes on. A service without candidates costs a lookup, and the route is looked up once for consecutive items of one path.

The same cause for moves of stragglers: the service of a batch's first run stood for all its runs, so that runs were interrupted for faster upstreams of another service, or none moved. They are grouped by their own service.

--- a/src/batches/item_scheduler.cc
+++ b/src/batches/item_scheduler.cc
@@ -96,12 +96,9 @@
         continue;
       }
       const ItemRef ref{entry->info.id, index};
-      const Placement placement = placer(entry->info, ref, item.last);
-      if (std::holds_alternative<NoCapacity>(placement)) {
-        break;
-      }
-      const auto* upstream = std::get_if<UpstreamId>(&placement);
-      if (upstream == nullptr) {
+      const std::optional<UpstreamId> upstream =
+          placer(entry->info, ref, item.last);
+      if (!upstream.has_value()) {
         continue;
       }
       item.state = State::kRunning;
--- a/src/batches/item_scheduler.h
+++ b/src/batches/item_scheduler.h
@@ -101,16 +101,10 @@
 using ItemDecision =
     std::variant<ListCompleted, ListTerminated, NoResult, AwaitScore>;
 
-/// No upstream can take this item or the ones after it now.
-struct NoCapacity {};
-/// This item waits for an upstream that others do not need.
-struct ItemWaits {};
-/// An upstream with a free slot, or the reason why there is none.
-using Placement = std::variant<UpstreamId, NoCapacity, ItemWaits>;
-
-/// Returns a placement for an item of the batch.
+/// Returns an upstream for an item of the batch; nullopt if none can take it
+/// now. Says nothing about other items, which may go to other services.
 /// @param last upstream of the item's last run, to be avoided; empty if none
-using ItemPlacer = std::function<Placement(
+using ItemPlacer = std::function<std::optional<UpstreamId>(
     const BatchInfo& batch, const ItemRef& item, const UpstreamId& last)>;
 
 class ItemScheduler {
@@ -128,8 +122,7 @@
   }
 
   /// Places waiting items: batches in the order of their deadlines, items in
-  /// that of `OrderItems`. Goes on to the next batch at the first item for
-  /// which the placer returns NoCapacity.
+  /// that of `OrderItems`. Calls the placer for each of them.
   /// @return the placed items, which now count as running
   std::vector<PlacedItem> Place(Instant now, const ItemPlacer& placer);
   /// Marks a waiting item as running: a run of it is already in progress.
--- a/src/batches/part_owner.h
+++ b/src/batches/part_owner.h
@@ -192,16 +192,29 @@
       const std::vector<const serving::Registration*>& suitable,
       const TargetId& service) const;
   void MoveStragglersOf(const std::string& id);
-  /// Candidates of one pass of `ScheduleItems`, by batch and service. A service
-  /// has up to thousands of upstreams, too many to look at for each item.
-  using PlacementPass = std::map<std::pair<std::string, TargetId>,
-                                 std::vector<PlacementCandidate>>;
+  /// What one pass of `ScheduleItems` looks up once for many items.
+  struct PlacementPass {
+    /// By batch and service. A service has up to thousands of upstreams, too
+    /// many to look at for each item.
+    std::map<std::pair<std::string, TargetId>, std::vector<PlacementCandidate>>
+        candidates;
+    /// Route of the previous item. Most items of a batch have the same path.
+    std::string_view host;
+    std::string_view path;
+    const serving::Route* route = nullptr;
+  };
+  /// Returns the route of an item, or null if there is none.
+  const serving::Route* FindItemRoute(const BatchInfo& batch,
+                                      const ItemRef& item, PlacementPass* pass);
   /// Also asks for a permit if rate limits keep upstreams from taking an item.
   std::vector<PlacementCandidate> CandidatesFor(const BatchInfo& batch,
                                                 const TargetId& service);
   /// Starts a run of an item at the best upstream.
-  Placement PlaceItem(const BatchInfo& batch, const ItemRef& item,
-                      const UpstreamId& last, PlacementPass* pass);
+  /// @return the upstream, or nullopt if none can take the item now
+  std::optional<UpstreamId> PlaceItem(const BatchInfo& batch,
+                                      const ItemRef& item,
+                                      const UpstreamId& last,
+                                      PlacementPass* pass);
   /// Discards the events of an interrupted item if it must start again.
   /// @return false if it waits for an upstream of its software version
   bool PrepareResume(const BatchInfo& batch, const ItemRef& item,
--- a/src/batches/part_owner_runs.cc
+++ b/src/batches/part_owner_runs.cc
@@ -168,37 +168,50 @@
   return true;
 }
 
-Placement PartitionOwner::PlaceItem(const BatchInfo& batch, const ItemRef& ref,
-                                    const UpstreamId& last,
-                                    PlacementPass* pass) {
-  const v1::BatchItem* item = FindItem(ref);
-  const serving::Route* route =
-      item == nullptr
-          ? nullptr
-          : context_.catalog.FindRoute(table_.find(batch.id)->accepted->host(),
-                                       item->path());
-  if (route == nullptr || route->services.empty()) {
-    return NoCapacity{};
+const serving::Route* PartitionOwner::FindItemRoute(const BatchInfo& batch,
+                                                    const ItemRef& item,
+                                                    PlacementPass* pass) {
+  const v1::BatchItem* stored = FindItem(item);
+  if (stored == nullptr) {
+    return nullptr;
+  }
+  const std::string& host = table_.find(batch.id)->accepted->host();
+  if (pass->host != host || pass->path != stored->path()) {
+    pass->host = host;
+    pass->path = stored->path();
+    pass->route = context_.catalog.FindRoute(host, stored->path());
+  }
+  return pass->route;
+}
+
+std::optional<UpstreamId> PartitionOwner::PlaceItem(const BatchInfo& batch,
+                                                    const ItemRef& ref,
+                                                    const UpstreamId& last,
+                                                    PlacementPass* pass) {
+  const serving::Route* route = FindItemRoute(batch, ref, pass);
+  if (route == nullptr) {
+    return std::nullopt;
   }
   std::uniform_real_distribution<double> draw(0.0, 1.0);
   const TargetId* service =
       serving::ChooseService(*route, draw(context_.random));
   if (service == nullptr) {
-    return NoCapacity{};
+    return std::nullopt;
   }
-  const auto [entry, added] = pass->try_emplace({batch.id, *service});
+  const auto [entry, added] =
+      pass->candidates.try_emplace({batch.id, *service});
   std::vector<PlacementCandidate>& candidates = entry->second;
   if (added) {
     candidates = CandidatesFor(batch, *service);
   }
-  if (!PrepareResume(batch, ref, *service, candidates)) {
-    return ItemWaits{};
+  if (candidates.empty() || !PrepareResume(batch, ref, *service, candidates)) {
+    return std::nullopt;
   }
   const PlacementCandidate* chosen =
       ChooseItemUpstream(candidates, BoundSoftware(ref), last,
                          LengthShare(batch, ref), draw(context_.random));
   if (chosen == nullptr) {
-    return NoCapacity{};
+    return std::nullopt;
   }
   const UpstreamId id = chosen->id;
   // Starts the run at once, so that its load counts in the next placement.
@@ -265,41 +278,47 @@
     return;
   }
   const Instant now = context_.clock.now();
-  // A run can move only among the upstreams of its software version.
-  struct Version {
+  // A run can move only among the upstreams of its service and software
+  // version.
+  struct Group {
     std::vector<RunningItem> running;
     std::vector<FreeUpstream> free;
   };
-  std::map<std::string, Version> versions;
+  std::map<TargetId, std::map<std::string, Group>> services;
   for (auto run = runs_.lower_bound({id, 0});
        run != runs_.end() && run->first.batch == id; ++run) {
-    versions[run->second.run->progress().software].running.push_back(
-        {run->first, run->second.run->upstream(),
-         context_.loads.latency(run->second.run->upstream(), now),
-         duration_cast<milliseconds>(now - run->second.run->started()),
-         static_cast<double>(run->second.run->progress().last_event),
-         ExpectedEvents(*batch, run->first)});
-  }
-  const serving::Registration* current = context_.directory.find(
-      runs_.lower_bound({id, 0})->second.run->upstream());
-  if (current == nullptr) {
-    return;
-  }
-  for (const serving::Registration* upstream :
-       UsableUpstreams(*batch, current->service)) {
-    if (context_.loads.health().health_state(upstream->id, now) ==
-        serving::HealthState::kHealthy) {
-      versions[upstream->software].free.push_back(
-          {upstream->id, context_.loads.latency(upstream->id, now),
-           context_.loads.free_slots(upstream->id, upstream->slots, now)});
+    const UpstreamId& upstream = run->second.run->upstream();
+    const serving::Registration* current = context_.directory.find(upstream);
+    if (current == nullptr) {
+      continue;
     }
-  }
-  for (auto& [software, version] : versions) {
-    for (const ItemRef& item :
-         RunsToMove(std::move(version.running), version.free)) {
-      context_.metrics.Count("item_moves_total", {});
-      runs_.at(item).run->InterruptForMove();
+    services[current->service][run->second.run->progress().software]
+        .running.push_back(
+            {run->first, upstream, context_.loads.latency(upstream, now),
+             duration_cast<milliseconds>(now - run->second.run->started()),
+             static_cast<double>(run->second.run->progress().last_event),
+             ExpectedEvents(*batch, run->first)});
+  }
+  std::vector<ItemRef> moves;
+  for (auto& [service, groups] : services) {
+    for (const serving::Registration* upstream :
+         UsableUpstreams(*batch, service)) {
+      if (context_.loads.health().health_state(upstream->id, now) ==
+          serving::HealthState::kHealthy) {
+        groups[upstream->software].free.push_back(
+            {upstream->id, context_.loads.latency(upstream->id, now),
+             context_.loads.free_slots(upstream->id, upstream->slots, now)});
+      }
     }
+    for (auto& [software, group] : groups) {
+      const std::vector<ItemRef> chosen =
+          RunsToMove(std::move(group.running), group.free);
+      moves.insert(moves.end(), chosen.begin(), chosen.end());
+    }
+  }
+  for (const ItemRef& item : moves) {
+    context_.metrics.Count("item_moves_total", {});
+    runs_.at(item).run->InterruptForMove();
   }
 }
 
--- a/test/item_scheduler_test.cc
+++ b/test/item_scheduler_test.cc
@@ -102,10 +102,22 @@
 std::vector<PlacedItem> PlaceAllItems(ItemScheduler& scheduler, Instant now) {
   return scheduler.Place(
       now, [](const BatchInfo&, const ItemRef&, const UpstreamId&) {
-        return Placement(UpstreamId("u"));
+        return std::optional(UpstreamId("u"));
       });
 }
 
+// Guards against items that wait beside idle upstreams, as an item before them
+// goes to a service without any.
+Test(item_scheduler, item_without_an_upstream_blocks_the_items_after_it) {
+  ItemScheduler scheduler;
+  scheduler.Open(MakeBatch({{"a", 30}, {"a", 20}, {"b", 10}}, 2));
+  const auto placed = scheduler.Place(
+      Instant{}, [](const BatchInfo&, const ItemRef& item, const UpstreamId&) {
+        return item.index == 0 ? std::nullopt : std::optional(UpstreamId("u"));
+      });
+  cr_assert_eq(placed.size(), 2);
+}
+
 Test(item_scheduler, failing_item_is_terminated_after_max_attempts) {
   ItemScheduler scheduler;
   scheduler.Open(MakeBatch({{"a", 1}}, 1));
