A length hint must be a finite length

Cause: the text was read with strtod and used as it was. Items are sorted by the hint, for which NaN has no order, and weighed by its share of the longest one, which is NaN for infinity.

--- a/test/contract/platform_adapter_test.cc
+++ b/test/contract/platform_adapter_test.cc
@@ -329,6 +329,19 @@
   cr_assert(!DecodingError(R"({"items":[]})").empty());
 }
 
+// Guards against a hint that is no length: items are sorted by it, and compared
+// with the longest one.
+Test(batch_codec, length_hint_that_is_no_length_is_used) {
+  for (const char* hint : {"nan", "-nan", "inf", "-inf", "-1", "1e400", "1e10",
+                           "", " ", "12abc", "0x", "1,5"}) {
+    v1::BatchItem item;
+    v1::StoredHeader* header = item.add_headers();
+    header->set_name("Length-Hint");
+    header->set_value(hint);
+    cr_expect_eq(ReadItemHeaders(item).expected_tokens, 0, "\"%s\"", hint);
+  }
+}
+
 // Guards against submissions whose decoder takes many times their size.
 Test(batch_codec, submission_exceeds_a_bound_of_its_decoder) {
   const auto with = [](const std::string& item) {
