--- a/src/http/request_parser.h
+++ b/src/http/request_parser.h
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <variant>
 
+#include "http/message_element.h"
 #include "http/request.h"
 
 namespace mulberryroad::http {
@@ -19,8 +20,6 @@
 /// user can count each part before it stores it.
 class RequestParser {
  public:
-  /// The next element is incomplete.
-  struct NeedMore {};
   /// The request line and the header fields.
   struct Head {
     /// The request without its body.
@@ -34,12 +33,6 @@
     /// Whether the client waits for an interim response before the body.
     bool expects_continue = false;
   };
-  /// A part of the body, without the framing of chunks. Refers to the input.
-  struct BodyPart {
-    std::string_view bytes;
-  };
-  /// The request is complete.
-  struct End {};
   /// The bytes are no request that a server accepts.
   struct Malformed {
     /// HTTP status of the refusal.
@@ -47,7 +40,7 @@
     /// Names what is malformed, or the limit that is exceeded.
     std::string reason;
   };
-  using Element = std::variant<NeedMore, Head, BodyPart, End, Malformed>;
+  using Element = std::variant<NeedMore, Head, BodyPart, MessageEnd, Malformed>;
 
   /// @param max_head_bytes bound of the request line and the header fields
   ///     together, of the empty lines before them, of the trailer, and of all
@@ -57,7 +50,8 @@
   RequestParser(const RequestParser&) = delete;
   RequestParser& operator=(const RequestParser&) = delete;
 
-  /// Reads the next element. Not to be called again after End or Malformed.
+  /// Reads the next element. Not to be called again after MessageEnd or
+  /// Malformed.
   /// @param input bytes of the connection from the first that was not consumed
   /// @param consumed receives the number of bytes to remove from the input's
   ///     front; the rest must be passed again, with what arrives later
--- a/src/http/server_session.cc
+++ b/src/http/server_session.cc
@@ -109,7 +109,7 @@
 struct ServerSession::ElementHandler {
   ServerSession& session;
 
-  bool operator()(const RequestParser::NeedMore& /*element*/) const {
+  bool operator()(const NeedMore& /*element*/) const {
     if (session.state_ == State::kBody && !session.head_checked_ &&
         session.CheckHead() && session.head_.expects_continue &&
         session.body_.empty()) {
@@ -122,11 +122,11 @@
     session.OnHead(std::move(head));
     return true;
   }
-  bool operator()(const RequestParser::BodyPart& part) const {
+  bool operator()(const BodyPart& part) const {
     session.OnBodyPart(part.bytes);
     return true;
   }
-  bool operator()(const RequestParser::End& /*element*/) const {
+  bool operator()(const MessageEnd& /*element*/) const {
     session.Dispatch();
     return false;
   }
--- a/test/request_parser_test.cc
+++ b/test/request_parser_test.cc
@@ -33,7 +33,7 @@
   while (!parsed.complete && !parsed.malformed.has_value()) {
     std::size_t consumed = 0;
     const auto element = parser.Read(parsed.rest, &consumed);
-    if (const auto* part = std::get_if<RequestParser::BodyPart>(&element)) {
+    if (const auto* part = std::get_if<BodyPart>(&element)) {
       parsed.body += part->bytes;
     } else if (const auto* head = std::get_if<RequestParser::Head>(&element)) {
       parsed.head = *head;
@@ -41,10 +41,10 @@
                    std::get_if<RequestParser::Malformed>(&element)) {
       parsed.malformed = *malformed;
     }
-    parsed.complete = std::holds_alternative<RequestParser::End>(element);
+    parsed.complete = std::holds_alternative<MessageEnd>(element);
     parsed.rest.erase(0, consumed);
     parsed.peak_bytes = std::max(parsed.peak_bytes, parsed.rest.size());
-    if (std::holds_alternative<RequestParser::NeedMore>(element)) {
+    if (std::holds_alternative<NeedMore>(element)) {
       if (bytes.empty()) {
         break;
       }
