Count the answers of upstreams before they are stored

Reported by another operator: a faulty replica sent bytes without end, the machine that had called it ran out of memory, and the requests of its other clients ended with it.

Cause: each response had a limit, and nothing counted all of them. evhttp holds a whole chunk and the fields of a head before anybody can count them.

Change: ResponseParser wraps the incremental parser of Boost.Beast, as RequestParser does for requests, and the client reads with it on a bufferevent. ResponseMemory counts what all responses hold, with the events that receivers of streams hold, within the budget of the connections. Over a quarter of it the largest response is given up. The output of an item is bounded, and a run that gets an event out of order is interrupted once, not for each event behind it.

--- a/src/batches/item_run.cc
+++ b/src/batches/item_run.cc
@@ -20,9 +20,10 @@
 
 bool ItemProgress::AppendEvent(const serving::StreamEvent& event) {
   const std::uint64_t id = std::strtoull(event.id.c_str(), nullptr, 10);
-  if (id != last_event + 1) {
+  if (id != last_event + 1 || bytes + event.data.size() > kMaxOutputBytes) {
     return false;
   }
+  bytes += event.data.size();
   last_event = id;
   if (event.version.has_value()) {
     version = *event.version;
@@ -53,6 +54,9 @@
     return false;
   }
   software = record.software();
+  for (const std::string& event : record.events()) {
+    bytes += event.size();
+  }
   events.insert(events.end(), record.events().begin(), record.events().end());
   last_event = events.size();
   version = record.version();
@@ -109,7 +113,8 @@
       },
       [self = shared_from_this()](const serving::StreamEvent& event) {
         self->OnEvent(event);
-      }};
+      },
+      [self = shared_from_this()] { return self->progress_.held_bytes(); }};
   call_ = caller_.Send(
       upstream, request, std::move(options),
       [self = shared_from_this()](const serving::UpstreamOutcome& outcome) {
@@ -173,7 +178,9 @@
     return;
   }
   if (!progress_.AppendEvent(event)) {
-    loop_.Post([self = shared_from_this()] { self->InterruptAsFailed(); });
+    if (!std::exchange(interrupt_posted_, true)) {
+      loop_.Post([self = shared_from_this()] { self->InterruptAsFailed(); });
+    }
     return;
   }
   const Instant now = clock_.now();
--- a/src/batches/item_run.h
+++ b/src/batches/item_run.h
@@ -38,9 +38,17 @@
   /// Time at which the last run ended.
   Instant interrupted{};
 
+  /// Size of `events`, without their overhead.
+  std::size_t bytes = 0;
+
   /// Appends the next event.
-  /// @return false if its id is not `last_event` + 1; nothing is changed
+  /// @return false if its id is not `last_event` + 1, or the output exceeds
+  ///     kMaxOutputBytes; nothing is changed
   bool AppendEvent(const serving::StreamEvent& event);
+  /// Returns an estimate of the memory that the events take, in bytes.
+  std::size_t held_bytes() const {
+    return bytes + events.size() * sizeof(std::string);
+  }
   /// Returns a record of the events with ids above `event`.
   v1::ProgressRecord RecordSince(std::uint64_t event) const;
   /// Appends the events of a record.
@@ -61,6 +69,9 @@
   }
 };
 
+/// Maximum size of an output: what a caller can read at once.
+inline constexpr std::size_t kMaxOutputBytes = 1U << 20U;
+
 /// Timeouts after which a run is interrupted.
 struct RunTimeouts {
   /// Timeout for the first event: covers a full upstream, a change of weights
@@ -136,6 +147,8 @@
   bool version_required_ = false;
   /// The upstream accepted or refused the request.
   bool answered_ = false;
+  /// An event could not be used; the run will be interrupted.
+  bool interrupt_posted_ = false;
   bool ended_ = false;
   base::Timer event_timer_;
   Instant event_deadline_{};
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,75 +1,71 @@
 #include "http/client.h"
 
 #include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/event.h>
-#include <event2/http.h>
-#include <event2/keyvalq_struct.h>
-#include <sys/socket.h>
 
 #include <algorithm>
 #include <cstdlib>
-#include <deque>
+#include <optional>
 #include <utility>
 
 #include "base/decision_log.h"
-#include "http/socket_options.h"
+#include "http/client_connection.h"
+#include "http/response_parser.h"
 #include "http/text.h"
 
 namespace mulberryroad::http {
 
 namespace {
 
-// More than the requests that an upstream runs concurrently, so that a node
-// that uses all of an upstream's capacity keeps its connections.
-constexpr std::size_t kMaxIdlePerEndpoint = 64;
-constexpr int kFirstStatus = 100;
-constexpr int kFirstFinalStatus = 200;
-constexpr int kLastStatus = 599;
-// libevent reads at most this much from a connection at a time.
-constexpr std::size_t kMaxReadBytes = 16U << 10U;
-// Long enough that evhttp's timeout never fires before the timers of a call.
-constexpr int kEvhttpTimeoutSeconds = 24 * 3600;
-
-evhttp_cmd_type ToCommand(Method method) {
+constexpr char kTooLong[] = "the answer is too long";
+
+const char* MethodName(Method method) {
   switch (method) {
     case Method::kGet:
-      return EVHTTP_REQ_GET;
+      return "GET";
     case Method::kPost:
-      return EVHTTP_REQ_POST;
+      return "POST";
     case Method::kPut:
-      return EVHTTP_REQ_PUT;
+      return "PUT";
     case Method::kDelete:
-      return EVHTTP_REQ_DELETE;
+      return "DELETE";
   }
-  return EVHTTP_REQ_GET;
+  return "GET";
 }
 
-std::string TakeBytes(evbuffer* buffer) {
-  std::string content(evbuffer_get_length(buffer), '\0');
-  evbuffer_remove(buffer, content.data(), content.size());
-  return content;
+bool IsValid(const ClientRequest& request) {
+  return IsRequestTarget(request.path) &&
+         std::all_of(request.headers.begin(), request.headers.end(),
+                     [](const Header& header) {
+                       return IsHeaderName(header.name) &&
+                              IsHeaderValue(header.value);
+                     });
 }
 
-constexpr std::string_view kConnectionClosed = "the connection was closed";
-constexpr std::string_view kConnectionFailed = "the connection failed";
-
-std::string_view ErrorMessage(evhttp_request_error error) {
-  switch (error) {
-    case EVREQ_HTTP_TIMEOUT:
-      return "the connection timed out";
-    case EVREQ_HTTP_EOF:
-      return kConnectionClosed;
-    case EVREQ_HTTP_INVALID_HEADER:
-      return "the answer has a malformed header";
-    case EVREQ_HTTP_BUFFER_ERROR:
-      return kConnectionFailed;
-    case EVREQ_HTTP_REQUEST_CANCEL:
-      return "the request was cancelled";
-    case EVREQ_HTTP_DATA_TOO_LONG:
-      return "the answer is too long";
+// Returns the request line and the header fields.
+std::string FormatHead(const ClientRequest& request) {
+  std::string head = std::string(MethodName(request.method)) + " " +
+                     request.path + " HTTP/1.1\r\n";
+  const auto add = [&head](std::string_view name, std::string_view value) {
+    head.append(name).append(": ").append(value).append("\r\n");
+  };
+  bool has_host = false;
+  for (const Header& header : request.headers) {
+    const std::string name = internal::LowerCase(header.name);
+    has_host = has_host || name == "host";
+    // The framing follows the body alone.
+    if (name != "content-length" && name != "transfer-encoding") {
+      add(header.name, header.value);
+    }
   }
-  return kConnectionFailed;
+  if (!has_host) {
+    add("Host", ToString(request.endpoint));
+  }
+  const bool expects_body =
+      request.method == Method::kPost || request.method == Method::kPut;
+  if (expects_body || !request.body.empty()) {
+    add("Content-Length", std::to_string(request.body.size()));
+  }
+  return head + "\r\n";
 }
 
 // Idle timeout if the server does not send one in a Keep-Alive header.
@@ -97,125 +93,51 @@
 
 }  // namespace
 
-/// Owns an evhttp connection, which it closes on destruction.
-class Client::Connection {
- public:
-  Connection(event_base* base, const Endpoint& endpoint)
-      : native_(evhttp_connection_base_new(
-            base, nullptr, endpoint.address.c_str(), endpoint.port)) {
-    evhttp_connection_set_timeout(native_, kEvhttpTimeoutSeconds);
-    evhttp_connection_set_retries(native_, 0);
-    evhttp_connection_set_max_headers_size(
-        native_, static_cast<ev_ssize_t>(kMaxResponseHeadBytes));
-    evhttp_connection_set_closecb(
-        native_,
-        [](evhttp_connection*, void* self) {
-          static_cast<Connection*>(self)->broken_ = true;
-        },
-        this);
-  }
-  ~Connection() {
-    evhttp_connection_set_closecb(native_, nullptr, nullptr);
-    evhttp_connection_free(native_);
-  }
-  Connection(const Connection&) = delete;
-  Connection& operator=(const Connection&) = delete;
-
-  evhttp_connection* native() const { return native_; }
-  bool broken() const { return broken_; }
-  /// Sets the options of the socket once it is connected.
-  void SetOptionsOnce() {
-    if (!std::exchange(has_options_, true)) {
-      CloseWhenCutOff(
-          bufferevent_getfd(evhttp_connection_get_bufferevent(native_)),
-          SocketSide::kClient);
-    }
-  }
-  bool HasUnreadBytes() const {
-    return evbuffer_get_length(bufferevent_get_input(
-               evhttp_connection_get_bufferevent(native_))) > 0;
-  }
-
- private:
-  evhttp_connection* native_;
-  bool broken_ = false;
-  bool has_options_ = false;
-};
-
-/// Idle connections by endpoint.
-class Client::Pool {
- public:
-  explicit Pool(base::EventLoop& loop) : loop_(loop) {}
-
-  base::EventLoop& loop() { return loop_; }
-
-  // Reuses the connection that was idle the longest, so that with bursts of
-  // varying size no connection reaches its idle timeout.
-  std::unique_ptr<Connection> Acquire(const Endpoint& endpoint, bool fresh) {
-    auto& idle = idle_[endpoint];
-    while (!fresh && !idle.empty()) {
-      IdleConnection candidate = std::move(idle.front());
-      idle.pop_front();
-      if (!candidate.connection->broken() &&
-          !candidate.connection->HasUnreadBytes() &&
-          std::chrono::steady_clock::now() < candidate.usable_until) {
-        return std::move(candidate.connection);
-      }
-    }
-    return std::make_unique<Connection>(loop_.base(), endpoint);
-  }
-
-  void Release(const Endpoint& endpoint, std::unique_ptr<Connection> connection,
-               std::chrono::milliseconds keep_alive) {
-    auto& idle = idle_[endpoint];
-    const bool usable = !connection->broken() && !connection->HasUnreadBytes();
-    if (usable && idle.size() < kMaxIdlePerEndpoint) {
-      idle.push_back({std::move(connection),
-                      std::chrono::steady_clock::now() + keep_alive});
-    }
-  }
-
-  void CloseIdleConnections(const Endpoint& endpoint) { idle_.erase(endpoint); }
-
- private:
-  struct IdleConnection {
-    std::unique_ptr<Connection> connection;
-    /// The server may close the connection after this time.
-    std::chrono::steady_clock::time_point usable_until;
-  };
+/// What a client and its calls share.
+struct Client::Shared {
+  Shared(base::EventLoop& loop, ResponseMemory::Reserve reserve)
+      : pool(loop), memory(std::move(reserve)) {}
 
-  base::EventLoop& loop_;
-  std::map<Endpoint, std::deque<IdleConnection>> idle_;
+  ConnectionPool pool;
+  ResponseMemory memory;
 };
 
 class Client::ActiveCall final
     : public Call,
+      public ClientConnection::User,
       public std::enable_shared_from_this<ActiveCall> {
  public:
-  ActiveCall(std::shared_ptr<Pool> pool, ClientRequest request,
+  ActiveCall(std::shared_ptr<Shared> shared, ClientRequest request,
              ResultCallback on_done, OnChunk on_chunk, OnHead on_head)
-      : pool_(std::move(pool)),
+      : shared_(std::move(shared)),
         request_(std::move(request)),
         on_done_(std::move(on_done)),
         on_chunk_(std::move(on_chunk)),
-        on_head_(std::move(on_head)) {}
+        on_head_(std::move(on_head)),
+        parser_(kMaxResponseHeadBytes) {}
 
   void Start() {
     self_ = shared_from_this();
-    connection_ = pool_->Acquire(request_.endpoint, request_.fresh_connection);
-    output_ = bufferevent_get_output(
-        evhttp_connection_get_bufferevent(connection_->native()));
-    output_callback_ = evbuffer_add_cb(output_, OnOutputChanged, this);
-    input_ = bufferevent_get_input(
-        evhttp_connection_get_bufferevent(connection_->native()));
-    input_callback_ = evbuffer_add_cb(input_, OnInputChanged, this);
-    evhttp_connection_set_max_body_size(
-        connection_->native(), static_cast<ev_ssize_t>(max_body_bytes()));
-    request_timer_ = pool_->loop().After(
-        request_.timeout, [this] { Fail("the request timed out"); });
-    connect_timer_ = pool_->loop().After(
-        request_.connect_timeout, [this] { Fail("connecting timed out"); });
-    StartRequest();
+    request_timer_ = loop().After(request_.timeout,
+                                  [this] { Fail("the request timed out"); });
+    if (!IsValid(request_)) {
+      base::LogWarning("http.client",
+                       "not sent to " + ToString(request_.endpoint) +
+                           ": the target or a header is malformed");
+      FailLater("the target or a header is malformed");
+      return;
+    }
+    memory_id_ = shared_->memory.Add([this] { OnEvicted(); });
+    connect_timer_ = loop().After(request_.connect_timeout,
+                                  [this] { Fail("connecting timed out"); });
+    connection_ =
+        shared_->pool.Acquire(request_.endpoint, request_.fresh_connection);
+    connection_->SetUser(this);
+    if (connection_->connected()) {
+      WriteRequest();
+    } else {
+      connection_->Connect();
+    }
   }
 
   void Cancel() override {
@@ -228,239 +150,192 @@
   bool sent() const override { return sent_; }
 
  private:
-  void StartRequest() {
-    // evhttp writes the target as it is and drops malformed headers.
-    const bool valid =
-        IsRequestTarget(request_.path) &&
-        std::all_of(request_.headers.begin(), request_.headers.end(),
-                    [](const Header& header) {
-                      return IsHeaderName(header.name) &&
-                             IsHeaderValue(header.value);
-                    });
-    if (!valid) {
-      base::LogWarning("http.client",
-                       "not sent to " + ToString(request_.endpoint) +
-                           ": the target or a header is malformed");
-      FailLater("the target or a header is malformed");
-      return;
-    }
-    evhttp_request* native = evhttp_request_new(OnResponse, this);
-    evhttp_request_set_error_cb(native, OnError);
-    if (on_chunk_) {
-      evhttp_request_set_chunked_cb(native, OnBodyChunk);
+  /// Acts on the next element of the response.
+  /// @return whether to read on
+  struct ElementHandler {
+    ActiveCall& call;
+
+    bool operator()(const NeedMore& /*element*/) const { return false; }
+    bool operator()(ResponseParser::Head& head) const {
+      return call.ReceiveHead(std::move(head));
     }
-    evhttp_request_set_header_cb(native, OnHeaders);
-    evkeyvalq* headers = evhttp_request_get_output_headers(native);
-    for (const Header& header : request_.headers) {
-      evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
+    bool operator()(const BodyPart& part) const {
+      return call.ReceiveBodyPart(part.bytes);
     }
-    if (evhttp_find_header(headers, "Host") == nullptr) {
-      evhttp_add_header(headers, "Host", ToString(request_.endpoint).c_str());
+    bool operator()(const MessageEnd& /*element*/) const {
+      call.Complete();
+      return false;
     }
-    if (!request_.body.empty()) {
-      // evhttp sets the length of bodies of POST and PUT only.
-      evhttp_add_header(headers, "Content-Length",
-                        std::to_string(request_.body.size()).c_str());
-      // Not copied: the buffer owns the body, which is sent once.
-      auto* body = new std::string(std::move(request_.body));
-      evbuffer_add_reference(
-          evhttp_request_get_output_buffer(native), body->data(), body->size(),
-          [](const void*, std::size_t, void* sent) {
-            delete static_cast<std::string*>(sent);
-          },
-          body);
+    bool operator()(const ResponseParser::Malformed& malformed) const {
+      call.Reject("the answer is malformed: " + malformed.reason);
+      return false;
     }
-    if (evhttp_make_request(connection_->native(), native,
-                            ToCommand(request_.method),
-                            request_.path.c_str()) != 0) {
-      FailLater("the request could not be started");
+  };
+
+  enum class State {
+    /// The request is being sent, or its response received.
+    kActive,
+    /// The response is complete; Succeed follows.
+    kComplete,
+    /// Nothing more is read or written; Fail follows.
+    kRejected,
+  };
+
+  base::EventLoop& loop() { return shared_->pool.loop(); }
+
+  void OnConnected() override {
+    if (!finished_ && state_ == State::kActive) {
+      WriteRequest();
     }
   }
 
-  void FailLater(std::string reason) {
-    pool_->loop().Post([self = shared_from_this(), reason = std::move(reason)] {
-      self->Fail(reason);
-    });
+  void OnFirstByteSent() override {
+    sent_ = true;
+    connect_timer_.Cancel();
   }
 
-  static void OnOutputChanged(evbuffer* /*buffer*/,
-                              const evbuffer_cb_info* info, void* argument) {
-    auto* self = static_cast<ActiveCall*>(argument);
-    if (self->withdrawn_) {
+  void OnClosed(bool in_order) override {
+    if (finished_ || state_ != State::kActive) {
       return;
     }
-    if (info->n_deleted > 0 && !self->sent_) {
-      self->sent_ = true;
-      self->connect_timer_.Cancel();
-    }
-    const bool first_bytes = info->n_added > 0 && info->orig_size == 0;
-    if (first_bytes) {
-      self->connection_->SetOptionsOnce();
-    }
-    if (first_bytes && !self->sent_ && self->request_.may_write &&
-        !self->request_.may_write()) {
-      // evhttp enables writing after this callback; only the socket itself can
-      // still prevent that the bytes are sent.
-      self->withdrawn_ = true;
-      shutdown(self->fd(), SHUT_RDWR);
-      self->FailLater("the request was withdrawn before it was written");
+    if (in_order && parser_.CompleteAtClose()) {
+      Complete();
+      return;
     }
+    connection_lost_ = true;
+    Reject(in_order ? "the connection was closed" : "the connection failed");
   }
 
-  // evhttp reads a status as far as its characters are digits, so that "2?0" is
-  // status 2.
-  void CheckStatusLine() {
-    if (status_line_checked_) {
-      return;
-    }
-    std::size_t end_length = 0;
-    const evbuffer_ptr end =
-        evbuffer_search_eol(input_, nullptr, &end_length, EVBUFFER_EOL_CRLF);
-    if (end.pos < 0) {
+  void WriteRequest() {
+    if (request_.may_write && !request_.may_write()) {
+      Reject("the request was withdrawn before it was written");
       return;
     }
-    status_line_checked_ = true;
-    std::string line(static_cast<std::size_t>(end.pos), '\0');
-    evbuffer_copyout(input_, line.data(), line.size());
-    if (!internal::IsStatusLine(line)) {
-      Reject("the status line is malformed");
-    }
+    const std::string head = FormatHead(request_);
+    connection_->Write(head, std::exchange(request_.body, {}));
   }
 
-  void Reject(const char* reason) {
-    answer_rejected_ = true;
-    shutdown(fd(), SHUT_RDWR);
-    FailLater(reason);
+  void OnReadable() override {
+    const std::shared_ptr<ActiveCall> self = shared_from_this();
+    if (reading() && !sent_) {
+      Reject("the server sent bytes before the request");
+    }
+    evbuffer* input = connection_->input();
+    bool read_on = true;
+    while (read_on && reading()) {
+      const std::size_t available = evbuffer_get_length(input);
+      const char* bytes =
+          available == 0
+              ? ""
+              : reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
+      std::size_t consumed = 0;
+      auto element =
+          parser_.Read(std::string_view(bytes, available), &consumed);
+      read_on = std::visit(ElementHandler{*this}, element);
+      evbuffer_drain(input, consumed);
+    }
+    if (reading()) {
+      CountHeld();
+    }
   }
 
-  // evhttp limits neither the number of interim responses, whose headers it
-  // collects, nor the line that holds the length of a chunk.
-  static void OnInputChanged(evbuffer* /*buffer*/, const evbuffer_cb_info* info,
-                             void* argument) {
-    auto* self = static_cast<ActiveCall*>(argument);
-    if (self->finished_ || self->answer_rejected_) {
-      return;
+  bool reading() const { return !finished_ && state_ == State::kActive; }
+
+  // Returns whether to read on.
+  bool ReceiveHead(ResponseParser::Head head) {
+    // Without a length, a truncated response looks like a complete one.
+    if (head.until_close && !request_.accept_unframed) {
+      Reject("the answer has no length");
+      return false;
     }
-    if (!self->head_received_) {
-      self->head_bytes_ += info->n_added;
+    if (head.body_bytes.value_or(0) > max_body_bytes()) {
+      Reject(kTooLong);
+      return false;
     }
-    if (info->n_added > 0) {
-      self->CheckStatusLine();
+    reusable_ = head.keep_alive;
+    response_ = std::move(head.response);
+    if (!on_chunk_) {
+      // The memory is used as the body arrives.
+      response_.body.reserve(
+          static_cast<std::size_t>(head.body_bytes.value_or(0)));
     }
-    const std::size_t unparsed =
-        info->orig_size + info->n_added - info->n_deleted;
-    // The first part of the body may arrive together with the head.
-    const bool head_too_long =
-        !self->head_received_ &&
-        self->head_bytes_ > kMaxResponseHeadBytes + kMaxReadBytes;
-    if (head_too_long ||
-        unparsed > self->request_.max_response_bytes + kMaxResponseHeadBytes) {
-      self->Reject("the answer is too long");
+    if (on_head_) {
+      on_head_(response_);
     }
+    return true;
   }
 
-  static void OnError(evhttp_request_error error, void* argument) {
-    static_cast<ActiveCall*>(argument)->error_ = ErrorMessage(error);
+  // Returns whether to read on.
+  bool ReceiveBodyPart(std::string_view bytes) {
+    body_bytes_ += bytes.size();
+    if (body_bytes_ > max_body_bytes()) {
+      Reject(kTooLong);
+      return false;
+    }
+    if (!on_chunk_) {
+      response_.body.append(bytes);
+    } else if (!on_chunk_(response_.status, bytes) && reading()) {
+      Reject("the body was rejected");
+      return false;
+    }
+    return true;
   }
 
-  static void OnBodyChunk(evhttp_request* native, void* argument) {
-    auto* self = static_cast<ActiveCall*>(argument);
-    const std::string chunk =
-        TakeBytes(evhttp_request_get_input_buffer(native));
-    if (!self->finished_ && !self->answer_rejected_ && !chunk.empty()) {
-      const std::shared_ptr<ActiveCall> self_ref = self->shared_from_this();
-      if (!self->on_chunk_(evhttp_request_get_response_code(native), chunk)) {
-        self->FailLater("the body was rejected");
-      }
-    }
+  void Complete() {
+    state_ = State::kComplete;
+    // From now on the receiver's to count.
+    shared_->memory.Remove(memory_id_);
+    loop().Post([self = shared_from_this()] { self->Succeed(); });
   }
 
-  static int OnHeaders(evhttp_request* native, void* argument) {
-    auto* self = static_cast<ActiveCall*>(argument);
-    const int status = evhttp_request_get_response_code(native);
-    if (self->finished_ || self->answer_rejected_) {
-      return 0;
-    }
-    if (status >= kFirstStatus && status < kFirstFinalStatus) {
-      // The status line of the next response may be received already.
-      self->status_line_checked_ = false;
-      self->CheckStatusLine();
-      return 0;
-    }
-    if (status < kFirstStatus || status > kLastStatus) {
-      self->Reject("the status is no HTTP status");
-      return 0;
-    }
-    self->head_received_ = true;
-    if (self->on_head_) {
-      const std::shared_ptr<ActiveCall> self_ref = self->shared_from_this();
-      self->on_head_(ReadResponse(native));
-    }
-    return 0;
+  // Counts what the client and the receiver of the chunks hold.
+  void CountHeld() {
+    const std::size_t receiver =
+        request_.receiver_bytes ? request_.receiver_bytes() : 0;
+    shared_->memory.Set(memory_id_, evbuffer_get_length(connection_->input()) +
+                                        parser_.stored_bytes() +
+                                        response_.body.size() + receiver);
   }
 
-  static void OnResponse(evhttp_request* native, void* argument) {
-    auto* self = static_cast<ActiveCall*>(argument);
-    if (self->finished_ || self->answer_rejected_) {
-      return;
-    }
-    if (native == nullptr ||
-        evhttp_request_get_response_code(native) < kFirstFinalStatus) {
-      self->connection_lost_ =
-          !self->answer_rejected_ &&
-          (self->error_.empty() || self->error_ == kConnectionClosed ||
-           self->error_ == kConnectionFailed);
-      self->FailLater(self->error_.empty() ? std::string(kConnectionFailed)
-                                           : self->error_);
-      return;
-    }
-    Response response = ReadResponse(native);
-    // Without a length, a truncated response looks like a complete one.
-    const bool has_length = response.headers.contains("content-length") ||
-                            response.headers.contains("transfer-encoding") ||
-                            response.status == HTTP_NOCONTENT;
-    if (!has_length && !self->request_.accept_unframed) {
-      self->FailLater("the answer has no length");
-      return;
-    }
-    const auto connection = response.headers.find("connection");
-    const bool foreign = self->request_.is_own_response &&
-                         !self->request_.is_own_response(response);
-    const bool close = !has_length || foreign ||
-                       (connection != response.headers.end() &&
-                        internal::LowerCase(connection->second) == "close");
-    self->keep_alive_ = ParseKeepAlive(response);
-    self->pool_->loop().Post([self_ref = self->shared_from_this(), close,
-                              response = std::move(response)]() mutable {
-      self_ref->Succeed(std::move(response), !close);
-    });
+  // Called when the responses of all calls need too much memory and this one
+  // needs the most.
+  void OnEvicted() {
+    base::LogWarning("http.client",
+                     "a response from " + ToString(request_.endpoint) +
+                         " is given up after " + std::to_string(body_bytes_) +
+                         " bytes of its body: no memory");
+    Reject("no memory for the answer");
   }
 
-  static Response ReadResponse(evhttp_request* native) {
-    Response response;
-    response.status = evhttp_request_get_response_code(native);
-    const evkeyvalq* headers = evhttp_request_get_input_headers(native);
-    for (const evkeyval* header = headers->tqh_first; header != nullptr;
-         header = header->next.tqe_next) {
-      response.headers[internal::LowerCase(header->key)] = header->value;
-    }
-    response.body = TakeBytes(evhttp_request_get_input_buffer(native));
-    return response;
+  void Reject(std::string reason) {
+    state_ = State::kRejected;
+    connection_->Stop();
+    // Assigning an empty string would keep the memory.
+    std::string().swap(response_.body);
+    FailLater(std::move(reason));
   }
 
-  // Called from the event loop, never inside an evhttp callback.
-  void Succeed(Response response, bool reusable) {
-    if (finished_) {
+  void FailLater(std::string reason) {
+    loop().Post([self = shared_from_this(), reason = std::move(reason)] {
+      self->Fail(reason);
+    });
+  }
+
+  void Succeed() {
+    if (finished_ || state_ != State::kComplete) {
       return;
     }
-    const std::shared_ptr<ActiveCall> self_ref = shared_from_this();
+    const std::shared_ptr<ActiveCall> self = shared_from_this();
+    const bool foreign =
+        request_.is_own_response && !request_.is_own_response(response_);
     const ResultCallback done = Finish();
-    if (reusable) {
+    if (reusable_ && !foreign) {
       // Releases the connection before the callback runs, so that a request
       // sent by the callback can reuse it.
-      pool_->Release(request_.endpoint, std::move(connection_), keep_alive_);
+      shared_->pool.Release(request_.endpoint, std::move(connection_),
+                            ParseKeepAlive(response_));
     }
-    done(std::move(response));
+    done(std::move(response_));
   }
 
   void Fail(const std::string& reason) {
@@ -477,69 +352,55 @@
     return on_chunk_ ? kMaxStreamBytes : request_.max_response_bytes;
   }
 
-  evutil_socket_t fd() const {
-    return bufferevent_getfd(
-        evhttp_connection_get_bufferevent(connection_->native()));
-  }
-
-  // Makes the closing of the connection discard what was not delivered. An
-  // abandoned request that a partition holds back would otherwise be executed
-  // once the partition ends.
   void ResetOnClose() {
-    const linger discard{.l_onoff = 1, .l_linger = 0};
-    if (connection_ != nullptr && fd() >= 0) {
-      setsockopt(fd(), SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+    if (connection_ != nullptr) {
+      connection_->ResetOnClose();
     }
   }
 
-  // Ends the call and returns on_done_. A connection that is not returned to
-  // the pool is closed from the event loop, because Finish may run inside one
-  // of the connection's evhttp callbacks.
+  // Ends the call and returns on_done_. What may be in use by the caller of
+  // this method is destroyed from the event loop.
   ResultCallback Finish() {
     finished_ = true;
     request_timer_.Cancel();
     connect_timer_.Cancel();
-    evbuffer_remove_cb_entry(output_, output_callback_);
-    evbuffer_remove_cb_entry(input_, input_callback_);
-    pool_->loop().Post(
-        [self = shared_from_this()] { self->connection_.reset(); });
+    shared_->memory.Remove(memory_id_);
+    loop().Post([self = shared_from_this()] {
+      self->connection_.reset();
+      self->on_chunk_ = nullptr;
+      self->on_head_ = nullptr;
+      self->request_ = {};
+    });
     self_.reset();
-    on_chunk_ = on_chunk_ ? OnChunk([](int, std::string_view) { return true; })
-                          : nullptr;
-    on_head_ = on_head_ ? OnHead([](const Response&) {}) : nullptr;
     return std::exchange(on_done_, nullptr);
   }
 
-  std::shared_ptr<Pool> pool_;
+  std::shared_ptr<Shared> shared_;
   ClientRequest request_;
   ResultCallback on_done_;
   OnChunk on_chunk_;
   OnHead on_head_;
-  std::chrono::milliseconds keep_alive_ = kDefaultKeepAlive;
-  std::unique_ptr<Connection> connection_;
-  evbuffer* output_ = nullptr;
-  evbuffer_cb_entry* output_callback_ = nullptr;
-  evbuffer* input_ = nullptr;
-  evbuffer_cb_entry* input_callback_ = nullptr;
-  // Bytes received before the end of the head.
-  std::size_t head_bytes_ = 0;
-  bool head_received_ = false;
-  bool status_line_checked_ = false;
-  // The answer exceeded a limit.
-  bool answer_rejected_ = false;
+  ResponseParser parser_;
+  std::unique_ptr<ClientConnection> connection_;
+  /// 0 before the call is started.
+  ResponseMemory::Id memory_id_ = 0;
+  State state_ = State::kActive;
+  /// The final response; its body only if no chunks are passed on.
+  Response response_;
+  std::size_t body_bytes_ = 0;
+  /// Whether the server accepts another request on the connection.
+  bool reusable_ = false;
   base::Timer request_timer_;
   base::Timer connect_timer_;
-  std::string error_;
   bool connection_lost_ = false;
   bool sent_ = false;
-  // may_write returned false; what evhttp discards was not sent.
-  bool withdrawn_ = false;
   bool finished_ = false;
   // Set until the call ends.
   std::shared_ptr<ActiveCall> self_;
 };
 
-Client::Client(base::EventLoop& loop) : pool_(std::make_shared<Pool>(loop)) {}
+Client::Client(base::EventLoop& loop, ResponseMemory::Reserve reserve)
+    : shared_(std::make_shared<Shared>(loop, std::move(reserve))) {}
 
 Client::~Client() = default;
 
@@ -547,14 +408,14 @@
                                    ResultCallback on_done, OnChunk on_chunk,
                                    OnHead on_head) {
   auto call = std::make_shared<ActiveCall>(
-      pool_, std::move(request), std::move(on_done), std::move(on_chunk),
+      shared_, std::move(request), std::move(on_done), std::move(on_chunk),
       std::move(on_head));
   call->Start();
   return call;
 }
 
 void Client::CloseIdleConnections(const Endpoint& endpoint) {
-  pool_->CloseIdleConnections(endpoint);
+  shared_->pool.CloseIdleConnections(endpoint);
 }
 
 }  // namespace mulberryroad::http
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -1,5 +1,5 @@
-// HTTP client based on evhttp. A connection carries one request at a time, and
-// failures state whether the request may have been executed.
+// HTTP client on libevent's loop. A connection carries one request at a time,
+// and failures state whether the request may have been executed.
 
 #ifndef MULBERRYROAD_SRC_HTTP_CLIENT_H_
 #define MULBERRYROAD_SRC_HTTP_CLIENT_H_
@@ -7,20 +7,19 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <variant>
-#include <vector>
 
 #include "base/event_loop.h"
+#include "http/request.h"
+#include "http/response.h"
+#include "http/response_memory.h"
 #include "http/server.h"
 #include "mulberryroad/endpoint.h"
 #include "mulberryroad/verdict.h"
 
-struct evhttp_connection;
-
 namespace mulberryroad::http {
 
 /// Maximum size of a response body if the request sets none. Several responses
@@ -32,14 +31,6 @@
 /// headers and interim responses.
 inline constexpr std::size_t kMaxResponseHeadBytes = 64U << 10U;
 
-/// A complete response. Header names are in lower case. The body is empty if it
-/// was delivered in chunks.
-struct Response {
-  int status = 0;
-  std::map<std::string, std::string> headers;
-  std::string body;
-};
-
 struct ClientRequest {
   Endpoint endpoint;
   Method method = Method::kGet;
@@ -63,6 +54,9 @@
   std::function<bool(const Response&)> is_own_response;
   /// Opens a new connection instead of using an idle one.
   bool fresh_connection = false;
+  /// If set, returns the bytes that the receiver of the chunks holds of the
+  /// response. They count like those that the client holds.
+  std::function<std::size_t()> receiver_bytes;
   /// If set, called when the request is about to be written, which is after its
   /// connection is established. If it returns false, no byte is sent and the
   /// request fails as not run.
@@ -99,12 +93,18 @@
   virtual bool sent() const = 0;
 };
 
+class ConnectionPool;
+
 /// Sends requests over pooled keep-alive connections. Belongs to the event
 /// loop's thread. A connection with unread bytes after a response is closed, so
 /// that they are never taken for the response to a later request.
 class Client {
  public:
-  explicit Client(base::EventLoop& loop);
+  /// @param reserve bounds the bytes of all responses that are being received;
+  ///     the call with the largest one fails if they have no room. Empty for no
+  ///     bound
+  explicit Client(base::EventLoop& loop,
+                  ResponseMemory::Reserve reserve = nullptr);
   ~Client();
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
@@ -122,11 +122,10 @@
   void CloseIdleConnections(const Endpoint& endpoint);
 
  private:
-  class Connection;
   class ActiveCall;
-  class Pool;
+  struct Shared;
 
-  std::shared_ptr<Pool> pool_;
+  std::shared_ptr<Shared> shared_;
 };
 
 }  // namespace mulberryroad::http
--- a/src/http/connection_guard.cc
+++ b/src/http/connection_guard.cc
@@ -65,9 +65,17 @@
   return true;
 }
 
+bool ConnectionGuard::ReserveForResponses(std::size_t bytes) {
+  if (!budget_.ReserveForResponses(bytes)) {
+    return false;
+  }
+  CloseVictims();
+  return true;
+}
+
 void ConnectionGuard::CloseVictims() {
   const auto now = steady_clock::now();
-  peak_bytes_ = std::max(peak_bytes_, budget_.held() + budget_.reserved());
+  peak_bytes_ = std::max(peak_bytes_, held_bytes());
   if (std::exchange(closing_, true)) {
     return;
   }
@@ -116,7 +124,7 @@
 }
 
 void ConnectionGuard::TrimMemory() {
-  const std::size_t bytes = budget_.held() + budget_.reserved();
+  const std::size_t bytes = held_bytes();
   if (peak_bytes_ > bytes + kTrimBytes) {
     malloc_trim(0);
     peak_bytes_ = bytes;
--- a/src/http/connection_guard.h
+++ b/src/http/connection_guard.h
@@ -48,6 +48,10 @@
   /// connections while the budget is exceeded.
   /// @return see MemoryBudget::Reserve
   bool Reserve(std::size_t bytes);
+  /// Sets the bytes of the responses that the process is receiving, and closes
+  /// connections while the budget is exceeded.
+  /// @return see MemoryBudget::ReserveForResponses
+  bool ReserveForResponses(std::size_t bytes);
   /// Closes connections, perhaps the newest one, while too many are open.
   void CloseExcess();
   /// Records that a connection was closed or its request refused.
@@ -56,6 +60,10 @@
   static constexpr std::chrono::milliseconds kSweepInterval{250};
 
  private:
+  /// Returns the bytes that the process holds.
+  std::size_t held_bytes() const {
+    return budget_.held() + budget_.reserved() + budget_.responses();
+  }
   void CloseVictims();
   void CloseFor(Id id, CloseReason reason);
   void Sweep();
--- a/src/http/memory_budget.cc
+++ b/src/http/memory_budget.cc
@@ -25,6 +25,9 @@
 // Part of the bytes that may always be reserved, besides the budget: ordinary
 // batches do not wait for large requests.
 constexpr std::size_t kUncountedBytesPart = 16;
+// Part of the bytes that responses may hold while they are received. Two of the
+// largest fit into 120 MB.
+constexpr std::size_t kResponseBytesPart = 4;
 // Requests up to this size may use the share that large bodies leave.
 constexpr std::size_t kSmallRequestBytes = 128U << 10U;
 // Average rate below which an incomplete body is closed under pressure after
@@ -64,6 +67,10 @@
   return bytes - bytes / kConnectionBytesPart;
 }
 
+std::size_t BudgetLimits::max_responses() const {
+  return bytes / kResponseBytesPart;
+}
+
 BudgetLimits LimitsFor(std::size_t memory_mb, std::size_t max_fds) {
   BudgetLimits limits;
   if (memory_mb > 0) {
@@ -162,13 +169,25 @@
   const std::size_t usable = limits_.bytes - limits_.bytes / kReservedBytesPart;
   const bool fits =
       limits_.bytes == 0 || bytes <= reserved_ || Counted(bytes) == 0 ||
-      (bytes <= limits_.max_reserved() && running_ + Counted(bytes) <= usable);
+      (bytes <= limits_.max_reserved() &&
+       running_ + Counted(responses_) + Counted(bytes) <= usable);
   if (fits) {
     reserved_ = bytes;
   }
   return fits;
 }
 
+bool MemoryBudget::ReserveForResponses(std::size_t bytes) {
+  const bool fits =
+      limits_.bytes == 0 || bytes <= responses_ || Counted(bytes) == 0 ||
+      (bytes <= limits_.max_responses() &&
+       running_ + Counted(reserved_) + Counted(bytes) <= limits_.bytes);
+  if (fits) {
+    responses_ = bytes;
+  }
+  return fits;
+}
+
 bool MemoryBudget::HasRoomFor(std::size_t bytes, bool protected_peer) const {
   if (limits_.bytes == 0) {
     return true;
@@ -177,11 +196,11 @@
   const std::size_t usable =
       whole ? limits_.bytes
             : limits_.bytes - limits_.bytes / kReservedBytesPart;
-  return running_ + Counted(reserved_) + bytes <= usable;
+  return running_ + counted_elsewhere() + bytes <= usable;
 }
 
 std::optional<MemoryBudget::Id> MemoryBudget::NextVictim(TimePoint now) const {
-  if (limits_.bytes == 0 || held_ + Counted(reserved_) <= limits_.bytes) {
+  if (limits_.bytes == 0 || held_ + counted_elsewhere() <= limits_.bytes) {
     return std::nullopt;
   }
   std::optional<Id> victim;
@@ -227,7 +246,7 @@
     TimePoint now) const {
   std::vector<Expired> expired;
   const bool pressure =
-      limits_.bytes > 0 && held_ + Counted(reserved_) > limits_.bytes / 2;
+      limits_.bytes > 0 && held_ + counted_elsewhere() > limits_.bytes / 2;
   for (const auto& [id, entry] : entries_) {
     const auto age = now - entry.phase_began;
     if (entry.phase == ConnectionPhase::kHead && age > limits_.head_timeout) {
--- a/src/http/memory_budget.h
+++ b/src/http/memory_budget.h
@@ -44,6 +44,8 @@
   /// Bytes that the process may reserve for other purposes than connections; 0
   /// for no limit.
   std::size_t max_reserved() const;
+  /// Bytes that responses may hold while they are received; 0 for no limit.
+  std::size_t max_responses() const;
 };
 
 /// Derives the limits from the memory and descriptors of the machine.
@@ -99,6 +101,13 @@
   ///     then stays as it was. A lower number is always accepted.
   bool Reserve(std::size_t bytes);
 
+  /// Sets the bytes of the responses that the process is receiving. A share of
+  /// them does not count against the connections.
+  /// @return false if there are too many, or running requests leave no room for
+  ///     so many; the number then stays as it was. A lower number is always
+  ///     accepted.
+  bool ReserveForResponses(std::size_t bytes);
+
   /// Returns whether a request that will hold so many bytes until its response
   /// fits beside the requests that run already. Incomplete bodies do not count,
   /// as they are closed for it.
@@ -125,6 +134,8 @@
 
   std::size_t held() const { return held_; }
   std::size_t reserved() const { return reserved_; }
+  /// Bytes of responses that are being received.
+  std::size_t responses() const { return responses_; }
   std::size_t connections() const { return entries_.size(); }
 
  private:
@@ -146,6 +157,10 @@
 
   /// Returns the part of reserved bytes that counts against the connections.
   std::size_t Counted(std::size_t reserved) const;
+  /// Returns the bytes that count against the connections besides their own.
+  std::size_t counted_elsewhere() const {
+    return Counted(reserved_) + Counted(responses_);
+  }
   /// Add an entry to the sums, or take it out of them.
   void Add(const Entry& entry);
   void Remove(const Entry& entry);
@@ -157,6 +172,7 @@
   /// Part of held_ in phase kRunning.
   std::size_t running_ = 0;
   std::size_t reserved_ = 0;
+  std::size_t responses_ = 0;
   std::size_t callers_ = 0;
   /// Part of callers_ in phase kRunning.
   std::size_t running_callers_ = 0;
--- a/src/http/text.h
+++ b/src/http/text.h
@@ -19,6 +19,9 @@
   return text;
 }
 
+/// Size of a status line without a reason phrase: "HTTP/1.1 200".
+inline constexpr std::size_t kStatusLineBytes = 12;
+
 /// Returns whether a line begins an HTTP/1.x response: its status has three
 /// digits from 100 to 599 (RFC 9112, section 4).
 inline bool IsStatusLine(std::string_view line) {
--- a/src/node/forward_codec.h
+++ b/src/node/forward_codec.h
@@ -48,6 +48,9 @@
   /// @return false if a frame is malformed or larger than kMaxFrameBytes
   bool Feed(std::string_view bytes, std::vector<v1::ForwardFrame>* frames);
 
+  /// Size of the frame that is incomplete.
+  std::size_t pending_bytes() const { return pending_.size(); }
+
   /// Larger than the largest complete response.
   static constexpr std::size_t kMaxFrameBytes =
       http::kDefaultMaxResponseBytes + http::kMaxResponseHeadBytes * 2;
--- a/src/node/forwarding_caller.cc
+++ b/src/node/forwarding_caller.cc
@@ -138,6 +138,9 @@
     call.body = forward.SerializeAsString();
     call.connect_timeout = std::min(kPeerConnectTimeout, left);
     call.timeout = left + kDeadlineMargin;
+    call.receiver_bytes = [self = shared_from_this()] {
+      return self->held_bytes();
+    };
     reader_ = FrameReader();
     outcome_.reset();
     call_ = caller_.client_.Send(
@@ -150,6 +153,12 @@
         });
   }
 
+  std::size_t held_bytes() const {
+    const bool counts = options_.stream && options_.stream->held_bytes;
+    return reader_.pending_bytes() +
+           (counts ? options_.stream->held_bytes() : 0);
+  }
+
   bool OnBytes(std::string_view bytes) {
     std::vector<v1::ForwardFrame> frames;
     if (!reader_.Feed(bytes, &frames)) {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -21,7 +21,8 @@
 // Delay between SIGTERM and closing the listening socket: the platform checks
 // readiness once a second and removes a node after two failed checks.
 constexpr milliseconds kLeaveDelay{2'500};
-// Part of the grace period that remains when open requests are abandoned.
+// Part of the grace period that remains when open requests are abandoned. The
+// failures that end them are sent in it.
 constexpr milliseconds kStopMargin{500};
 // Time for which results are retained after the promised period has ended.
 constexpr milliseconds kResultRetentionMargin{10'000};
@@ -79,7 +80,10 @@
       log_(clock_, settings_.node),
       process_(MakeProcessName(settings_, clock_)),
       random_(base::StableHash(process_)),
-      client_(loop_),
+      client_(loop_,
+              [this](std::size_t bytes) {
+                return guard_ == nullptr || guard_->ReserveForResponses(bytes);
+              }),
       cold_({settings_.cold_bound_factor, settings_.cold_bound_requests}),
       statements_(&cold_),
       store_relay_(loop_, clock_, log_, metrics_, client_, random_,
--- a/src/node/node_status.cc
+++ b/src/node/node_status.cc
@@ -133,6 +133,9 @@
   metrics_.Gauge("connection_bytes_held", [this] {
     return static_cast<double>(guard_->budget().held());
   });
+  metrics_.Gauge("response_bytes_held", [this] {
+    return static_cast<double>(guard_->budget().responses());
+  });
   metrics_.Gauge("connections_open", [this] {
     return static_cast<double>(guard_->budget().connections());
   });
--- a/src/serving/upstream_caller.h
+++ b/src/serving/upstream_caller.h
@@ -87,6 +87,8 @@
 struct StreamHandler {
   std::function<void(const StreamStart&)> on_start;
   std::function<void(const StreamEvent&)> on_event;
+  /// If set, returns the bytes of the events that the handler holds.
+  std::function<std::size_t()> held_bytes = {};
 };
 
 /// Options of one call.
--- a/test/process/hostile_clients.h
+++ b/test/process/hostile_clients.h
@@ -98,6 +98,44 @@
   return fd;
 }
 
+/// What a server sent on a connection until its end.
+struct Reply {
+  std::string bytes;
+  /// Whether the server ended the connection in order.
+  bool in_order = false;
+
+  /// Status of the response; 0 if there is none.
+  int status() const {
+    return bytes.size() < 12 ? 0 : std::atoi(bytes.c_str() + 9);
+  }
+};
+
+/// Sends a request and reads until the connection ends, or for a time.
+inline Reply ReadToEnd(const Endpoint& endpoint, const std::string& request,
+                       milliseconds limit) {
+  Reply reply;
+  const int fd = Connect(endpoint);
+  if (fd < 0) {
+    return reply;
+  }
+  send(fd, request.data(), request.size(), MSG_NOSIGNAL);
+  const auto end = steady_clock::now() + limit;
+  char buffer[16U << 10U];
+  while (steady_clock::now() < end) {
+    pollfd ready{fd, POLLIN, 0};
+    poll(&ready, 1, 50);
+    const ssize_t got = recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT);
+    if (got > 0) {
+      reply.bytes.append(buffer, static_cast<std::size_t>(got));
+    } else if (got == 0 || errno != EAGAIN) {
+      reply.in_order = got == 0;
+      break;
+    }
+  }
+  close(fd);
+  return reply;
+}
+
 /// What a hostile client sends: a head, then a piece over and over again.
 struct Script {
   std::string head;
@@ -212,6 +250,11 @@
   NodeRun& operator=(const NodeRun&) = delete;
 
   const Endpoint& front() const { return front_; }
+  const Endpoint& platform() const { return platform_address_; }
+  /// File with a line for each run of the upstream.
+  const std::string& upstream_log() const { return upstream_->log_path(); }
+  bool node_running() { return node_->Running(); }
+  void Signal(int signal_number) { node_->Signal(signal_number); }
 
   /// Plays scripts by many clients, and measures the node meanwhile. The
   /// connections stay open.
@@ -337,6 +380,51 @@
     peak_fds_ = std::max(peak_fds_, fds);
   }
 
+  /// Sends a request to any endpoint.
+  /// @param head without the length of the body
+  /// @return the status of the response; 0 if there is none
+  static int Request(const Endpoint& endpoint, std::string head,
+                     std::size_t body_bytes, const std::string& body = "") {
+    head += "\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n";
+    const std::string filler(64U << 10U, 'b');
+    const int fd = Connect(endpoint);
+    const auto end = steady_clock::now() + kReplyLimit;
+    std::size_t sent = 0;
+    std::string reply;
+    while (fd >= 0 && steady_clock::now() < end && reply.size() < 12) {
+      const bool sending = sent < head.size() + body_bytes;
+      pollfd ready{
+          fd, static_cast<std::int16_t>(POLLIN | (sending ? POLLOUT : 0)), 0};
+      poll(&ready, 1, 100);
+      std::string_view bytes;
+      if (sent < head.size()) {
+        bytes = std::string_view(head).substr(sent);
+      } else if (!body.empty()) {
+        bytes = std::string_view(body).substr(sent - head.size());
+      } else {
+        bytes =
+            std::string_view(filler).substr(0, head.size() + body_bytes - sent);
+      }
+      if (sending && (ready.revents & POLLOUT) != 0) {
+        const ssize_t written =
+            send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        sent += written > 0 ? static_cast<std::size_t>(written) : 0;
+      }
+      if ((ready.revents & (POLLIN | POLLHUP | POLLERR)) != 0) {
+        char buffer[512];
+        const ssize_t got = recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT);
+        if (got == 0 || (got < 0 && errno != EAGAIN)) {
+          break;
+        }
+        reply.append(buffer, got > 0 ? static_cast<std::size_t>(got) : 0);
+      }
+    }
+    if (fd >= 0) {
+      close(fd);
+    }
+    return reply.size() < 12 ? 0 : std::atoi(reply.c_str() + 9);
+  }
+
  private:
   std::string Path(const char* name) const { return work_dir_ / name; }
   std::string Proc(const char* name) const {
@@ -421,49 +509,6 @@
     return false;
   }
 
-  // Returns the status of the response; 0 if there is none.
-  static int Request(const Endpoint& endpoint, std::string head,
-                     std::size_t body_bytes, const std::string& body = "") {
-    head += "\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n";
-    const std::string filler(64U << 10U, 'b');
-    const int fd = Connect(endpoint);
-    const auto end = steady_clock::now() + kReplyLimit;
-    std::size_t sent = 0;
-    std::string reply;
-    while (fd >= 0 && steady_clock::now() < end && reply.size() < 12) {
-      const bool sending = sent < head.size() + body_bytes;
-      pollfd ready{
-          fd, static_cast<std::int16_t>(POLLIN | (sending ? POLLOUT : 0)), 0};
-      poll(&ready, 1, 100);
-      std::string_view bytes;
-      if (sent < head.size()) {
-        bytes = std::string_view(head).substr(sent);
-      } else if (!body.empty()) {
-        bytes = std::string_view(body).substr(sent - head.size());
-      } else {
-        bytes =
-            std::string_view(filler).substr(0, head.size() + body_bytes - sent);
-      }
-      if (sending && (ready.revents & POLLOUT) != 0) {
-        const ssize_t written =
-            send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
-        sent += written > 0 ? static_cast<std::size_t>(written) : 0;
-      }
-      if ((ready.revents & (POLLIN | POLLHUP | POLLERR)) != 0) {
-        char buffer[512];
-        const ssize_t got = recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT);
-        if (got == 0 || (got < 0 && errno != EAGAIN)) {
-          break;
-        }
-        reply.append(buffer, got > 0 ? static_cast<std::size_t>(got) : 0);
-      }
-    }
-    if (fd >= 0) {
-      close(fd);
-    }
-    return reply.size() < 12 ? 0 : std::atoi(reply.c_str() + 9);
-  }
-
   std::size_t memory_mb_;
   std::size_t max_fds_;
   std::string bin_dir_;
--- a/test/process/upstream_run.h
+++ b/test/process/upstream_run.h
@@ -81,9 +81,9 @@
     std::vector<nlohmann::json> runs;
     std::ifstream file(log_path);
     for (std::string line; std::getline(file, line);) {
-      auto json = nlohmann::json::parse(line, nullptr, false);
-      if (json.is_object() && json.contains("run")) {
-        runs.push_back(std::move(json));
+      auto parsed = nlohmann::json::parse(line, nullptr, false);
+      if (parsed.is_object() && parsed.contains("run")) {
+        runs.push_back(std::move(parsed));
       }
     }
     return runs;
