--- a/test/endless_answer_test.cc
+++ b/test/endless_answer_test.cc
@@ -12,6 +12,7 @@
 #include "fakes/loop_wait.h"
 #include "fakes/raw_server.h"
 #include "http/client.h"
+#include "platform/duty_client.h"
 #include "platform/upstream_client.h"
 
 namespace mulberryroad {
@@ -148,5 +149,41 @@
   cr_assert_eq(server.open(), 0);
 }
 
+// Guards against JSON of an upstream that takes many times its size as a tree.
+Test(endless_answer, state_of_any_size_is_parsed) {
+  std::signal(SIGPIPE, SIG_IGN);
+  for (const bool large : {false, true}) {
+    std::string body = R"({"models":[],"seq":1,"runs":[)";
+    while (large &&
+           body.size() <= platform_adapter::DutyClient::kMaxResponseBytes) {
+      body += "{},";
+    }
+    body += "{}]}";
+    base::EventLoop loop;
+    fakes::RawServer server(loop, [&body](int) {
+      return fakes::RawAnswer{
+          "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+              "\r\n\r\n" + body,
+          fakes::AfterAnswer::kKeepOpen,
+          {}};
+    });
+    http::Client client(loop);
+    SystemClock clock;
+    serving::UpstreamStatements statements;
+    platform_adapter::DutyClient duties(client, clock, statements,
+                                        server.endpoint());
+    platform::OrderTarget target;
+    target.id = UpstreamId("u1");
+    target.endpoint = server.endpoint();
+    std::optional<bool> read;
+    duties.ReadState(target, [&read](const auto& result) {
+      read = std::holds_alternative<platform::UpstreamState>(result);
+    });
+    fakes::RunUntil(
+        loop, [&read] { return read.has_value(); }, kTimeLimit);
+    cr_expect_eq(read.value_or(large), !large, "%zu bytes", body.size());
+  }
+}
+
 }  // namespace
 }  // namespace mulberryroad
