Do not reset a connection with a response under way

Cause: the kernel resets a connection that is closed with unread bytes, and drops what it has not delivered.

Evidence: http_server::last_response_of_a_pipelining_caller_arrives_whole failed before.

--- a/src/http/server_session.cc
+++ b/src/http/server_session.cc
@@ -519,7 +519,7 @@
 
 void ServerSession::OnResponseSent() {
   if (close_after_response_) {
-    Close();
+    CloseBehindResponse();
     return;
   }
   // Before the client's event is removed, so that the kernel's set of watched
@@ -551,15 +551,35 @@
   running_bytes_ = 0;
   WriteHead(verdict.status, verdict.headers, verdict.body.size());
   evbuffer_add(output(), verdict.body.data(), verdict.body.size());
+  Linger();
+  if (context_->guard != nullptr) {
+    context_->guard->Count(reason);
+  }
+}
+
+void ServerSession::Linger() {
   SetState(State::kLingering);
   // A timeout of the stream ends reading.
   bufferevent_enable(stream_, EV_READ);
   linger_timer_ = context_->loop.After(
       kLingerTime, [self = shared_from_this()] { self->Close(); });
   DiscardInput();
-  if (context_->guard != nullptr) {
-    context_->guard->Count(reason);
+}
+
+bool ServerSession::HasUnreadBytes() const {
+  int unread = 0;
+  ioctl(fd(), FIONREAD, &unread);
+  return unread > 0 || evbuffer_get_length(input()) > 0;
+}
+
+void ServerSession::CloseBehindResponse() {
+  if (!HasUnreadBytes()) {
+    Close();
+    return;
   }
+  StopWatchingClient();
+  shutdown(fd(), SHUT_WR);
+  Linger();
 }
 
 void ServerSession::DiscardInput() {
--- a/src/http/server_session.h
+++ b/src/http/server_session.h
@@ -60,6 +60,11 @@
   /// on_disconnected.
   void Close();
 
+  /// Whether a response is complete, and some of it is not sent.
+  bool has_unsent_response() const { return state_ == State::kWriting; }
+  /// The exchange of the request that runs; null if there is none.
+  const std::shared_ptr<Exchange>& exchange() const { return exchange_; }
+
   /// Sends a complete response to the request that runs.
   void Respond(int status, std::string_view body, const Headers& headers);
   /// Starts a response whose size is not known: in chunks, or, for HTTP/1.0, up
@@ -89,7 +94,7 @@
     kRunning,
     /// The response is complete, and some of it is not sent.
     kWriting,
-    /// The request was refused. What arrives is discarded.
+    /// No further request is read. What arrives is discarded.
     kLingering,
     kClosed,
   };
@@ -115,6 +120,12 @@
   /// Closes the connection if the client disconnected.
   void PollClient();
   void Refuse(const HeadVerdict& verdict, CloseReason reason);
+  /// Closes the connection behind a response. What the client sent ahead is
+  /// discarded for a time, since closing would reset the connection, and with
+  /// it the bytes that the client has not received.
+  void CloseBehindResponse();
+  void Linger();
+  bool HasUnreadBytes() const;
   void OnGuardCloses(CloseReason reason);
   /// Looks up what the kernel holds unread, and counts it.
   void Measure();
--- a/test/http_server_test.cc
+++ b/test/http_server_test.cc
@@ -341,3 +341,50 @@
   cr_expect_eq(recv(client, &byte, 1, MSG_DONTWAIT), 0);
   close(client);
 }
+
+// Guards against a response that is lost with the reset of a connection that is
+// closed with unread bytes: the caller sent another request ahead.
+Test(http_server, last_response_of_a_pipelining_caller_arrives_whole) {
+  constexpr std::size_t kBodyBytes = 2U << 20U;
+  EventLoop loop;
+  Server server(loop, ServerLimits());
+  const std::uint16_t port = mulberryroad::fakes::FreePort();
+  cr_assert(server.Listen(Endpoint{"127.0.0.1", port}));
+  Timer reply;
+  server.Route(Method::kGet, "/", [&](const auto& exchange) {
+    reply = loop.After(std::chrono::milliseconds(50), [exchange] {
+      exchange->Reply(200, std::string(kBodyBytes, 'x'),
+                      {{"Connection", "close"}});
+    });
+  });
+  const int caller = Connect(port);
+  const int receive_buffer = 128 << 10;
+  setsockopt(caller, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+             sizeof(receive_buffer));
+  const std::string request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+  send(caller, request.data(), request.size(), 0);
+  const Timer next = loop.After(std::chrono::milliseconds(20), [&] {
+    send(caller, request.data(), request.size(), 0);
+  });
+  std::size_t received = 0;
+  bool ended = false;
+  std::vector<char> buffer(64U << 10U);
+  // Begins to read once the response is in the buffers of the kernel.
+  Timer reader;
+  const Timer start = loop.After(std::chrono::milliseconds(200), [&] {
+    reader = loop.Every(std::chrono::milliseconds(1), [&] {
+      const ssize_t got =
+          recv(caller, buffer.data(), buffer.size(), MSG_DONTWAIT);
+      received += got > 0 ? static_cast<std::size_t>(got) : 0;
+      ended = got == 0 || (got < 0 && errno != EAGAIN);
+      if (ended) {
+        loop.Stop();
+      }
+    });
+  });
+  const Timer timeout = loop.After(kTimeout, [&] { loop.Stop(); });
+  loop.Run();
+  cr_expect(received > kBodyBytes, "only %zu bytes arrived", received);
+  cr_expect(ended, "the connection stays open");
+  close(caller);
+}
