A planned stop waits until answers are sent

A caller that read an answer of 8 MB slowly got 4,079,616 bytes of it, 3.5 s after the SIGTERM of a node with 6 s of grace; a request that outlasted the node got no answer.

Cause: the drain counted a request as done once its answer was in the output buffer, and closed the connections of those that were still open at its end.

Change: the drain waits for answers that are not sent to the last byte.

--- a/src/base/drain.cc
+++ b/src/base/drain.cc
@@ -73,6 +73,11 @@
         "drain",
         std::to_string(open) +
             " requests still open at the drain timeout; abandoning them");
+    if (steps_.abandon) {
+      steps_.abandon();
+      timer_ = loop_.After(timing_.min_refusal_time, [this] { HandOver(); });
+      return;
+    }
   }
   HandOver();
 }
--- a/src/base/drain.h
+++ b/src/base/drain.h
@@ -19,11 +19,15 @@
   std::function<void()> announce;
   /// Stops accepting connections.
   std::function<void()> stop_accepting;
-  /// Returns the number of requests without a complete response.
+  /// Returns the number of requests without a complete response, and of
+  /// responses that were not sent to the last byte.
   std::function<std::size_t()> open_requests;
   /// Starts refusing requests, which callers can still send over open
   /// keep-alive connections. May be empty.
   std::function<void()> refuse;
+  /// Ends the requests that are still open at the drain timeout with a failure.
+  /// May be empty.
+  std::function<void()> abandon = {};
   /// Hands over roles and state to other nodes, then calls `done`. The
   /// drain continues with `stop` on the first call of `done` or after a
   /// timeout; later calls have no effect.
@@ -38,7 +42,8 @@
   /// Time after Begin at which requests that are still open are abandoned.
   std::chrono::milliseconds drain_timeout{0};
   /// Minimum time between `refuse` and `hand_over`, in which the last responses
-  /// reach their callers. Part of `drain_timeout`.
+  /// reach their callers. Part of `drain_timeout`. Also the time after
+  /// `abandon`, which is not part of it.
   std::chrono::milliseconds min_refusal_time{0};
 };
 
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -247,7 +247,8 @@
 }
 
 std::size_t Node::Parts::OpenWork() const {
-  return caller_server_.open_exchanges() + gateway_.open_requests() +
+  return caller_server_.open_exchanges() + caller_server_.unsent_responses() +
+         gateway_.open_requests() +
          batches_.owned();
 }
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -6,11 +6,13 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <optional>
 #include <string>
 #include <system_error>
 #include <utility>
+#include <vector>
 
 #include "base/decision_log.h"
 #include "http/connection_guard.h"
@@ -164,6 +166,23 @@
   return best;
 }
 
+std::size_t Server::unsent_responses() const {
+  return static_cast<std::size_t>(std::count_if(
+      context_->sessions.begin(), context_->sessions.end(),
+      [](const auto& session) { return session->has_unsent_response(); }));
+}
+
+void Server::ReplyToOpenExchanges(int status, std::string_view body) {
+  // Replying may remove sessions.
+  const std::vector<std::shared_ptr<ServerSession>> sessions(
+      context_->sessions.begin(), context_->sessions.end());
+  for (const std::shared_ptr<ServerSession>& session : sessions) {
+    if (const std::shared_ptr<Exchange> exchange = session->exchange()) {
+      exchange->Reply(status, body);
+    }
+  }
+}
+
 void Server::Dispatch(const std::shared_ptr<Exchange>& exchange) {
   ++open_exchanges_;
   exchange->on_detached_ = [this, alive = alive_] {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -142,6 +142,10 @@
   void StopAccepting();
   /// Number of exchanges without a complete response.
   std::size_t open_exchanges() const { return open_exchanges_; }
+  /// Number of complete responses that were not sent to the last byte.
+  std::size_t unsent_responses() const;
+  /// Replies to the exchanges whose response was not started.
+  void ReplyToOpenExchanges(int status, std::string_view body);
 
  private:
   static void OnAccept(evconnlistener* listener, int socket, sockaddr* address,
--- a/src/node/node_lifecycle.cc
+++ b/src/node/node_lifecycle.cc
@@ -8,6 +8,14 @@
 
 namespace mulberryroad::node {
 
+namespace {
+
+constexpr int kGatewayTimeout = 504;
+constexpr char kStoppedBody[] =
+    R"({"error":"the node stopped before the request ended"})";
+
+}  // namespace
+
 void Node::Impl::Reload(ReloadCause cause) {
   const bool by_signal = cause == ReloadCause::kSignal;
   const SettingsResult read = reload_settings_();
@@ -42,12 +50,23 @@
   };
   steps.stop_accepting = [this] { callers_.StopAccepting(); };
   steps.open_requests = [this] {
-    return callers_.open_exchanges() + forward_server_.open();
+    return callers_.open_exchanges() + callers_.unsent_responses() +
+           forward_server_.open() +
+           (peer_server_.has_value() ? peer_server_->unsent_responses() : 0);
   };
   steps.refuse = [this] {
     stopping_ = true;
     usage_.Flush();
   };
+  steps.abandon = [this] {
+    log_.Write("drain.abandon",
+               {{"open_requests",
+                 static_cast<std::int64_t>(callers_.open_exchanges())},
+                {"unsent_responses",
+                 static_cast<std::int64_t>(callers_.unsent_responses())}});
+    // They may have run: an upstream may still work on them.
+    callers_.ReplyToOpenExchanges(kGatewayTimeout, kStoppedBody);
+  };
   steps.hand_over = [](const std::function<void()>& done) { done(); };
   steps.stop = [this] {
     log_.Write("stop", {{"open_requests", static_cast<std::int64_t>(
--- a/test/drain_test.cc
+++ b/test/drain_test.cc
@@ -125,6 +125,30 @@
   ExpectSteps(recorder);
 }
 
+// Guards against a drain that ends before the failures of abandoned requests
+// reach their callers.
+Test(drain, abandoned_requests_end_before_the_node) {
+  StepRecorder recorder;
+  recorder.open_requests = 1;
+  DrainSteps steps = recorder.MakeSteps();
+  Instant abandoned_at{};
+  steps.abandon = [&] {
+    recorder.steps.emplace_back("abandon");
+    abandoned_at = recorder.clock.now();
+  };
+  Drain drain(recorder.loop, recorder.clock,
+              {.leave_delay = milliseconds(1),
+               .drain_timeout = milliseconds(60),
+               .min_refusal_time = milliseconds(30)},
+              std::move(steps));
+  drain.Begin();
+  recorder.loop.Run();
+  const std::string all = Join(recorder.steps);
+  cr_assert_eq(all, "announce, stop accepting, abandon, hand over, stop",
+               "found \"%s\"", all.c_str());
+  cr_assert(recorder.clock.now() - abandoned_at >= milliseconds(30));
+}
+
 // Guards against requests that are admitted until the moment at which all open
 // ones are abandoned.
 Test(drain, requests_are_admitted_until_they_are_abandoned) {
