Queued requests do not wait behind many that cannot be sent

Change: if none of the first 16 can be sent, the search goes on behind those that earlier calls looked at, 16 at a time, so that its cost stays bounded.

Evidence: admission_queue::many_requests_without_a_slot_block_the_others failed before.

--- a/src/serving/admission_queue.cc
+++ b/src/serving/admission_queue.cc
@@ -81,7 +81,8 @@
 std::optional<AdmissionQueue::Ticket> AdmissionQueue::TakeNext(
     Instant now, const std::function<bool(Ticket)>& may_send) {
   overloaded(now);
-  int checked = 0;
+  int position = 0;
+  const int resume = kMaxLookahead + passed_over_;
   for (const auto& [key, members] : classes_) {
     std::vector<std::pair<double, const Waiting*>> order;
     order.reserve(members.size());
@@ -92,10 +93,13 @@
     std::sort(order.begin(), order.end());
     for (const auto& [virtual_time, waiting] : order) {
       for (const auto& [deadline, ticket] : *waiting) {
-        if (checked++ >= kMaxLookahead) {
+        const int at = position++;
+        if (at >= resume + kMaxLookahead) {
+          passed_over_ += kMaxLookahead;
           return std::nullopt;
         }
-        if (!may_send(ticket)) {
+        const bool passed_over = at >= kMaxLookahead && at < resume;
+        if (passed_over || !may_send(ticket)) {
           continue;
         }
         double& reached = virtual_times_[key.first];
@@ -107,6 +111,7 @@
       }
     }
   }
+  passed_over_ = 0;
   return std::nullopt;
 }
 
--- a/test/admission_queue_test.cc
+++ b/test/admission_queue_test.cc
@@ -5,6 +5,7 @@
 
 #include <cmath>
 #include <deque>
+#include <set>
 #include <vector>
 
 #include "fakes/serving_fixture.h"
@@ -298,6 +299,38 @@
   cr_expect_eq(take(0), 0);
 }
 
+// Guards against requests that wait beside a free slot, as many before them can
+// use other upstreams only.
+Test(admission_queue, many_requests_without_a_slot_block_the_others) {
+  AdmissionQueue queue;
+  const auto add = [&](std::uint32_t route_priority) {
+    return std::get<Ticket>(queue.Add(
+        {{OrganisationId("o"), 0, route_priority}, At(1'000), kMaxWait}, At(0),
+        0));
+  };
+  std::set<Ticket> blocked;
+  for (int i = 0; i < 10 * AdmissionQueue::kMaxLookahead; ++i) {
+    blocked.insert(add(0));
+  }
+  const Ticket free = add(1);
+  int checked = 0;
+  const auto may_send = [&](Ticket ticket) {
+    ++checked;
+    return !blocked.contains(ticket);
+  };
+  int calls = 0;
+  Ticket taken = 0;
+  while (taken == 0 && calls < 20) {
+    ++calls;
+    taken = queue.TakeNext(At(1), may_send).value_or(0);
+  }
+  cr_expect_eq(taken, free);
+  cr_expect_leq(checked, 2 * AdmissionQueue::kMaxLookahead * calls);
+  // The first requests are looked at each time.
+  blocked.erase(blocked.begin());
+  cr_expect(queue.TakeNext(At(1), may_send).has_value());
+}
+
 // Sessions with one upstream of four slots: five requests fill it, then one of
 // the highest priority arrives. After the longest wait, requests are sent
 // without a slot, as they are without priorities.
