--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -248,8 +248,7 @@
 
 std::size_t Node::Parts::OpenWork() const {
   return caller_server_.open_exchanges() + caller_server_.unsent_responses() +
-         gateway_.open_requests() +
-         batches_.owned();
+         gateway_.open_requests() + batches_.owned();
 }
 
 // Usage is appended and leases are released before the process ends, so that
--- a/src/http/memory_budget.cc
+++ b/src/http/memory_budget.cc
@@ -167,10 +167,10 @@
 
 bool MemoryBudget::Reserve(std::size_t bytes) {
   const std::size_t usable = limits_.bytes - limits_.bytes / kReservedBytesPart;
-  const bool fits =
-      limits_.bytes == 0 || bytes <= reserved_ || Counted(bytes) == 0 ||
-      (bytes <= limits_.max_reserved() &&
-       running_ + Counted(responses_) + Counted(bytes) <= usable);
+  const bool fits = limits_.bytes == 0 || bytes <= reserved_ ||
+                    Counted(bytes) == 0 ||
+                    (bytes <= limits_.max_reserved() &&
+                     running_ + Counted(responses_) + Counted(bytes) <= usable);
   if (fits) {
     reserved_ = bytes;
   }
