--- a/test/part_owner_services_test.cc
+++ b/test/part_owner_services_test.cc
@@ -7,7 +7,6 @@
 namespace {
 
 using fakes::FakeUpstreams;
-using fakes::ReceivedRequest;
 using std::chrono::milliseconds;
 
 constexpr char kOtherPath[] = "/drafts/other/x";
--- a/test/process/hostile_upstreams_process_test.cc
+++ b/test/process/hostile_upstreams_process_test.cc
@@ -67,6 +67,7 @@
     const NodeRun& run, const std::string& service,
     const std::string& content) {
   std::vector<std::unique_ptr<HostileUpstream>> upstreams;
+  upstreams.reserve(kUpstreams);
   for (int i = 0; i < kUpstreams; ++i) {
     upstreams.push_back(std::make_unique<HostileUpstream>(
         run.platform(), "hostile-" + std::to_string(i), service,
