Soak proxies listen again after a fault

Cause: at the end of the faults each proxy closes its listener and opens it anew. A process that the soak starts at the same time holds a copy of the closed listener between fork and exec, so that the address is in use, and the proxy never listened again. The nodes were sound.

Change: the proxy tries again until the address is free.

--- a/test/soak/proxy.cc
+++ b/test/soak/proxy.cc
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kFlushInterval{5};
+constexpr std::chrono::milliseconds kListenInterval{5};
 constexpr int kBacklog = 64;
 // A queue for no connection takes one or two.
 constexpr int kFillers = 4;
@@ -99,11 +100,9 @@
 void Proxy::Set(LinkState state) {
   state_ = state;
   CloseListener();
+  listen_timer_.Cancel();
   if (state != LinkState::kRefuse && state != LinkState::kRefuseNew) {
-    OpenListener();
-  }
-  if (state == LinkState::kCut || state == LinkState::kCutAnswers) {
-    FillBacklog();
+    ListenAgain();
   }
   if (state == LinkState::kReset || state == LinkState::kRefuse) {
     while (!links_.empty()) {
@@ -112,6 +111,18 @@
   }
 }
 
+// A process that is being started holds the closed listener until its program
+// begins, and the address is in use until then.
+void Proxy::ListenAgain() {
+  if (!OpenListener()) {
+    listen_timer_ = loop_.After(kListenInterval, [this] { ListenAgain(); });
+    return;
+  }
+  if (state_ == LinkState::kCut || state_ == LinkState::kCutAnswers) {
+    FillBacklog();
+  }
+}
+
 bool Proxy::passes(bool from_caller) const {
   switch (state_) {
     case LinkState::kPass:
--- a/test/soak/proxy.h
+++ b/test/soak/proxy.h
@@ -67,6 +67,8 @@
   };
 
   bool OpenListener();
+  /// Opens the listener, and tries again while its address is in use.
+  void ListenAgain();
   void CloseListener();
   /// Fills the queue of connections to accept, so that the kernel answers no
   /// new one.
@@ -87,6 +89,7 @@
   std::list<int> fillers_;
   std::list<std::unique_ptr<Link>> links_;
   base::Timer flush_timer_;
+  base::Timer listen_timer_;
 };
 
 }  // namespace mulberryroad::soak
