--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -194,16 +194,17 @@
     connect_timer_.Cancel();
   }
 
-  void OnClosed(bool in_order) override {
+  void OnClosed(const std::string& error) override {
     if (finished_ || state_ != State::kActive) {
       return;
     }
-    if (in_order && parser_.CompleteAtClose()) {
+    if (error.empty() && parser_.CompleteAtClose()) {
       Complete();
       return;
     }
     connection_lost_ = true;
-    Reject(in_order ? "the connection was closed" : "the connection failed");
+    Reject(error.empty() ? "the connection was closed"
+                         : "the connection failed: " + error);
   }
 
   void WriteRequest() {
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -3,8 +3,10 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <event2/util.h>
 #include <sys/socket.h>
 
+#include <cstring>
 #include <utility>
 
 #include "http/socket_options.h"
@@ -108,7 +110,9 @@
   // read; the end of the connection follows.
   const bool write_failed = (events & BEV_EVENT_WRITING) != 0;
   if (connection->user_ != nullptr && !write_failed) {
-    connection->user_->OnClosed((events & BEV_EVENT_EOF) != 0);
+    const bool in_order = (events & BEV_EVENT_EOF) != 0;
+    connection->user_->OnClosed(
+        in_order ? "" : evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()));
   }
 }
 
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -35,8 +35,9 @@
     /// `input` has more bytes.
     virtual void OnReadable() = 0;
     /// The connection ended, or could not be established.
-    /// @param in_order whether the server ended it, rather than an error
-    virtual void OnClosed(bool in_order) = 0;
+    /// @param error the error of the socket; empty if the server ended the
+    ///     connection in order
+    virtual void OnClosed(const std::string& error) = 0;
   };
 
   ClientConnection(base::EventLoop& loop, Endpoint endpoint);
