--- a/src/batches/part_owner.h
+++ b/src/batches/part_owner.h
@@ -122,6 +122,8 @@
     std::uint64_t number = 0;
     /// Shared with the run's callback; changes if a later batch adopts the run.
     std::shared_ptr<ItemRef> item;
+    /// Service of the upstream, which may no longer be listed.
+    TargetId service;
   };
   /// Identifies an item across the batches of a trainer, which may resubmit it.
   /// Item ids alone are not unique: organisations choose them independently.
--- a/src/batches/part_owner_runs.cc
+++ b/src/batches/part_owner_runs.cc
@@ -288,11 +288,7 @@
   for (auto run = runs_.lower_bound({id, 0});
        run != runs_.end() && run->first.batch == id; ++run) {
     const UpstreamId& upstream = run->second.run->upstream();
-    const serving::Registration* current = context_.directory.find(upstream);
-    if (current == nullptr) {
-      continue;
-    }
-    services[current->service][run->second.run->progress().software]
+    services[run->second.service][run->second.run->progress().software]
         .running.push_back(
             {run->first, upstream, context_.loads.latency(upstream, now),
              duration_cast<milliseconds>(now - run->second.run->started()),
@@ -378,7 +374,7 @@
                           std::move(final_progress));
         }
       });
-  runs_[start.item] = {run, number, shared_item};
+  runs_[start.item] = {run, number, shared_item, upstream.service};
   run->Start(upstream, request, expected_version);
 }
 
