A closed connection frees its descriptor at once

Cause: libevent closes the socket of a freed bufferevent in a later turn of the loop only. One turn accepts all connections that wait, so that those that the guard closed meanwhile stayed open.

Change: FreeAndClose closes the socket before it returns.

Evidence: http_server::burst_of_connections_exceeds_the_limit_of_descriptors fails before with 218 descriptors, 118 before the burst, where the limit allows 16 more.

--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -15,14 +15,14 @@
 
 ClientConnection::ClientConnection(base::EventLoop& loop, Endpoint endpoint)
     : endpoint_(std::move(endpoint)),
-      stream_(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE)) {
+      stream_(bufferevent_socket_new(loop.base(), -1, /*options=*/0)) {
   bufferevent_setcb(stream_, OnReadable, nullptr, OnEvent, this);
   evbuffer_add_cb(bufferevent_get_output(stream_), OnOutputChanged, this);
 }
 
 ClientConnection::~ClientConnection() {
   evbuffer_remove_cb(bufferevent_get_output(stream_), OnOutputChanged, this);
-  bufferevent_free(stream_);
+  FreeAndClose(stream_);
 }
 
 void ClientConnection::SetUser(User* user) {
--- a/src/http/server_session.cc
+++ b/src/http/server_session.cc
@@ -140,7 +140,7 @@
 ServerSession::ServerSession(std::shared_ptr<ServerContext> context, int socket)
     : context_(std::move(context)),
       stream_(bufferevent_socket_new(context_->loop.base(), socket,
-                                     BEV_OPT_CLOSE_ON_FREE)),
+                                     /*options=*/0)),
       parser_(std::in_place, context_->limits.max_header_bytes) {}
 
 ServerSession::~ServerSession() { Close(); }
@@ -186,7 +186,7 @@
   if (context_->guard != nullptr) {
     context_->guard->Close(id_);
   }
-  bufferevent_free(stream_);
+  FreeAndClose(stream_);
   if (const auto exchange = std::exchange(exchange_, nullptr)) {
     exchange->OnConnectionClosed();
   }
--- a/src/http/socket_options.cc
+++ b/src/http/socket_options.cc
@@ -1,8 +1,11 @@
 #include "http/socket_options.h"
 
+#include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace mulberryroad::http {
 
@@ -27,4 +30,14 @@
   }
 }
 
+void FreeAndClose(bufferevent* stream) {
+  const int socket = bufferevent_getfd(stream);
+  bufferevent_disable(stream, EV_READ | EV_WRITE);
+  bufferevent_setfd(stream, -1);
+  bufferevent_free(stream);
+  if (socket >= 0) {
+    close(socket);
+  }
+}
+
 }  // namespace mulberryroad::http
--- a/src/http/socket_options.h
+++ b/src/http/socket_options.h
@@ -5,6 +5,8 @@
 
 #include <chrono>
 
+struct bufferevent;
+
 namespace mulberryroad::http {
 
 /// Time without traffic after which the kernel sends keep-alive probes.
@@ -28,6 +30,12 @@
 /// Options that the system does not support are left out.
 void CloseWhenCutOff(int socket, SocketSide side);
 
+/// Frees a stream and closes its socket, if it has one, before it returns.
+/// libevent closes a socket only in a later turn of the loop, so that a turn
+/// that accepts and closes many connections would hold all of them open.
+/// @param stream without BEV_OPT_CLOSE_ON_FREE
+void FreeAndClose(bufferevent* stream);
+
 }  // namespace mulberryroad::http
 
 #endif  // MULBERRYROAD_SRC_HTTP_SOCKET_OPTIONS_H_
--- a/test/http_server_test.cc
+++ b/test/http_server_test.cc
@@ -8,6 +8,8 @@
 #include <algorithm>
 #include <cerrno>
 #include <chrono>
+#include <filesystem>
+#include <iterator>
 #include <memory>
 #include <string>
 #include <vector>
@@ -182,6 +184,47 @@
   }
 }
 
+std::size_t OpenDescriptors() {
+  const std::filesystem::directory_iterator list("/proc/self/fd");
+  return static_cast<std::size_t>(std::distance(begin(list), end(list)));
+}
+
+// Guards against closed connections whose sockets stay open until the server
+// has accepted all that wait.
+Test(http_server, burst_of_connections_exceeds_the_limit_of_descriptors) {
+  EventLoop loop;
+  Server server(loop, ServerLimits());
+  constexpr std::size_t kConnections = 16;
+  // Fewer than the listener's backlog.
+  constexpr int kClients = 100;
+  // The newest connection, and the one that is being closed.
+  constexpr std::size_t kInTransit = 2;
+  std::size_t most = 0;
+  server.SetGuard(std::make_shared<ConnectionGuard>(
+                      loop, BudgetLimits{.connections = kConnections},
+                      [&most](CloseReason /*reason*/) {
+                        most = std::max(most, OpenDescriptors());
+                      }),
+                  /*protected_peer=*/false);
+  const std::uint16_t port = mulberryroad::fakes::FreePort();
+  cr_assert(server.Listen(Endpoint{"127.0.0.1", port}));
+  std::vector<int> clients;
+  clients.reserve(kClients);
+  for (int i = 0; i < kClients; ++i) {
+    clients.push_back(Connect(port));
+  }
+  const std::size_t before = OpenDescriptors();
+  const Timer stop =
+      loop.After(std::chrono::milliseconds(100), [&] { loop.Stop(); });
+  loop.Run();
+  cr_expect_gt(most, before, "no connection was closed");
+  cr_expect_leq(most, before + kConnections + kInTransit,
+                "%zu descriptors, %zu before", most, before);
+  for (const int client : clients) {
+    close(client);
+  }
+}
+
 // Guards against an incomplete stream that looks complete: in HTTP/1.0 the end
 // of the connection ends the response.
 Test(http_server, aborted_stream_ends_like_a_complete_one) {
