--- /dev/null
+++ b/review/cases-3.cc
@@ -0,0 +1,690 @@
+// Scripts of the third review: cases-3 NUMBER RECORD. Environment: TROUBLE=0
+// leaves the disruption out. Exit code: 1 if the rule was broken, 0 if it held,
+// 2 if the case could not run.
+#include "kit-3.h"
+
+namespace review {
+namespace {
+
+bool Trouble() {
+  const char* value = std::getenv("TROUBLE");
+  return value == nullptr || std::string(value) != "0";
+}
+
+const std::string kHost = "ficu95.example";
+
+json Limits() {
+  return {{"maxHeaderBytes", 16'384},
+          {"maxBodyBytes", 33'554'432},
+          {"headerTimeoutMs", 3'000},
+          {"idleTimeoutMs", 15'000}};
+}
+
+json RolloutRoute() {
+  return {{"name", "r-drafts"},       {"host", kHost},
+          {"pathPrefix", "/drafts/"}, {"kind", "rollout"},
+          {"timeoutMs", 10'000},      {"targetLatencyMs", 500},
+          {"priority", 1},            {"service", "planner-lm"},
+          {"maxAttempts", 3},         {"retentionS", 40.0},
+          {"resultDeadlineMs", 7'500}, {"singleVersion", false},
+          {"authExempt", false},      {"sticky", true},
+          {"resumable", true}};
+}
+
+json EngineService() {
+  return {{"name", "planner-lm"},
+          {"healthPath", "/healthz"},
+          {"maxConns", 180},
+          {"protocol", "h1"},
+          {"tls", false},
+          {"engine",
+           {{"slots", 16},
+            {"kvCapacityTokens", 42'360},
+            {"models", json::array({{{"name", "m0"}}})}}}};
+}
+
+std::vector<std::string> Head(const std::string& key) {
+  return {"Host: " + kHost, "Credential: " + key};
+}
+
+// An item of a batch; `out` is its most output tokens.
+json Item(const std::string& id, const std::string& group, int out,
+          const std::string& body = "draft") {
+  return {{"id", id},
+          {"path", "/drafts/" + id},
+          {"headers",
+           {{"Model", "m0"}, {"Token-Count", "271," + std::to_string(out)}}},
+          {"body", Base64(body)},
+          {"tokens", 271 + out},
+          {"group", group}};
+}
+
+// A trainer or another consumer of a tenant; calls go to the nodes in turn.
+class Trainer {
+ public:
+  Trainer(Deployment& deployment, Record& record, std::string name,
+          std::string key)
+      : deployment_(deployment),
+        record_(record),
+        name_(std::move(name)),
+        key_(std::move(key)) {}
+
+  // Submits a batch, again after a failure, as consumers do.
+  bool Submit(const std::string& batch, int step, int desired,
+              const json& items, const std::string& folder = "") {
+    const json body = {{"step", step},       {"model", "m0"},
+                       {"minVersion", 1},    {"desired", desired},
+                       {"items", items}};
+    std::vector<std::string> lines = Head(key_);
+    lines.push_back("Request-Id: " + batch);
+    lines.push_back("Deadline-Ms: 2000");
+    lines.push_back("Content-Type: application/json");
+    for (int attempt = 0; attempt < 3; ++attempt) {
+      const Message answer =
+          Call(NextPort(), "POST", "/drafts/" + folder + batch, lines,
+               body.dump(), 4'000);
+      record_.Line(name_ + " submits batch " + batch + " with " +
+                   std::to_string(items.size()) + " items: " +
+                   std::to_string(answer.status));
+      if (answer.status == 202) return true;
+      SleepMs(300);
+    }
+    return false;
+  }
+  // Reads results from a position on.
+  Message Read(const std::string& batch, std::size_t after) {
+    return Call(NextPort(), "GET",
+                "/v1/lots/" + batch + "?after=" + std::to_string(after),
+                Head(key_), "", 3'000);
+  }
+  void End(const std::string& batch) {
+    const Message answer = Call(NextPort(), "DELETE", "/v1/lots/" + batch,
+                                Head(key_), "", 4'000);
+    record_.Line(name_ + " ends batch " + batch + ": " +
+                 std::to_string(answer.status));
+  }
+
+ private:
+  int NextPort() {
+    auto& nodes = deployment_.nodes();
+    return nodes[turn_++ % nodes.size()].front;
+  }
+  Deployment& deployment_;
+  Record& record_;
+  std::string name_, key_;
+  std::size_t turn_ = 0;
+};
+
+// Ends the nodes and the program. The stand-ins' threads still run, so that
+// nothing else is destroyed.
+[[noreturn]] void Finish(Deployment& deployment, Record& record, int result) {
+  deployment.End();
+  record.Line("exit " + std::to_string(result));
+  std::_Exit(result);
+}
+
+// REFUSED: a request that is not idempotent is answered 503 and has run.
+int RefusedAfterRun(Record& record) {
+  Platform& platform = *new Platform(record);
+  platform.Put(
+      "keyed.op", "config",
+      json{{"version", 1},
+           {"routes",
+            json::array({{{"name", "r-reports"},
+                          {"host", kHost},
+                          {"pathPrefix", "/reports/"},
+                          {"kind", "non_idempotent"},
+                          {"timeoutMs", 2'000},
+                          {"targetLatencyMs", 150},
+                          {"priority", 2},
+                          {"service", "desk"},
+                          {"maxAttempts", 2}}})},
+           {"services", json::array({{{"name", "desk"},
+                                      {"healthPath", "/healthz"},
+                                      {"maxConns", 96},
+                                      {"protocol", "h1"},
+                                      {"tls", false}}})},
+           {"limits", Limits()},
+           {"tenants", json::array({{{"name", "nord"},
+                                     {"apiKeys", {"key-nord"}}}})}}
+          .dump());
+  std::mutex mutex;
+  std::map<std::string, int> done;  // how often each report was carried out
+  std::atomic<int> number{0};
+  auto& replicas = *new std::vector<std::unique_ptr<Replica>>;
+  for (int i = 0; i < 7; ++i) {
+    const bool grey = i == 0 && Trouble();
+    replicas.push_back(std::make_unique<Replica>(
+        platform, record,
+        Replica::Options{.id = "desk-" + std::to_string(i + 1),
+                         .service = "desk",
+                         .slots = 6},
+        [&, grey](Replica& self, const Message& m,
+                  Conn& c) -> std::optional<bool> {
+          SleepMs(25);
+          {
+            const std::lock_guard lock(mutex);
+            ++done[m.body];
+          }
+          const std::string id = m.header("request-id");
+          // Two of five requests fail after they were carried out.
+          if (grey && number++ % 5 < 2) {
+            record.Line("replica " + self.options().id + " carried out " + id +
+                        " and fails it with 503, without Not-Executed");
+            return c.Send(Answer(503, "failed", self.Stamp(id)));
+          }
+          return c.Send(Answer(200, "taken", self.Stamp(id)));
+        }));
+  }
+  Deployment deployment(platform, 3, 320);
+  if (!deployment.Start()) Finish(deployment, record, 2);
+  SleepMs(1'500);
+  std::map<std::string, int> answered;
+  std::atomic<int> served{0};
+  const auto report = [&](int n) {
+    // A consumer retries once, on a new channel, only after a promise.
+    for (int attempt = 0; attempt < 2; ++attempt) {
+      const std::string id =
+          "q" + std::to_string(n) + "-" + std::to_string(attempt + 1);
+      std::vector<std::string> lines = Head("key-nord");
+      lines.push_back("Request-Id: " + id);
+      lines.push_back("Deadline-Ms: 2000");
+      const Message answer = Call(
+          deployment.nodes()[static_cast<std::size_t>(n + attempt) % 3].front,
+          "POST", "/reports/new", lines, "report " + std::to_string(n), 2'200);
+      record.Line("consumer sends " + id + ": " +
+                  std::to_string(answer.status));
+      {
+        const std::lock_guard lock(mutex);
+        answered[id] = answer.status;
+      }
+      if (answer.status == 200) ++served;
+      if (answer.status != 503 && answer.status != 429 &&
+          answer.status != 408 && answer.status != 421) {
+        return;
+      }
+      SleepMs(20);
+    }
+  };
+  std::vector<std::thread> callers;
+  for (int n = 0; n < 300; ++n) {
+    callers.emplace_back(report, n);
+    SleepMs(100);
+  }
+  for (std::thread& caller : callers) caller.join();
+  std::set<std::string> ran;
+  for (const auto& replica : replicas) {
+    for (const Run& run : replica->runs()) ran.insert(run.id);
+  }
+  int untrue = 0, doubled = 0;
+  for (const auto& [id, status] : answered) {
+    if ((status == 503 || status == 429 || status == 408 || status == 421) &&
+        ran.contains(id)) {
+      ++untrue;
+      record.Line("REFUSED: " + id + " was answered " +
+                  std::to_string(status) + " and has run");
+    }
+  }
+  for (const auto& [body, times] : done) doubled += times > 1 ? 1 : 0;
+  record.Line("served " + std::to_string(served) + " of 300; " +
+              std::to_string(untrue) + " refusals of requests that ran; " +
+              std::to_string(doubled) + " reports carried out twice");
+  if (served < 200) Finish(deployment, record, 2);
+  Finish(deployment, record, untrue > 0 ? 1 : 0);
+}
+
+// MIXED, TWICE, LOST: two tenants use the same id for a batch.
+int SameBatchId(Record& record) {
+  Platform& platform = *new Platform(record);
+  platform.Put("keyed.op", "config",
+               json{{"version", 1},
+                    {"routes", json::array({RolloutRoute()})},
+                    {"services", json::array({EngineService()})},
+                    {"limits", Limits()},
+                    {"tenants",
+                     json::array({{{"name", "nord"}, {"apiKeys", {"key-nord"}}},
+                                  {{"name", "sud"}, {"apiKeys", {"key-sud"}}}})}}
+                   .dump());
+  auto& replicas = *new std::vector<std::unique_ptr<Replica>>;
+  for (int i = 0; i < 4; ++i) {
+    replicas.push_back(std::make_unique<Replica>(
+        platform, record,
+        Replica::Options{.id = "lm-" + std::to_string(i + 1),
+                         .service = "planner-lm",
+                         .models = {"m0"}}));
+  }
+  Deployment deployment(platform, 3, 320);
+  if (!deployment.Start()) Finish(deployment, record, 2);
+  SleepMs(2'000);
+  Trainer nord(deployment, record, "nord", "key-nord");
+  Trainer sud(deployment, record, "sud", "key-sud");
+  int broken = 0;
+  for (int step = 0; step < 3; ++step) {
+    const std::string id = "step-" + std::to_string(step);
+    const std::string other = Trouble() ? id : "sud-" + id;
+    const auto items = [&](const std::string& tenant) {
+      json list = json::array();
+      for (int i = 0; i < 8; ++i) {
+        list.push_back(Item(tenant + std::to_string(step) + "-" +
+                                std::to_string(i),
+                            "g" + std::to_string(i / 4), 400));
+      }
+      return list;
+    };
+    if (!nord.Submit(id, step, 2, items("nord"))) Finish(deployment, record, 2);
+    SleepMs(300);
+    if (!sud.Submit(other, step, 2, items("sud"))) Finish(deployment, record, 2);
+    const std::int64_t accepted = NowMs();
+    const std::int64_t settle = NowMs() + 1'000;
+    std::map<std::size_t, json> seen;
+    std::size_t own = 0, foreign = 0, changed = 0, gone = 0;
+    while (NowMs() < accepted + 8'000) {
+      // From the start each time: positions must keep their results.
+      const Message answer = nord.Read(id, 0);
+      if (answer.status == 404 && NowMs() > settle) {
+        ++gone;
+        record.Line("LOST: nord reads its batch " + id + ": 404");
+      }
+      if (sud.Read(other, 0).status == 404 && NowMs() > settle) {
+        ++gone;
+        record.Line("LOST: sud reads its batch " + other + ": 404");
+      }
+      if (answer.status == 200) {
+        const json body = json::parse(answer.body);
+        own = foreign = 0;
+        std::size_t position = 0;
+        for (const json& result : body["results"]) {
+          const std::string item = result["id"];
+          item.starts_with("nord") ? ++own : ++foreign;
+          if (!item.starts_with("nord")) {
+            record.Line("MIXED: nord reads at position " +
+                        std::to_string(position) + " of " + id + " the item " +
+                        item);
+          }
+          if (seen.contains(position) && seen[position] != result) {
+            ++changed;
+            record.Line("TWICE: position " + std::to_string(position) +
+                        " of " + id + " held " +
+                        seen[position]["id"].get<std::string>() +
+                        " and now holds " + item);
+          }
+          seen[position++] = result;
+        }
+        if (own == 8 && foreign == 0 && NowMs() > accepted + 3'000) break;
+      }
+      SleepMs(500);
+    }
+    record.Line("step " + std::to_string(step) + ": nord read " +
+                std::to_string(own) + " of its 8 results and " +
+                std::to_string(foreign) + " of sud; " +
+                std::to_string(changed) + " changed, " + std::to_string(gone) +
+                " answers of 404");
+    broken += foreign > 0 || changed > 0 || gone > 0 ? 1 : 0;
+    nord.End(id);
+    sud.End(other);
+  }
+  Finish(deployment, record, broken > 0 ? 1 : 0);
+}
+
+// LOST: a batch on an open route is accepted and can't be read.
+int OpenRouteBatch(Record& record) {
+  Platform& platform = *new Platform(record);
+  const auto manifest = [](int version, json routes) {
+    return json{{"version", version},
+                {"routes", std::move(routes)},
+                {"services", json::array({EngineService()})},
+                {"limits", Limits()},
+                {"tenants", json::array({{{"name", "nord"},
+                                          {"apiKeys", {"key-nord"}}}})}}
+        .dump();
+  };
+  platform.Put("keyed.op", "config", manifest(1, json::array({RolloutRoute()})));
+  auto& replicas = *new std::vector<std::unique_ptr<Replica>>;
+  for (int i = 0; i < 4; ++i) {
+    replicas.push_back(std::make_unique<Replica>(
+        platform, record,
+        Replica::Options{.id = "lm-" + std::to_string(i + 1),
+                         .service = "planner-lm",
+                         .models = {"m0"}}));
+  }
+  Deployment deployment(platform, 3, 320);
+  if (!deployment.Start()) Finish(deployment, record, 2);
+  SleepMs(2'000);
+  Trainer trainer(deployment, record, "nord", "key-nord");
+  int gone = 0, whole = 0;
+  for (int step = 0; step < 4; ++step) {
+    if (step == 1) {
+      // The manifest changes: a route is added.
+      json added = RolloutRoute();
+      added["name"] = "r-more-drafts";
+      added["pathPrefix"] = "/drafts/more/";
+      added["authExempt"] = Trouble();
+      platform.Put("keyed.op", "config",
+                   manifest(7, json::array({RolloutRoute(), added})));
+      record.Line(std::string("operator adds a route, authExempt is ") +
+                  (Trouble() ? "true" : "false"));
+      SleepMs(3'000);
+    }
+    const std::string batch = "lot-" + std::to_string(step);
+    const std::string folder = step == 0 ? "" : "more/";
+    json items = json::array();
+    for (int i = 0; i < 8; ++i) {
+      json item = Item(batch + "-" + std::to_string(i),
+                       "g" + std::to_string(i / 4), 400);
+      item["path"] = "/drafts/" + folder + batch + "-" + std::to_string(i);
+      items.push_back(item);
+    }
+    if (!trainer.Submit(batch, step, 2, items, folder)) {
+      Finish(deployment, record, 2);
+    }
+    const std::int64_t accepted = NowMs();
+    std::size_t position = 0;
+    while (NowMs() < accepted + 7'500 && position < 8) {
+      const Message answer = trainer.Read(batch, position);
+      if (answer.status == 200) {
+        position = json::parse(answer.body)["nextToken"];
+      } else if (NowMs() > accepted + 1'000 &&
+                 (answer.status == 404 || answer.status == 410)) {
+        ++gone;
+        record.Line("LOST: batch " + batch + " was accepted " +
+                    std::to_string(NowMs() - accepted) + " ms ago; read: " +
+                    std::to_string(answer.status));
+      }
+      SleepMs(500);
+    }
+    whole += position == 8 ? 1 : 0;
+    record.Line("step " + std::to_string(step) + ": " +
+                std::to_string(position) + " of 8 results read");
+    trainer.End(batch);
+  }
+  record.Line(std::to_string(whole) + " of 4 steps read whole; " +
+              std::to_string(gone) + " answers of 404");
+  Finish(deployment, record, gone > 0 ? 1 : 0);
+}
+
+// BUDGET: an item that fails at each run, during a rolling restart.
+int FailingItem(Record& record) {
+  constexpr int kMaxAttempts = 3;
+  constexpr std::int64_t kContactMs = 3'000;
+  Platform& platform = *new Platform(record);
+  platform.Put("keyed.op", "config",
+               json{{"version", 1},
+                    {"routes", json::array({RolloutRoute()})},
+                    {"services", json::array({EngineService()})},
+                    {"limits", Limits()},
+                    {"tenants", json::array({{{"name", "nord"},
+                                              {"apiKeys", {"key-nord"}}}})}}
+                   .dump());
+  struct Arrival {
+    std::int64_t wall_ms;
+    int failed_before;
+  };
+  auto& mutex = *new std::mutex;
+  auto& failed = *new std::map<std::string, int>;  // answers of 500 by item
+  auto& arrivals = *new std::map<std::string, std::vector<Arrival>>;
+  auto& replicas = *new std::vector<std::unique_ptr<Replica>>;
+  for (int i = 0; i < 4; ++i) {
+    replicas.push_back(std::make_unique<Replica>(
+        platform, record,
+        Replica::Options{.id = "lm-" + std::to_string(i + 1),
+                         .service = "planner-lm",
+                         .models = {"m0"}},
+        [&](Replica& self, const Message& m,
+            Conn& c) -> std::optional<bool> {
+          if (!m.body.starts_with("failing")) return std::nullopt;
+          const std::string id = m.header("request-id");
+          {
+            const std::lock_guard lock(mutex);
+            arrivals[id].push_back({WallMs(), failed[id]});
+          }
+          SleepMs(800);
+          if (c.PeerClosed()) return false;
+          const std::lock_guard lock(mutex);
+          record.Line("replica " + self.options().id + " answers 500 to " +
+                      id + ", answer " + std::to_string(++failed[id]));
+          return c.Send(Answer(500, "{}", self.Stamp(id)));
+        }));
+  }
+  Deployment deployment(platform, 9, 320);
+  if (!deployment.Start()) Finish(deployment, record, 2);
+  SleepMs(2'000);
+  Trainer trainer(deployment, record, "nord", "key-nord");
+  json items = json::array();
+  for (int i = 0; i < 16; ++i) {
+    const bool failing = i < 2;
+    items.push_back(Item("item-" + std::to_string(i),
+                         "g" + std::to_string(i / 4), 400,
+                         failing ? "failing" : "draft"));
+  }
+  if (!trainer.Submit("lot-0", 0, 4, items)) Finish(deployment, record, 2);
+  // Times at which a machine was stopped or started.
+  std::map<std::string, std::vector<std::int64_t>> changes;
+  std::vector<std::thread> stops;
+  if (Trouble()) {
+    for (NodeProcess& node : deployment.nodes()) {
+      record.Line("platform sends SIGTERM to " + node.name);
+      changes[node.name].push_back(WallMs());
+      auto& own = changes[node.name];
+      stops.emplace_back([&record, &deployment, &node, &own] {
+        node.Stop(8'000);
+        record.Line(node.name + " has ended and starts again");
+        own.push_back(WallMs());
+        node.Start(deployment.folder());
+      });
+      SleepMs(2'000);
+    }
+  } else {
+    SleepMs(18'000);
+  }
+  SleepMs(9'000);
+  for (std::thread& stop : stops) stop.join();
+  const Message answer = trainer.Read("lot-0", 0);
+  if (answer.status == 200) {
+    for (const json& result : json::parse(answer.body)["results"]) {
+      if (result["state"] == "terminated") {
+        record.Line("listed as terminated: " +
+                    result["id"].get<std::string>());
+      }
+    }
+  }
+  // Who sent each run stands in the logs of the nodes.
+  std::vector<std::tuple<std::int64_t, std::string, std::string>> sent;
+  for (const NodeProcess& node : deployment.nodes()) {
+    std::ifstream log(deployment.folder() + "/" + node.name + ".log");
+    std::string line;
+    while (std::getline(log, line)) {
+      const json entry = json::parse(line, nullptr, false);
+      if (entry.is_object() && entry.value("event", "") == "item.start") {
+        sent.emplace_back(entry.value("time_ms", std::int64_t{0}),
+                          entry.value("request", ""), node.name);
+      }
+    }
+  }
+  int broken = 0;
+  for (const auto& [id, list] : arrivals) {
+    for (const Arrival& arrival : list) {
+      if (arrival.failed_before < 3 * kMaxAttempts) continue;
+      for (const auto& [at, item, name] : sent) {
+        if (item != id || at > arrival.wall_ms + 20 ||
+            at < arrival.wall_ms - 60) {
+          continue;
+        }
+        const auto& own = changes[name];
+        const bool in_touch =
+            std::none_of(own.begin(), own.end(), [at = at](std::int64_t c) {
+              return c <= at && at < c + kContactMs;
+            });
+        record.Line((in_touch ? "BUDGET: " : "not counted: ") + id +
+                    " reaches a replica after " +
+                    std::to_string(arrival.failed_before) +
+                    " answers of 500, from " + name +
+                    (in_touch ? ", in touch" : ", out of touch"));
+        broken += in_touch ? 1 : 0;
+      }
+    }
+    record.Line(id + ": " + std::to_string(list.size()) + " runs, " +
+                std::to_string(failed[id]) + " answers of 500");
+  }
+  Finish(deployment, record, broken > 0 ? 1 : 0);
+}
+
+// Fault: processes end by their memory while one replica sends bodies without
+// end.
+int EndlessOutputs(Record& record) {
+  constexpr int kMemoryMb = 130;
+  constexpr int kItems = 64;
+  const std::vector<std::string> tenants = {"nord", "sud", "est", "ouest",
+                                            "centre", "littoral"};
+  Platform& platform = *new Platform(record);
+  json declared = json::array();
+  for (const std::string& tenant : tenants) {
+    declared.push_back({{"name", tenant}, {"apiKeys", {"key-" + tenant}}});
+  }
+  platform.Put("keyed.op", "config",
+               json{{"version", 1},
+                    {"routes", json::array({RolloutRoute()})},
+                    {"services", json::array({EngineService()})},
+                    {"limits", Limits()},
+                    {"tenants", declared}}
+                   .dump());
+  auto& replicas = *new std::vector<std::unique_ptr<Replica>>;
+  for (int i = 0; i < 9; ++i) {
+    const bool endless = i == 0 && Trouble();
+    replicas.push_back(std::make_unique<Replica>(
+        platform, record,
+        Replica::Options{.id = "lm-" + std::to_string(i + 1),
+                         .service = "planner-lm",
+                         .models = {"m0"}},
+        [&record, endless](Replica& self, const Message& m,
+                           Conn& c) -> std::optional<bool> {
+          if (!endless) return std::nullopt;
+          const std::string id = m.header("request-id");
+          if (!c.Send(self.StreamHead(id, m.header("model")))) return false;
+          // A body without end, until the caller closes.
+          std::uint64_t n =
+              std::strtoull(m.header("last-event-id").c_str(), nullptr, 10);
+          std::size_t sent = 0;
+          while (true) {
+            std::string bytes;
+            while (bytes.size() < 60'000) {
+              bytes += "id: " + std::to_string(++n) + "\ndata: .\n\n";
+            }
+            if (!c.Send(Replica::Chunk(bytes))) break;
+            sent += bytes.size();
+            SleepMs(5);
+          }
+          record.Line("replica " + self.options().id + " sent " +
+                      std::to_string(sent) + " bytes for " + id +
+                      " until its caller closed");
+          return false;
+        }));
+  }
+  Deployment deployment(platform, 3, kMemoryMb);
+  if (!deployment.Start()) Finish(deployment, record, 2);
+  SleepMs(2'000);
+  std::atomic<bool> over{false};
+  std::map<std::string, int> ends;
+  double most = 0;
+  // The platform: a process that exceeds memoryMb is killed and started again.
+  std::thread keeper([&] {
+    while (!over) {
+      for (NodeProcess& node : deployment.nodes()) {
+        const double mb = node.ResidentMb();
+        most = std::max(most, mb);
+        if (mb > kMemoryMb) {
+          ++ends[node.name];
+          record.Line("platform kills " + node.name + ": it holds " +
+                      std::to_string(static_cast<int>(mb)) +
+                      " MB, its memoryMb is " + std::to_string(kMemoryMb));
+          node.End(SIGKILL);
+          node.Start(deployment.folder());
+        } else if (!node.Alive()) {
+          ++ends[node.name];
+          record.Line(node.name + " ended by itself");
+          node.Start(deployment.folder());
+        }
+      }
+      SleepMs(5);
+    }
+  });
+  std::atomic<int> whole{0}, asked{0};
+  std::vector<std::thread> trainers;
+  for (const std::string& tenant : tenants) {
+    trainers.emplace_back([&, tenant] {
+      Trainer trainer(deployment, record, tenant, "key-" + tenant);
+      for (int step = 0; step < 6; ++step) {
+        const std::string batch = tenant + "-" + std::to_string(step);
+        json items = json::array();
+        for (int i = 0; i < kItems; ++i) {
+          items.push_back(Item(batch + "-" + std::to_string(i),
+                               "g" + std::to_string(i / 8), 47 * 9));
+        }
+        ++asked;
+        const std::int64_t due = NowMs() + 7'500;
+        if (!trainer.Submit(batch, step, 7, items)) continue;
+        std::size_t position = 0;
+        while (NowMs() < due && position < kItems) {
+          const Message answer = trainer.Read(batch, position);
+          if (answer.status == 200) {
+            position = json::parse(answer.body)["nextToken"];
+          }
+          SleepMs(400);
+        }
+        record.Line(tenant + " read " + std::to_string(position) + " of " +
+                    std::to_string(kItems) + " results of batch " + batch);
+        whole += position == kItems ? 1 : 0;
+        trainer.End(batch);
+        SleepMs(1'000);
+      }
+    });
+  }
+  for (std::thread& trainer : trainers) trainer.join();
+  over = true;
+  keeper.join();
+  int machines = 0;
+  for (const auto& [name, count] : ends) {
+    machines += count >= 3 ? 1 : 0;
+    record.Line("Fault: the process of " + name + " ended " +
+                std::to_string(count) + " times");
+  }
+  record.Line(std::to_string(whole) + " of " + std::to_string(asked) +
+              " steps were read whole; most memory seen of a process: " +
+              std::to_string(static_cast<int>(most)) + " MB");
+  // Three ends on each of two machines at least.
+  Finish(deployment, record, machines >= 2 ? 1 : 0);
+}
+
+}  // namespace
+}  // namespace review
+
+int main(int argc, char** argv) {
+  signal(SIGPIPE, SIG_IGN);
+  if (argc != 3) return 2;
+  review::Record record(argv[2]);
+  record.Line(review::Trouble() ? "with the disruption"
+                                : "without the disruption");
+  int result = 2;
+  try {
+    switch (std::atoi(argv[1])) {
+      case 11:
+        result = review::RefusedAfterRun(record);
+        break;
+      case 12:
+        result = review::EndlessOutputs(record);
+        break;
+      case 13:
+        result = review::SameBatchId(record);
+        break;
+      case 14:
+        result = review::OpenRouteBatch(record);
+        break;
+      case 15:
+        result = review::FailingItem(record);
+        break;
+    }
+  } catch (const std::exception& error) {
+    record.Line(std::string("error: ") + error.what());
+  }
+  record.Line("exit " + std::to_string(result));
+  std::_Exit(result);
+}
