--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the program of the scripts 11 to 15; needs what deploy/system.toml lists.
+# Builds the program of the scripts 11, 12, 14 and 15; needs what deploy/system.toml lists.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p build/review-3
--- a/review/cases-3.cc
+++ b/review/cases-3.cc
@@ -78,7 +78,7 @@
 
   // Submits a batch, again after a failure, as consumers do.
   bool Submit(const std::string& batch, int step, int desired,
-              const json& items, const std::string& folder = "") {
+              const json& items) {
     const json body = {{"step", step},
                        {"model", "m0"},
                        {"minVersion", 1},
@@ -89,9 +89,8 @@
     lines.push_back("Deadline-Ms: 2000");
     lines.push_back("Content-Type: application/json");
     for (int attempt = 0; attempt < 3; ++attempt) {
-      const Message answer =
-          Call(NextPort(), "POST", "/drafts/" + folder + batch, lines,
-               body.dump(), 4'000);
+      const Message answer = Call(NextPort(), "POST", "/drafts/" + batch, lines,
+                                  body.dump(), 4'000);
       record_.Line(name_ + " submits batch " + batch + " with " +
                    std::to_string(items.size()) +
                    " items: " + std::to_string(answer.status));
@@ -299,101 +298,6 @@
   Finish(deployment, record, untrue > 0 ? 1 : 0);
 }
 
-// MIXED, TWICE, LOST: two tenants use the same id for a batch.
-int SameBatchId(Record& record) {
-  Platform& platform = *new Platform(record);
-  platform.Put(
-      "keyed.op", "config",
-      json{{"version", 1},
-           {"routes", json::array({RolloutRoute()})},
-           {"services", json::array({EngineService()})},
-           {"limits", Limits()},
-           {"tenants",
-            json::array({{{"name", "nord"}, {"apiKeys", {"key-nord"}}},
-                         {{"name", "sud"}, {"apiKeys", {"key-sud"}}}})}}
-          .dump());
-  auto& replicas = *new std::vector<std::unique_ptr<Replica>>;
-  for (int i = 0; i < 4; ++i) {
-    replicas.push_back(std::make_unique<Replica>(
-        platform, record,
-        Replica::Options{.id = "lm-" + std::to_string(i + 1),
-                         .service = "planner-lm",
-                         .models = {"m0"}}));
-  }
-  Deployment deployment(platform, 3, 320);
-  if (!deployment.Start()) Finish(deployment, record, 2);
-  SleepMs(2'000);
-  Trainer nord(deployment, record, "nord", "key-nord");
-  Trainer sud(deployment, record, "sud", "key-sud");
-  int broken = 0;
-  for (int step = 0; step < 3; ++step) {
-    const std::string id = "step-" + std::to_string(step);
-    const std::string other = Trouble() ? id : "sud-" + id;
-    const auto items = [&](const std::string& tenant) {
-      json list = json::array();
-      for (int i = 0; i < 8; ++i) {
-        list.push_back(
-            Item(tenant + std::to_string(step) + "-" + std::to_string(i),
-                 "g" + std::to_string(i / 4), 400));
-      }
-      return list;
-    };
-    if (!nord.Submit(id, step, 2, items("nord"))) Finish(deployment, record, 2);
-    SleepMs(300);
-    if (!sud.Submit(other, step, 2, items("sud")))
-      Finish(deployment, record, 2);
-    const std::int64_t accepted = NowMs();
-    const std::int64_t settle = NowMs() + 1'000;
-    std::map<std::size_t, json> seen;
-    std::size_t own = 0, foreign = 0, changed = 0, gone = 0;
-    while (NowMs() < accepted + 8'000) {
-      // From the start each time: positions must keep their results.
-      const Message answer = nord.Read(id, 0);
-      if (answer.status == 404 && NowMs() > settle) {
-        ++gone;
-        record.Line("LOST: nord reads its batch " + id + ": 404");
-      }
-      if (sud.Read(other, 0).status == 404 && NowMs() > settle) {
-        ++gone;
-        record.Line("LOST: sud reads its batch " + other + ": 404");
-      }
-      if (answer.status == 200) {
-        const json body = json::parse(answer.body);
-        own = foreign = 0;
-        std::size_t position = 0;
-        for (const json& result : body["results"]) {
-          const std::string item = result["id"];
-          item.starts_with("nord") ? ++own : ++foreign;
-          if (!item.starts_with("nord")) {
-            record.Line("MIXED: nord reads at position " +
-                        std::to_string(position) + " of " + id + " the item " +
-                        item);
-          }
-          if (seen.contains(position) && seen[position] != result) {
-            ++changed;
-            record.Line("TWICE: position " + std::to_string(position) + " of " +
-                        id + " held " +
-                        seen[position]["id"].get<std::string>() +
-                        " and now holds " + item);
-          }
-          seen[position++] = result;
-        }
-        if (own == 8 && foreign == 0 && NowMs() > accepted + 3'000) break;
-      }
-      SleepMs(500);
-    }
-    record.Line("step " + std::to_string(step) + ": nord read " +
-                std::to_string(own) + " of its 8 results and " +
-                std::to_string(foreign) + " of sud; " +
-                std::to_string(changed) + " changed, " + std::to_string(gone) +
-                " answers of 404");
-    broken += foreign > 0 || changed > 0 || gone > 0 ? 1 : 0;
-    nord.End(id);
-    sud.End(other);
-  }
-  Finish(deployment, record, broken > 0 ? 1 : 0);
-}
-
 // Fault: processes end by their memory as items run, with sound replicas.
 int MemoryOfRuns(Record& record) {
   constexpr int kMemoryMb = 130;
@@ -712,20 +616,19 @@
   try {
     switch (std::atoi(argv[1])) {
       case 11:
-        result = review::RefusedAfterRun(record);
+        result = review::MemoryOfRuns(record);
         break;
       case 12:
-        result = review::EndlessOutputs(record);
-        break;
-      case 13:
-        result = review::SameBatchId(record);
+        result = review::RefusedAfterRun(record);
         break;
       case 14:
-        result = review::MemoryOfRuns(record);
+        result = review::EndlessOutputs(record);
         break;
       case 15:
         result = review::FailingItem(record);
         break;
+      default:
+        break;
     }
   } catch (const std::exception& error) {
     record.Line(std::string("error: ") + error.what());
