An ended run of an item releases its call

Each run left itself, its output, its request and its call in memory: the call kept the handlers of the stream, which hold the run by shared ownership, and the run kept the call. Nodes grew in a straight line with the items that they ran.

The run now drops its call when it ends, and a forwarded call drops its handlers and its request. Both happen from the event loop, as a handler may be running. The output is moved to the owner instead of copied.

--- a/src/batches/item_run.cc
+++ b/src/batches/item_run.cc
@@ -127,6 +127,7 @@
   if (!std::exchange(ended_, true)) {
     event_timer_.Cancel();
     call_->Cancel();
+    ReleaseCall();
     loads_.OnRequestEnded(upstream_, answered_);
   }
 }
@@ -248,10 +249,15 @@
 void ItemRun::Finish(const RunEnd& end) {
   ended_ = true;
   event_timer_.Cancel();
+  ReleaseCall();
   loads_.OnRequestEnded(upstream_, answered_);
   const auto self = shared_from_this();
-  // Copied: `progress` stays valid for those who still hold the run.
-  std::exchange(on_end_, nullptr)(end, progress_);
+  std::exchange(on_end_, nullptr)(end, std::move(progress_));
+}
+
+// The call is destroyed from the event loop, as its callback may be running.
+void ItemRun::ReleaseCall() {
+  loop_.Post([call = std::move(call_)] {});
 }
 
 }  // namespace mulberryroad::batches
--- a/src/batches/item_run.h
+++ b/src/batches/item_run.h
@@ -128,6 +128,8 @@
   /// Sets the timer for `event_deadline_`.
   void SetEventTimer();
   void Finish(const RunEnd& end);
+  /// Drops the call, whose handlers refer to this run.
+  void ReleaseCall();
 
   base::EventLoop& loop_;
   const Clock& clock_;
--- a/src/node/forwarding_caller.cc
+++ b/src/node/forwarding_caller.cc
@@ -68,6 +68,7 @@
     if (call_ != nullptr) {
       call_->Cancel();
     }
+    ReleaseHandlers();
   }
 
   bool sent() const override { return call_ != nullptr && call_->sent(); }
@@ -272,10 +273,24 @@
 
   void Finish(UpstreamOutcome outcome) {
     if (!std::exchange(ended_, true)) {
+      ReleaseHandlers();
       std::exchange(on_done_, nullptr)(std::move(outcome));
     }
   }
 
+  /// Drops the callbacks, the request and its body, which would live as long as
+  /// the pointer that the sender keeps. From the event loop, as one of the
+  /// callbacks may be running.
+  void ReleaseHandlers() {
+    if (*alive_) {
+      caller_.loop_.Post([self = shared_from_this()] {
+        self->options_ = {};
+        self->request_ = {};
+        self->on_done_ = nullptr;
+      });
+    }
+  }
+
   ForwardingCaller& caller_;
   std::shared_ptr<bool> alive_;
   serving::Registration upstream_;
