Outputs that no run holds, and records for the store, are counted

Cause: an output was bounded by its text only, and an event cost 32 bytes besides; between two runs, for a scorer or for a later batch nothing counted it. Records over recordBytes were sent again without end, with all later results of their writer behind them, and records that waited for the store had no bound.

OutputMemory counts all outputs outside of runs and all records on their way to the store, in an eighth of the budget, and evicts the largest output; no run starts while what cannot be evicted uses up all of it. An output has at most the size of a result record, progress is split into records, and what the store refuses for its size is dropped. Outputs of complete groups are not kept.

--- a/src/batches/batch_client.cc
+++ b/src/batches/batch_client.cc
@@ -77,6 +77,11 @@
           on_result(Stored{});
           return;
         }
+        if (std::holds_alternative<platform::TooLarge>(outcome)) {
+          on_result(NotStored{"an item is too large for the store",
+                              /*too_large=*/true});
+          return;
+        }
         std::string reason = "the store refused the append";
         if (const auto* failure = std::get_if<PlatformFailure>(&outcome)) {
           reason = failure->reason;
--- a/src/batches/batch_client.h
+++ b/src/batches/batch_client.h
@@ -27,6 +27,8 @@
 /// The records are not in the store, and no pending call can still add them.
 struct NotStored {
   std::string reason;
+  /// The store refuses records of their size.
+  bool too_large = false;
 };
 /// The outcome of an append is unknown: the records may be in the store.
 struct MaybeStored {
--- a/src/batches/batch_context.h
+++ b/src/batches/batch_context.h
@@ -11,6 +11,7 @@
 #include "base/metrics.h"
 #include "base/structured_log.h"
 #include "batches/item_memory.h"
+#include "batches/output_memory.h"
 #include "batches/scorer_limit.h"
 #include "mulberryroad/clock.h"
 #include "mulberryroad/store.pb.h"
@@ -37,6 +38,7 @@
   base::Metrics& metrics;
   platform::PartitionStore& store;
   ItemMemory& item_memory;
+  OutputMemory& output_memory;
   const serving::Catalog& catalog;
   const serving::UpstreamDirectory& directory;
   /// Load, latency and health of the upstreams that run items.
@@ -54,6 +56,8 @@
   int partitions = 1;
   /// Retention of the results of an ended batch, counted from its acceptance.
   std::chrono::milliseconds results_retention{180'000};
+  /// Maximum size of a record in the store.
+  std::size_t max_record_bytes = 262'144;
 };
 
 }  // namespace mulberryroad::batches
--- a/src/batches/batch_table.cc
+++ b/src/batches/batch_table.cc
@@ -87,6 +87,12 @@
   batches_[key.batch].stored_chunks.erase(key.number);
 }
 
+void BatchTable::DropProgress(const std::string& id) {
+  if (const auto found = batches_.find(id); found != batches_.end()) {
+    found->second.progress.clear();
+  }
+}
+
 const Batch* BatchTable::find(const std::string& id) const {
   const auto found = batches_.find(id);
   return found == batches_.end() ? nullptr : &found->second;
--- a/src/batches/batch_table.h
+++ b/src/batches/batch_table.h
@@ -49,6 +49,9 @@
   ///     format
   std::optional<std::string> Apply(const platform::KeyedRecord& record);
 
+  /// Forgets the stored events of a batch's items.
+  void DropProgress(const std::string& id);
+
   /// Returns a batch, or null if there is none with this id.
   const Batch* find(const std::string& id) const;
   /// All batches by id.
--- a/src/batches/item_run.cc
+++ b/src/batches/item_run.cc
@@ -1,7 +1,6 @@
 #include "batches/item_run.h"
 
 #include <algorithm>
-#include <cstdlib>
 #include <utility>
 #include <variant>
 
@@ -18,68 +17,10 @@
 
 }  // namespace
 
-bool ItemProgress::AppendEvent(const serving::StreamEvent& event) {
-  const std::uint64_t id = std::strtoull(event.id.c_str(), nullptr, 10);
-  if (id != last_event + 1 || bytes + event.data.size() > kMaxOutputBytes) {
-    return false;
-  }
-  bytes += event.data.size();
-  last_event = id;
-  if (event.version.has_value()) {
-    version = *event.version;
-  }
-  versions.insert(version);
-  events.push_back(event.data);
-  return true;
-}
-
-v1::ProgressRecord ItemProgress::RecordSince(std::uint64_t event) const {
-  v1::ProgressRecord record;
-  record.set_first_event(event + 1);
-  for (std::uint64_t i = event; i < events.size(); ++i) {
-    record.add_events(events[i]);
-  }
-  record.set_version(version);
-  record.set_complete(complete);
-  record.set_software(software);
-  for (const std::uint64_t used_version : versions) {
-    record.add_versions(used_version);
-  }
-  return record;
-}
-
-bool ItemProgress::AppendRecord(const v1::ProgressRecord& record) {
-  if (record.first_event() != last_event + 1 ||
-      (last_event > 0 && record.software() != software)) {
-    return false;
-  }
-  software = record.software();
-  for (const std::string& event : record.events()) {
-    bytes += event.size();
-  }
-  events.insert(events.end(), record.events().begin(), record.events().end());
-  last_event = events.size();
-  version = record.version();
-  complete = record.complete();
-  versions.insert(record.versions().begin(), record.versions().end());
-  return true;
-}
-
-std::string ItemProgress::text() const {
-  std::string text;
-  for (const std::string& event : events) {
-    if (&event != &events.front()) {
-      text += '\n';
-    }
-    text += event;
-  }
-  return text;
-}
-
 ItemRun::ItemRun(base::EventLoop& loop, const Clock& clock,
                  serving::UpstreamCaller& caller, serving::UpstreamLoads& loads,
                  UpstreamId upstream, ItemProgress progress, Instant deadline,
-                 RunTimeouts timeouts, std::function<void()> on_accepted,
+                 RunLimits limits, std::function<void()> on_accepted,
                  OnEnd on_end)
     : loop_(loop),
       clock_(clock),
@@ -88,7 +29,7 @@
       upstream_(std::move(upstream)),
       progress_(std::move(progress)),
       deadline_(deadline),
-      timeouts_(timeouts),
+      limits_(limits),
       on_accepted_(std::move(on_accepted)),
       on_end_(std::move(on_end)) {}
 
@@ -120,7 +61,7 @@
       [self = shared_from_this()](const serving::UpstreamOutcome& outcome) {
         self->OnDone(outcome);
       });
-  RestartEventTimer(timeouts_.first_event_timeout);
+  RestartEventTimer(limits_.first_event_timeout);
 }
 
 void ItemRun::Cancel() {
@@ -178,10 +119,18 @@
     // A comment keeps the connection alive; it is no progress.
     return;
   }
-  if (!progress_.AppendEvent(event)) {
-    if (!std::exchange(interrupt_posted_, true)) {
-      loop_.Post([self = shared_from_this()] { self->InterruptAsFailed(); });
+  if (interrupt_posted_) {
+    return;
+  }
+  const AppendEventResult appended =
+      progress_.AppendEvent(event, limits_.max_output_bytes);
+  if (appended != AppendEventResult::kAppended) {
+    if (appended == AppendEventResult::kTooLong) {
+      // None of the upstreams that sent it can be trusted.
+      progress_ = {};
     }
+    interrupt_posted_ = true;
+    loop_.Post([self = shared_from_this()] { self->InterruptAsFailed(); });
     return;
   }
   const Instant now = clock_.now();
@@ -197,7 +146,7 @@
   if (const auto interval = pace_.OnEvent(now)) {
     loads_.RecordLatency(upstream_, *interval, now);
   }
-  RestartEventTimer(timeouts_.next_event_timeout);
+  RestartEventTimer(limits_.next_event_timeout);
 }
 
 void ItemRun::InterruptAsFailed() {
--- a/src/batches/item_run.h
+++ b/src/batches/item_run.h
@@ -6,80 +6,31 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
-#include <set>
-#include <string>
-#include <vector>
+#include <optional>
 
 #include "base/event_loop.h"
 #include "batches/event_pace.h"
+#include "batches/item_progress.h"
 #include "batches/item_scheduler.h"
 #include "mulberryroad/clock.h"
-#include "mulberryroad/store.pb.h"
 #include "serving/upstream_caller.h"
 #include "serving/upstreams.h"
 
 namespace mulberryroad::batches {
 
-/// Events that the runs of an item have received so far.
-struct ItemProgress {
-  /// Data of the events in order.
-  std::vector<std::string> events;
-  /// Id of the last event; 0 before the first.
-  std::uint64_t last_event = 0;
-  /// Weight version of the last event.
-  std::uint64_t version = 0;
-  /// Weight versions under which the events were generated.
-  std::set<std::uint64_t> versions;
-  /// Software version of the upstreams that generated the events.
-  std::string software;
-  /// The output ends with the last event.
-  bool complete = false;
-  /// Time at which the last run ended.
-  Instant interrupted{};
-
-  /// Sum of the sizes of `events`.
-  std::size_t bytes = 0;
-
-  /// Appends the next event.
-  /// @return false if its id is not `last_event` + 1, or the output exceeds
-  ///     kMaxOutputBytes; nothing is changed
-  bool AppendEvent(const serving::StreamEvent& event);
-  /// Returns an estimate of the memory that the events take, in bytes.
-  std::size_t held_bytes() const {
-    return bytes + events.size() * sizeof(std::string);
-  }
-  /// Returns a record of the events with ids above `event`.
-  v1::ProgressRecord RecordSince(std::uint64_t event) const;
-  /// Appends the events of a record.
-  /// @return false if its first event does not follow the last one, or comes
-  ///     from another software version; nothing is changed
-  bool AppendRecord(const v1::ProgressRecord& record);
-  /// Returns the data of all events, separated by line feeds.
-  std::string text() const;
-  /// True if no event was generated under an older version than this.
-  bool meets_min_version(std::uint64_t min_version) const {
-    return versions.empty() || *versions.begin() >= min_version;
-  }
-  /// True if a batch may use the events.
-  /// @param single_version whether they must all come from one weight version
-  bool fits(std::uint64_t min_version, bool single_version) const {
-    return meets_min_version(min_version) &&
-           (!single_version || versions.size() <= 1);
-  }
-};
-
-/// Maximum size of an output: a read of results returns at most 1 MB.
-inline constexpr std::size_t kMaxOutputBytes = 1U << 20U;
-
-/// Timeouts after which a run is interrupted.
-struct RunTimeouts {
+/// Limits at which a run is interrupted.
+struct RunLimits {
   /// Timeout for the first event: covers a full upstream, a change of weights
   /// of one second and the prefill of a prompt.
   std::chrono::milliseconds first_event_timeout{2'500};
   /// Timeout between two events: over ten times the interval at a slow
   /// upstream.
   std::chrono::milliseconds next_event_timeout{1'500};
+  /// Maximum size of the output. A longer one is not kept: the item starts
+  /// again.
+  std::size_t max_output_bytes = std::numeric_limits<std::size_t>::max();
 };
 
 /// Sends the request of an item, collects its events and reports the load and
@@ -97,8 +48,7 @@
   ItemRun(base::EventLoop& loop, const Clock& clock,
           serving::UpstreamCaller& caller, serving::UpstreamLoads& loads,
           UpstreamId upstream, ItemProgress progress, Instant deadline,
-          RunTimeouts timeouts, std::function<void()> on_accepted,
-          OnEnd on_end);
+          RunLimits limits, std::function<void()> on_accepted, OnEnd on_end);
 
   /// Sends the request. Call once.
   /// @param expected_version weight version that the upstream must have, or 0
@@ -138,7 +88,7 @@
   UpstreamId upstream_;
   ItemProgress progress_;
   Instant deadline_;
-  RunTimeouts timeouts_;
+  RunLimits limits_;
   std::function<void()> on_accepted_;
   OnEnd on_end_;
   std::shared_ptr<http::Call> call_;
--- a/src/batches/item_scorer.cc
+++ b/src/batches/item_scorer.cc
@@ -255,6 +255,10 @@
   }
   loads.OnAccepted(ended.upstream, now);
   limit.OnAnswered(latency, ended.target_latency, now);
+  if (response->signature.size() > kMaxScoreBytes) {
+    // It would not fit into the record of the result.
+    return ScoreLost{};
+  }
   if (response->status >= kFirstSuccess && response->status < kFirstRedirect) {
     loads.health().OnResponseStarted(ended.upstream, now);
     loads.health().OnResponseCompleted(ended.upstream, now);
--- a/src/batches/part_owner.cc
+++ b/src/batches/part_owner.cc
@@ -279,6 +279,7 @@
   scheduler_.Open(std::move(info));
   TerminateUnsendable(id);
   RestoreProgress(id, batch);
+  table_.DropProgress(id);
   ReuseLeftovers(id);
   for (std::size_t i = 0; i < items.size(); ++i) {
     AdoptRun({id, i});
@@ -316,7 +317,7 @@
   if (!scheduler_.has_batch(id)) {
     return;
   }
-  ExpireLeftovers();
+  leftovers_.Expire(context_.clock.now());
   KeepLeftovers(id);
   OrphanRuns(id);
   scorer_->CancelBatch(id);
@@ -350,7 +351,7 @@
   }
 }
 
-PartitionOwner::ItemKey PartitionOwner::KeyOf(const ItemRef& item) const {
+ItemKey PartitionOwner::KeyOf(const ItemRef& item) const {
   const BatchInfo& batch = *scheduler_.find(item.batch);
   return {batch.organisation, batch.model, batch.items[item.index].id};
 }
@@ -417,8 +418,9 @@
        {"run", static_cast<std::int64_t>(orphan.running.number)},
        {"complete", progress.complete},
        {"events", static_cast<std::int64_t>(progress.last_event)}});
-  leftovers_.emplace(std::move(orphan.key),
-                     Leftover{std::move(progress), context_.clock.now()});
+  leftovers_.Add(std::move(orphan.key),
+                 context_.output_memory.Hold(std::move(progress)),
+                 context_.clock.now());
 }
 
 const v1::BatchItem* PartitionOwner::FindItem(const ItemRef& item) const {
@@ -440,6 +442,11 @@
     ListResult(item, v1::ITEM_STATE_TERMINATED, {}, "");
   }
   PlacementPass pass;
+  // Without room for outputs, no run is started that would add one.
+  if (!context_.output_memory.HasRoom()) {
+    last_pass_ = context_.clock.now();
+    return;
+  }
   scheduler_.Place(now,
                    [this, &pass](const BatchInfo& batch, const ItemRef& item,
                                  const UpstreamId& last) {
--- a/src/batches/part_owner.h
+++ b/src/batches/part_owner.h
@@ -17,6 +17,8 @@
 #include "batches/item_run.h"
 #include "batches/item_scheduler.h"
 #include "batches/item_scorer.h"
+#include "batches/leftover_outputs.h"
+#include "batches/output_memory.h"
 #include "mulberryroad/clock.h"
 #include "platform/partition_store.h"
 #include "store/fenced_writer.h"
@@ -47,12 +49,6 @@
   /// those that waited for the first manifest. Call after each change.
   void OnManifestChanged();
 
-  /// How long outputs of incomplete groups are kept for reuse. Steps follow
-  /// each other within seconds, so that a later resubmission is not expected.
-  static constexpr std::chrono::milliseconds kLeftoverRetention{30'000};
-  /// Maximum number of outputs kept for reuse. Further items start again.
-  static constexpr std::size_t kMaxLeftovers = 8'192;
-
   /// Minimum time between a pass of `ScheduleItems` and the next one that run
   /// events cause.
   static constexpr std::chrono::milliseconds kMinPassInterval{5};
@@ -125,15 +121,6 @@
     /// Service of the upstream, which may no longer be listed.
     TargetId service;
   };
-  /// Identifies an item across the batches of a trainer, which may resubmit it.
-  /// Item ids alone are not unique: organisations choose them independently.
-  struct ItemKey {
-    OrganisationId organisation;
-    TargetId model;
-    std::string id;
-
-    friend auto operator<=>(const ItemKey&, const ItemKey&) = default;
-  };
   /// A run that continues after its batch ended.
   struct Orphan {
     Running running;
@@ -148,6 +135,14 @@
   void AdoptRun(const ItemRef& item);
   /// Cancels the orphaned runs of a model.
   void CancelOrphans(const TargetId& model);
+  /// Queues records for the results of a batch.
+  /// @param on_appended see FencedWriter::Append
+  void AppendRecords(const std::string& batch,
+                     std::vector<platform::KeyedRecord> records,
+                     std::function<void()> on_appended);
+  /// Drops the output of completed items that no later batch needs: those of a
+  /// group that is complete.
+  void ReleaseCompletedGroup(const ItemRef& item);
   /// Keeps the output of an orphaned run that has ended.
   void OnOrphanEnd(Orphan orphan, ItemProgress progress);
   /// Returns the key of an item of an open batch.
@@ -164,7 +159,6 @@
   /// Returns records that delete an item's stored progress, and removes its
   /// entry from `stored_progress_`.
   std::vector<platform::KeyedRecord> TakeProgressDeletions(const ItemRef& item);
-  void ExpireLeftovers();
   /// Opens a batch, or defers that until the first manifest is known.
   void OpenBatch(const std::string& id, const Batch& batch);
   /// Returns whether all events of an item must come from one weight version,
@@ -241,6 +235,10 @@
                         const ItemDecision& decision);
   /// Lists an item with the result of its scorer.
   void OnScoreEnd(const ItemRef& item, const ItemScoreResult& result);
+  /// Returns records of the events that are not stored yet, which count as
+  /// stored from now on.
+  std::vector<platform::KeyedRecord> TakeProgressRecords(
+      const ItemRef& item, const ItemProgress& progress);
   /// Stores the end of an output, so that a later owner only has to score it.
   void SaveCompleteOutput(const ItemRef& item, const ItemProgress& progress);
   void ListCompletedItem(const ItemRef& item, ItemProgress progress,
@@ -286,7 +284,7 @@
   std::map<std::uint64_t, Orphan> orphans_;
   /// Events of unfinished items that are not running, also of those that await
   /// a score.
-  std::map<ItemRef, ItemProgress> progress_;
+  std::map<ItemRef, HeldOutput> progress_;
   std::shared_ptr<BatchItems> items_;
   /// Position of the next result, by batch id.
   std::map<std::string, std::uint32_t> next_position_;
@@ -294,17 +292,10 @@
   /// turns further estimates into events, which hold several tokens each.
   double completed_hint_ = 0;
   double completed_events_ = 0;
-  /// Outputs of the completed items of open batches.
-  std::map<ItemRef, ItemProgress> completed_;
-  /// Output of an item in a group that its ended batch did not complete.
-  /// Trainers submit such groups again under the same item ids.
-  struct Leftover {
-    ItemProgress progress;
-    /// Time at which the batch or its orphaned run ended.
-    Instant since;
-  };
-  /// An item has one for each of its runs that went on in parallel.
-  std::multimap<ItemKey, Leftover> leftovers_;
+  /// The completed items of open batches, with the outputs of those in
+  /// incomplete groups.
+  std::map<ItemRef, HeldOutput> completed_;
+  LeftoverOutputs leftovers_;
   base::Timer hand_over_timer_;
   base::Timer schedule_timer_;
   /// When `ScheduleItems` last ran.
--- a/src/batches/part_owner_runs.cc
+++ b/src/batches/part_owner_runs.cc
@@ -112,9 +112,9 @@
 std::optional<std::string> PartitionOwner::BoundSoftware(
     const ItemRef& item) const {
   const auto found = progress_.find(item);
-  return found == progress_.end() || found->second.last_event == 0
+  return found == progress_.end() || found->second.progress().last_event == 0
              ? std::nullopt
-             : std::optional(found->second.software);
+             : std::optional(found->second.progress().software);
 }
 
 bool PartitionOwner::PrepareResume(
@@ -124,7 +124,7 @@
   if (!software.has_value()) {
     return true;
   }
-  const ItemProgress& progress = progress_.at(item);
+  const ItemProgress& progress = progress_.at(item).progress();
   const auto runs_it = [&software](const auto& upstream) {
     return upstream.software == *software;
   };
@@ -247,9 +247,10 @@
     longest = std::max(longest, other.expected_tokens);
   }
   const auto progress = progress_.find(item);
-  const double events = progress == progress_.end()
-                            ? 0.0
-                            : static_cast<double>(progress->second.last_event);
+  const double events =
+      progress == progress_.end()
+          ? 0.0
+          : static_cast<double>(progress->second.progress().last_event);
   if (longest <= 0 || (events > 0 && events >= ExpectedEvents(batch, item))) {
     // Nothing is known, or the output is longer than estimated.
     return 1.0;
@@ -333,7 +334,7 @@
   }
   request.body = item.body();
   request.organisation = OrganisationId(record.organisation());
-  ItemProgress progress = std::move(progress_[start.item]);
+  ItemProgress progress = progress_[start.item].Take();
   std::uint64_t expected_version = 0;
   if (IsSingleVersion(start.item)) {
     expected_version = upstream.versions.at(TargetId(record.model()));
@@ -342,9 +343,12 @@
       // A single-version sample cannot resume under another version: restarts
       // it from the beginning.
       progress = {};
-      DeleteItemProgress(start.item);
     }
   }
+  if (progress.last_event == 0) {
+    // The item starts again, for instance because its output was evicted.
+    DeleteItemProgress(start.item);
+  }
   const std::uint64_t number = ++last_run_number_;
   context_.log.Write(
       "item.start",
@@ -361,7 +365,8 @@
   auto run = std::make_shared<ItemRun>(
       context_.loop, context_.clock, context_.caller, context_.loads,
       start.upstream, std::move(progress),
-      scheduler_.find(start.item.batch)->limits.retention_end, RunTimeouts{},
+      scheduler_.find(start.item.batch)->limits.retention_end,
+      RunLimits{.max_output_bytes = MaxOutputBytes(context_.max_record_bytes)},
       [weak = weak_from_this()] {
         if (const auto owner = weak.lock()) {
           owner->PostSchedule();
@@ -419,7 +424,7 @@
     DeleteItemProgress(item);
   } else {
     progress.interrupted = context_.clock.now();
-    progress_[item] = std::move(progress);
+    progress_[item] = context_.output_memory.Hold(std::move(progress));
   }
   PostSchedule();
 }
@@ -432,7 +437,8 @@
   } else if (std::holds_alternative<AwaitScore>(decision)) {
     const BatchLimits& limits = scheduler_.find(item.batch)->limits;
     SaveCompleteOutput(item, progress);
-    progress_[item] = std::move(progress);
+    progress_[item] = context_.output_memory.Hold(
+        std::move(progress), OutputMemory::Eviction::kForbidden);
     scorer_->Add({item, limits.deadline}, *FindItem(item),
                  limits.retention_end);
   }
@@ -444,7 +450,7 @@
     return;
   }
   const auto found = progress_.find(item);
-  ItemProgress progress = std::move(found->second);
+  ItemProgress progress = found->second.Take();
   progress_.erase(found);
   if (const auto* scored = std::get_if<ItemScored>(&result)) {
     ListCompletedItem(item, std::move(progress), scored->score);
@@ -463,7 +469,26 @@
     completed_events_ += static_cast<double>(progress.last_event);
   }
   ListResult(item, v1::ITEM_STATE_COMPLETED, progress, score);
-  completed_[item] = std::move(progress);
+  completed_[item] = context_.output_memory.Hold(std::move(progress));
+  ReleaseCompletedGroup(item);
+}
+
+void PartitionOwner::ReleaseCompletedGroup(const ItemRef& item) {
+  const std::vector<ItemInfo>& items = scheduler_.find(item.batch)->items;
+  std::vector<HeldOutput*> outputs;
+  for (std::size_t i = 0; i < items.size(); ++i) {
+    if (items[i].group != items[item.index].group) {
+      continue;
+    }
+    const auto completed = completed_.find({item.batch, i});
+    if (completed == completed_.end()) {
+      return;
+    }
+    outputs.push_back(&completed->second);
+  }
+  for (HeldOutput* output : outputs) {
+    *output = {};
+  }
 }
 
 }  // namespace mulberryroad::batches
--- a/src/batches/part_owner_storage.cc
+++ b/src/batches/part_owner_storage.cc
@@ -2,7 +2,6 @@
 // items, restores them, and deletes them when they are no longer needed.
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 #include <variant>
 
@@ -10,15 +9,6 @@
 
 namespace mulberryroad::batches {
 
-namespace {
-
-bool HasMoreOutput(const ItemProgress& left, const ItemProgress& right) {
-  return std::tie(left.complete, left.last_event) >
-         std::tie(right.complete, right.last_event);
-}
-
-}  // namespace
-
 PartitionOwner::ResultWriter& PartitionOwner::WriterFor(
     const std::string& batch) {
   const platform::PartitionId partition =
@@ -54,6 +44,19 @@
   return entry;
 }
 
+void PartitionOwner::AppendRecords(const std::string& batch,
+                                   std::vector<platform::KeyedRecord> records,
+                                   std::function<void()> on_appended) {
+  std::shared_ptr<void> held = context_.output_memory.HoldRecords(records);
+  WriterFor(batch).writer->Append(
+      std::move(records),
+      [held = std::move(held), on_appended = std::move(on_appended)] {
+        if (on_appended) {
+          on_appended();
+        }
+      });
+}
+
 // Called once earlier owners are fenced, as they can add results until then.
 void PartitionOwner::LoadResults(const std::string& id,
                                  const std::string& after) {
@@ -141,16 +144,15 @@
     for (std::uint32_t i = 0; i < batch.accepted->items(); ++i) {
       results.push_back({Encode(ResultKey{id, i}), std::nullopt});
     }
-    WriterFor(id).writer->Append(
-        std::move(results), [weak = weak_from_this(), id = id] {
-          if (const auto owner = weak.lock()) {
-            owner->context_.store.Append(
-                owner->partition_,
-                {{Encode(EndKey{id}), std::nullopt},
-                 {Encode(AcceptedKey{id}), std::nullopt}},
-                {}, kReadTimeout, [](const platform::AppendOutcome&) {});
-          }
-        });
+    AppendRecords(id, std::move(results), [weak = weak_from_this(), id = id] {
+      if (const auto owner = weak.lock()) {
+        owner->context_.store.Append(owner->partition_,
+                                     {{Encode(EndKey{id}), std::nullopt},
+                                      {Encode(AcceptedKey{id}), std::nullopt}},
+                                     {}, kReadTimeout,
+                                     [](const platform::AppendOutcome&) {});
+      }
+    });
   }
 }
 
@@ -192,7 +194,7 @@
           scheduler_.OnRunEnd(item, RunCompleted{}, context_.clock.now()));
     } else {
       progress.interrupted = context_.clock.now();
-      progress_[item] = std::move(progress);
+      progress_[item] = context_.output_memory.Hold(std::move(progress));
     }
   }
 }
@@ -204,34 +206,45 @@
   if (!IsValidKeyId(stored.id()) || saved.complete) {
     return;
   }
-  WriterFor(item.batch)
-      .writer->Append(
-          {{Encode(ProgressKey{item.batch, stored.id(), saved.records}),
-            progress.RecordSince(saved.last_event).SerializeAsString()}},
-          nullptr);
-  saved.last_event = progress.last_event;
+  AppendRecords(item.batch, TakeProgressRecords(item, progress), nullptr);
   saved.complete = true;
-  ++saved.records;
+}
+
+std::vector<platform::KeyedRecord> PartitionOwner::TakeProgressRecords(
+    const ItemRef& item, const ItemProgress& progress) {
+  const std::string& id = FindItem(item)->id();
+  StoredProgress& saved = stored_progress_[item];
+  std::vector<platform::KeyedRecord> records;
+  for (const v1::ProgressRecord& record :
+       progress.RecordsSince(saved.last_event, context_.max_record_bytes)) {
+    records.push_back({Encode(ProgressKey{item.batch, id, saved.records}),
+                       record.SerializeAsString()});
+    ++saved.records;
+  }
+  saved.last_event = progress.last_event;
+  return records;
 }
 
 void PartitionOwner::SaveProgress(std::uint64_t min_events) {
-  std::map<platform::PartitionId, std::vector<platform::KeyedRecord>> records;
+  if (!context_.output_memory.HasRoom()) {
+    return;
+  }
+  std::map<std::string, std::vector<platform::KeyedRecord>> records;
   for (const auto& [item, running] : runs_) {
     const ItemProgress& progress = running.run->progress();
-    StoredProgress& saved = stored_progress_[item];
+    const StoredProgress& saved = stored_progress_[item];
     const v1::BatchItem* stored = FindItem(item);
     if (progress.last_event < saved.last_event + min_events ||
         !IsValidKeyId(stored->id())) {
       continue;
     }
-    records[ResultPartitionOf(item.batch, context_.partitions)].push_back(
-        {Encode(ProgressKey{item.batch, stored->id(), saved.records}),
-         progress.RecordSince(saved.last_event).SerializeAsString()});
-    saved.last_event = progress.last_event;
-    ++saved.records;
+    std::vector<platform::KeyedRecord>& queued = records[item.batch];
+    for (platform::KeyedRecord& record : TakeProgressRecords(item, progress)) {
+      queued.push_back(std::move(record));
+    }
   }
-  for (auto& [partition, batch] : records) {
-    writers_.at(partition).writer->Append(std::move(batch), nullptr);
+  for (auto& [batch, queued] : records) {
+    AppendRecords(batch, std::move(queued), nullptr);
   }
 }
 
@@ -254,7 +267,7 @@
 void PartitionOwner::DeleteItemProgress(const ItemRef& item) {
   std::vector<platform::KeyedRecord> deletions = TakeProgressDeletions(item);
   if (!deletions.empty()) {
-    WriterFor(item.batch).writer->Append(std::move(deletions), nullptr);
+    AppendRecords(item.batch, std::move(deletions), nullptr);
   }
 }
 
@@ -271,7 +284,7 @@
     }
   }
   if (!deletions.empty()) {
-    WriterFor(id).writer->Append(std::move(deletions), nullptr);
+    AppendRecords(id, std::move(deletions), nullptr);
   }
 }
 
@@ -279,34 +292,26 @@
   const std::vector<v1::BatchItem>& items = items_->open_items(id);
   for (std::size_t i = 0; i < items.size(); ++i) {
     const ItemRef item{id, i};
-    const auto [first, last] = leftovers_.equal_range(KeyOf(item));
-    auto best = last;
-    for (auto found = first; found != last; ++found) {
-      const ItemProgress& progress = found->second.progress;
-      if (Fits(item, progress) &&
-          (best == last || HasMoreOutput(progress, best->second.progress))) {
-        best = found;
-      }
-    }
-    if (best == last) {
-      leftovers_.erase(first, last);
+    auto leftover =
+        leftovers_.Take(KeyOf(item), [this, &item](const ItemProgress& output) {
+          return Fits(item, output);
+        });
+    if (!leftover.has_value()) {
       continue;
     }
-    Leftover leftover = std::move(best->second);
-    leftovers_.erase(first, last);
     context_.log.Write(
         "item.reused",
         {{"request", items[i].id()},
          {"batch", id},
-         {"complete", leftover.progress.complete},
-         {"events", static_cast<std::int64_t>(leftover.progress.last_event)}});
-    if (leftover.progress.complete) {
+         {"complete", leftover->complete},
+         {"events", static_cast<std::int64_t>(leftover->last_event)}});
+    if (leftover->complete) {
       OnOutputComplete(
-          item, std::move(leftover.progress),
+          item, *std::move(leftover),
           scheduler_.OnRunEnd(item, RunCompleted{}, context_.clock.now()));
     } else {
-      leftover.progress.interrupted = context_.clock.now();
-      progress_[item] = std::move(leftover.progress);
+      leftover->interrupted = context_.clock.now();
+      progress_[item] = context_.output_memory.Hold(*std::move(leftover));
     }
   }
 }
@@ -325,34 +330,27 @@
     if (group_complete[items[i].group()]) {
       continue;
     }
-    if (leftovers_.size() >= kMaxLeftovers) {
+    if (leftovers_.full()) {
       context_.log.Write(
           "batch.leftovers_dropped",
           {{"batch", id},
            {"items", static_cast<std::int64_t>(items.size() - i)},
-           {"limit", static_cast<std::int64_t>(kMaxLeftovers)}});
+           {"limit", static_cast<std::int64_t>(LeftoverOutputs::kMaxOutputs)}});
       break;
     }
-    Leftover leftover{{}, now};
+    HeldOutput leftover;
     if (const auto done = completed_.find({id, i}); done != completed_.end()) {
-      leftover.progress = std::move(done->second);
+      leftover = std::move(done->second);
     } else if (const auto run = runs_.find({id, i}); run != runs_.end()) {
-      leftover.progress = run->second.run->progress();
+      leftover = context_.output_memory.Hold(run->second.run->progress());
     } else if (const auto kept = progress_.find({id, i});
                kept != progress_.end()) {
-      leftover.progress = std::move(kept->second);
+      leftover = context_.output_memory.Hold(kept->second.Take());
     }
-    leftovers_.emplace(KeyOf({id, i}), std::move(leftover));
+    leftovers_.Add(KeyOf({id, i}), std::move(leftover), now);
   }
 }
 
-void PartitionOwner::ExpireLeftovers() {
-  const Instant now = context_.clock.now();
-  std::erase_if(leftovers_, [now](const auto& entry) {
-    return now >= entry.second.since + kLeftoverRetention;
-  });
-}
-
 void PartitionOwner::ListResult(const ItemRef& item, v1::ItemState state,
                                 const ItemProgress& progress,
                                 const std::string& score) {
@@ -369,18 +367,17 @@
   std::vector<platform::KeyedRecord> records = TakeProgressDeletions(item);
   records.insert(records.begin(), {Encode(ResultKey{item.batch, position}),
                                    result.SerializeAsString()});
-  WriterFor(item.batch)
-      .writer->Append(std::move(records), [this, weak = weak_from_this(),
-                                           batch = item.batch, position,
-                                           id = stored->id()] {
-        if (const auto owner = weak.lock()) {
-          context_.log.Write(
-              "item.listed",
-              {{"request", id},
-               {"batch", batch},
-               {"position", static_cast<std::int64_t>(position)}});
-        }
-      });
+  AppendRecords(item.batch, std::move(records),
+                [this, weak = weak_from_this(), batch = item.batch, position,
+                 id = stored->id()] {
+                  if (const auto owner = weak.lock()) {
+                    context_.log.Write(
+                        "item.listed",
+                        {{"request", id},
+                         {"batch", batch},
+                         {"position", static_cast<std::int64_t>(position)}});
+                  }
+                });
 }
 
 }  // namespace mulberryroad::batches
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -138,6 +138,10 @@
     } else {
       connection_->Connect();
     }
+    if (reading()) {
+      // A resumed output is in memory before its next event.
+      CountHeld();
+    }
   }
 
   void Cancel() override {
--- a/src/http/connection_guard.cc
+++ b/src/http/connection_guard.cc
@@ -73,6 +73,14 @@
   return true;
 }
 
+bool ConnectionGuard::ReserveForOutputs(std::size_t bytes) {
+  if (!budget_.ReserveForOutputs(bytes)) {
+    return false;
+  }
+  CloseVictims();
+  return true;
+}
+
 void ConnectionGuard::CloseVictims() {
   const auto now = steady_clock::now();
   peak_bytes_ = std::max(peak_bytes_, held_bytes());
--- a/src/http/connection_guard.h
+++ b/src/http/connection_guard.h
@@ -52,6 +52,8 @@
   /// connections while the budget is exceeded.
   /// @return see MemoryBudget::ReserveForResponses
   bool ReserveForResponses(std::size_t bytes);
+  /// @return see MemoryBudget::ReserveForOutputs
+  bool ReserveForOutputs(std::size_t bytes);
   /// Closes connections, perhaps the newest one, while too many are open.
   void CloseExcess();
   /// Records that a connection was closed or its request refused.
@@ -62,7 +64,8 @@
  private:
   /// Returns the bytes that the process holds.
   std::size_t held_bytes() const {
-    return budget_.held() + budget_.reserved() + budget_.responses();
+    return budget_.held() + budget_.reserved() + budget_.responses() +
+           budget_.outputs();
   }
   void CloseVictims();
   void CloseFor(Id id, CloseReason reason);
--- a/src/http/memory_budget.cc
+++ b/src/http/memory_budget.cc
@@ -28,6 +28,9 @@
 // Part of the bytes that responses may hold while they are received. On a VM of
 // 120 MB it is 19 MB, enough for two responses of the largest size (8 MB).
 constexpr std::size_t kResponseBytesPart = 4;
+// Part of the bytes that outputs of items may hold between runs. On a VM of 120
+// MB it is 9 MB, enough for some ten thousand ordinary outputs.
+constexpr std::size_t kOutputBytesPart = 8;
 // Requests up to this size may use the share that large bodies leave.
 constexpr std::size_t kSmallRequestBytes = 128U << 10U;
 // Average rate below which an incomplete body is closed under pressure after
@@ -71,6 +74,10 @@
   return bytes / kResponseBytesPart;
 }
 
+std::size_t BudgetLimits::max_outputs() const {
+  return bytes / kOutputBytesPart;
+}
+
 BudgetLimits LimitsFor(std::size_t memory_mb, std::size_t max_fds) {
   BudgetLimits limits;
   if (memory_mb > 0) {
@@ -167,10 +174,10 @@
 
 bool MemoryBudget::Reserve(std::size_t bytes) {
   const std::size_t usable = limits_.bytes - limits_.bytes / kReservedBytesPart;
-  const bool fits = limits_.bytes == 0 || bytes <= reserved_ ||
-                    Counted(bytes) == 0 ||
-                    (bytes <= limits_.max_reserved() &&
-                     running_ + Counted(responses_) + Counted(bytes) <= usable);
+  const bool fits =
+      limits_.bytes == 0 || bytes <= reserved_ || Counted(bytes) == 0 ||
+      (bytes <= limits_.max_reserved() &&
+       running_ + Counted(responses_ + outputs_) + Counted(bytes) <= usable);
   if (fits) {
     reserved_ = bytes;
   }
@@ -179,15 +186,30 @@
 
 bool MemoryBudget::ReserveForResponses(std::size_t bytes) {
   const bool fits =
-      limits_.bytes == 0 || bytes <= responses_ || Counted(bytes) == 0 ||
+      limits_.bytes == 0 || bytes <= responses_ ||
+      Counted(bytes + outputs_) == 0 ||
       (bytes <= limits_.max_responses() &&
-       running_ + Counted(reserved_) + Counted(bytes) <= limits_.bytes);
+       running_ + Counted(reserved_) + Counted(bytes + outputs_) <=
+           limits_.bytes);
   if (fits) {
     responses_ = bytes;
   }
   return fits;
 }
 
+bool MemoryBudget::ReserveForOutputs(std::size_t bytes) {
+  const bool fits =
+      limits_.bytes == 0 || bytes <= outputs_ ||
+      Counted(responses_ + bytes) == 0 ||
+      (bytes <= limits_.max_outputs() &&
+       running_ + Counted(reserved_) + Counted(responses_ + bytes) <=
+           limits_.bytes);
+  if (fits) {
+    outputs_ = bytes;
+  }
+  return fits;
+}
+
 bool MemoryBudget::HasRoomFor(std::size_t bytes, bool protected_peer) const {
   if (limits_.bytes == 0) {
     return true;
--- a/src/http/memory_budget.h
+++ b/src/http/memory_budget.h
@@ -46,6 +46,8 @@
   std::size_t max_reserved() const;
   /// Bytes that responses may hold while they are received; 0 for no limit.
   std::size_t max_responses() const;
+  /// Bytes that outputs of items may hold between runs; 0 for no limit.
+  std::size_t max_outputs() const;
 };
 
 /// Derives the limits from the memory and descriptors of the machine.
@@ -107,6 +109,10 @@
   ///     so many; the number then stays as it was. A lower number is always
   ///     accepted.
   bool ReserveForResponses(std::size_t bytes);
+  /// Sets the bytes of the outputs that the process keeps of responses received
+  /// earlier; else like ReserveForResponses, whose uncounted share they use
+  /// too.
+  bool ReserveForOutputs(std::size_t bytes);
 
   /// Returns whether a request that will hold so many bytes until its response
   /// fits beside the requests that run already. Incomplete bodies do not count,
@@ -136,6 +142,8 @@
   std::size_t reserved() const { return reserved_; }
   /// Bytes of responses that are being received.
   std::size_t responses() const { return responses_; }
+  /// Bytes of outputs that are kept.
+  std::size_t outputs() const { return outputs_; }
   std::size_t connections() const { return entries_.size(); }
 
  private:
@@ -159,7 +167,7 @@
   std::size_t Counted(std::size_t reserved) const;
   /// Returns the bytes that count against the connections besides their own.
   std::size_t counted_elsewhere() const {
-    return Counted(reserved_) + Counted(responses_);
+    return Counted(reserved_) + Counted(responses_ + outputs_);
   }
   /// Add an entry to the sums, or take it out of them.
   void Add(const Entry& entry);
@@ -173,6 +181,7 @@
   std::size_t running_ = 0;
   std::size_t reserved_ = 0;
   std::size_t responses_ = 0;
+  std::size_t outputs_ = 0;
   std::size_t callers_ = 0;
   /// Part of callers_ in phase kRunning.
   std::size_t running_callers_ = 0;
--- a/src/http/response_memory.cc
+++ b/src/http/response_memory.cc
@@ -1,6 +1,5 @@
 #include "http/response_memory.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace mulberryroad::http {
@@ -26,21 +25,34 @@
   }
   held_ = held_ - found->second.bytes + bytes;
   found->second.bytes = bytes;
-  while (reserve_ && !reserve_(held_) && held_ > 0) {
-    EvictLargest();
+  exhausted_ = false;
+  while (reserve_ && !exhausted_ && !reserve_(held_)) {
+    exhausted_ = !EvictLargest();
   }
 }
 
-void ResponseMemory::EvictLargest() {
-  const auto largest =
-      std::max_element(entries_.begin(), entries_.end(),
-                       [](const auto& left, const auto& right) {
-                         return left.second.bytes < right.second.bytes;
-                       });
+bool ResponseMemory::HasRoom() {
+  exhausted_ = exhausted_ && !reserve_(held_);
+  return !exhausted_;
+}
+
+bool ResponseMemory::EvictLargest() {
+  auto largest = entries_.end();
+  for (auto entry = entries_.begin(); entry != entries_.end(); ++entry) {
+    if (entry->second.on_evicted && entry->second.bytes > 0 &&
+        (largest == entries_.end() ||
+         entry->second.bytes > largest->second.bytes)) {
+      largest = entry;
+    }
+  }
+  if (largest == entries_.end()) {
+    return false;
+  }
   held_ -= largest->second.bytes;
   const auto on_evicted = std::move(largest->second.on_evicted);
   entries_.erase(largest);
   on_evicted();
+  return true;
 }
 
 }  // namespace mulberryroad::http
--- a/src/http/response_memory.h
+++ b/src/http/response_memory.h
@@ -1,4 +1,5 @@
-// Memory of the responses that a client is receiving.
+// Memory of responses: those that a client is receiving, or their outputs that
+// a receiver keeps.
 
 #ifndef MULBERRYROAD_SRC_HTTP_RESPONSE_MEMORY_H_
 #define MULBERRYROAD_SRC_HTTP_RESPONSE_MEMORY_H_
@@ -27,7 +28,8 @@
 
   /// Adds a response without bytes.
   /// @param on_evicted called once if the response must be given up; it counts
-  ///     no more then. Must not call other methods than Remove.
+  ///     no more then. Must not call other methods than Remove. Null if the
+  ///     response cannot be given up.
   Id Add(std::function<void()> on_evicted);
   /// Removes a response; does nothing if it was evicted.
   void Remove(Id id);
@@ -35,6 +37,8 @@
   void Set(Id id, std::size_t bytes);
 
   std::size_t held() const { return held_; }
+  /// Returns false while the responses that cannot be given up have no room.
+  bool HasRoom();
 
  private:
   struct Entry {
@@ -42,11 +46,14 @@
     std::function<void()> on_evicted;
   };
 
-  void EvictLargest();
+  /// @return false if no response can be given up
+  bool EvictLargest();
 
   Reserve reserve_;
   std::map<Id, Entry> entries_;
   std::size_t held_ = 0;
+  /// The last reservation failed, and nothing was left to evict.
+  bool exhausted_ = false;
   Id last_id_ = 0;
 };
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -142,12 +142,18 @@
       item_memory_([this](std::size_t bytes) {
         return guard_ == nullptr || guard_->Reserve(bytes);
       }),
+      output_memory_(
+          [this](std::size_t bytes) {
+            return guard_ == nullptr || guard_->ReserveForOutputs(bytes);
+          },
+          log_, metrics_),
       batch_context_{loop_,
                      clock_,
                      log_,
                      metrics_,
                      store_,
                      item_memory_,
+                     output_memory_,
                      catalog_,
                      directory_,
                      item_loads_,
@@ -159,7 +165,8 @@
                      random_,
                      platform_adapter::ReadItemHeaders,
                      settings_.partitions,
-                     settings_.result_retention + kResultRetentionMargin},
+                     settings_.result_retention + kResultRetentionMargin,
+                     settings_.max_record_bytes},
       batch_client_(std::make_shared<batches::BatchClient>(
           loop_, clock_, store_, settings_.partitions)),
       batch_host_(batch_context_, MemberName(process_, settings_.peer_address),
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -131,6 +131,7 @@
   /// Closed connections by reason since the last log line.
   std::map<http::CloseReason, std::int64_t> closed_clients_;
   batches::ItemMemory item_memory_;
+  batches::OutputMemory output_memory_;
   batches::BatchContext batch_context_;
   std::shared_ptr<batches::BatchClient> batch_client_;
   batches::BatchHost batch_host_;
--- a/src/node/node_status.cc
+++ b/src/node/node_status.cc
@@ -96,6 +96,8 @@
                  [this] { return static_cast<double>(batch_host_.scoring()); });
   metrics_.Gauge("item_bytes_held",
                  [this] { return static_cast<double>(item_memory_.held()); });
+  metrics_.Gauge("output_bytes_held",
+                 [this] { return static_cast<double>(output_memory_.held()); });
   metrics_.Gauge("crashing_contents", [this] {
     return static_cast<double>(crash_evidence_.size());
   });
--- a/src/platform/partition_store.h
+++ b/src/platform/partition_store.h
@@ -64,9 +64,13 @@
 struct Fenced {};
 /// The sequence number does not follow the last one.
 struct OutOfSequence {};
+/// A record or all records together are too large. Nothing was appended, and a
+/// retry would be refused again.
+struct TooLarge {};
 
 using AppendOutcome =
-    std::variant<Appended, EndMismatch, Fenced, OutOfSequence, PlatformFailure>;
+    std::variant<Appended, EndMismatch, Fenced, OutOfSequence, TooLarge,
+                 PlatformFailure>;
 
 /// Consecutive records of a partition.
 struct RecordPage {
--- a/src/store/fenced_writer.cc
+++ b/src/store/fenced_writer.cc
@@ -1,5 +1,6 @@
 #include "store/fenced_writer.h"
 
+#include <iterator>
 #include <utility>
 #include <variant>
 
@@ -42,7 +43,10 @@
     return;
   }
   std::size_t bytes = 0;
-  while (!queued_.empty() && (in_flight_.empty() || bytes < kMaxAppendBytes)) {
+  const bool alone = sent_alone_ > 0;
+  sent_alone_ -= alone ? 1 : 0;
+  while (!queued_.empty() &&
+         (in_flight_.empty() || (!alone && bytes < kMaxAppendBytes))) {
     for (const platform::KeyedRecord& record : queued_.front().records) {
       bytes += record.key.size() + (record.value ? record.value->size() : 0);
     }
@@ -53,6 +57,27 @@
   Send();
 }
 
+void FencedWriter::OnTooLarge() {
+  append_in_flight_ = false;
+  // The store has not used the number.
+  --sequence_;
+  if (in_flight_.size() > 1) {
+    sent_alone_ = in_flight_.size();
+    queued_.insert(queued_.begin(), std::make_move_iterator(in_flight_.begin()),
+                   std::make_move_iterator(in_flight_.end()));
+  } else {
+    log_.Write("append.dropped",
+               {{"topic", partition_.topic},
+                {"part", static_cast<std::int64_t>(partition_.number)},
+                {"records",
+                 static_cast<std::int64_t>(in_flight_.front().records.size())},
+                {"first_key", in_flight_.front().records.front().key},
+                {"reason", "a record is too large for the store"}});
+  }
+  in_flight_.clear();
+  SendNext();
+}
+
 void FencedWriter::Send() {
   append_in_flight_ = true;
   std::vector<platform::KeyedRecord> records;
@@ -75,6 +100,11 @@
     OnAppended();
     return;
   }
+  if (std::holds_alternative<platform::TooLarge>(outcome) &&
+      !in_flight_.empty()) {
+    OnTooLarge();
+    return;
+  }
   if (const auto* failure = std::get_if<platform::PlatformFailure>(&outcome)) {
     log_.Write("append.retry",
                {{"topic", partition_.topic},
--- a/src/store/fenced_writer.h
+++ b/src/store/fenced_writer.h
@@ -21,8 +21,10 @@
 
 /// Has one append in flight at a time; records that are queued meanwhile are
 /// sent together in the next one. An append without an answer is retried under
-/// the same sequence number, so that the store applies it once. Must be owned
-/// by a `std::shared_ptr` and used on the thread of the event loop.
+/// the same sequence number, so that the store applies it once. Records that
+/// the store refuses for their size are dropped, as all later ones would wait
+/// for them. Must be owned by a `std::shared_ptr` and used on the thread of the
+/// event loop.
 class FencedWriter : public std::enable_shared_from_this<FencedWriter> {
  public:
   /// @param writer name under which the store compares epochs
@@ -44,7 +46,7 @@
   /// Queues records; appends are stored in the order of these calls. Does
   /// nothing once the writer is stopped.
   /// @param on_appended called once the records are in the store, but not after
-  ///     `Stop`; may be null
+  ///     `Stop`, nor if they are too large for the store; may be null
   void Append(std::vector<platform::KeyedRecord> records,
               std::function<void()> on_appended);
 
@@ -74,6 +76,9 @@
   void Send();
   void OnOutcome(const platform::AppendOutcome& outcome);
   void OnAppended();
+  /// Sends the refused records again one call of `Append` at a time, and drops
+  /// them if they were alone.
+  void OnTooLarge();
 
   base::EventLoop& loop_;
   base::StructuredLog& log_;
@@ -88,6 +93,9 @@
   /// An append is in flight or waits for its retry.
   bool append_in_flight_ = false;
   bool stopped_ = false;
+  /// Number of queued appends that are sent without others: one of them is too
+  /// large.
+  std::size_t sent_alone_ = 0;
   std::deque<QueuedAppend> queued_;
   std::vector<QueuedAppend> in_flight_;
   base::Timer retry_timer_;
--- a/test/batch_owners_test.cc
+++ b/test/batch_owners_test.cc
@@ -33,15 +33,24 @@
   ScorerLimits scorer_limits;
   std::mt19937_64 random{1};
   ItemMemory item_memory{[](std::size_t /*bytes*/) { return true; }};
-  BatchContext context{
-      loop,          clock,
-      log,           metrics,
-      store,         item_memory,
-      catalog,       directory,
-      loads,         request_loads,
-      scorer_limits, permits,
-      upstreams,     FailureDomainId("d1"),
-      random,        [](const v1::BatchItem&) { return ItemHeaders{}; }};
+  OutputMemory output_memory{nullptr, log, metrics};
+  BatchContext context{loop,
+                       clock,
+                       log,
+                       metrics,
+                       store,
+                       item_memory,
+                       output_memory,
+                       catalog,
+                       directory,
+                       loads,
+                       request_loads,
+                       scorer_limits,
+                       permits,
+                       upstreams,
+                       FailureDomainId("d1"),
+                       random,
+                       [](const v1::BatchItem&) { return ItemHeaders{}; }};
 };
 
 platform::GroupAssignment Share(std::uint64_t generation) {
--- a/test/fakes/memory_store.h
+++ b/test/fakes/memory_store.h
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
@@ -164,6 +165,8 @@
   }
 
   std::size_t page_size = 500;
+  /// Appends with a larger record are refused.
+  std::size_t max_record_bytes = std::numeric_limits<std::size_t>::max();
 
  private:
   struct WriterState {
@@ -211,6 +214,14 @@
       const platform::PartitionId& id,
       const std::vector<platform::KeyedRecord>& records,
       const platform::AppendCondition& condition) {
+    if (std::any_of(records.begin(), records.end(),
+                    [this](const platform::KeyedRecord& record) {
+                      return record.key.size() +
+                                 record.value.value_or("").size() >
+                             max_record_bytes;
+                    })) {
+      return platform::TooLarge{};
+    }
     Partition& partition = partitions_[id];
     if (const auto* at = std::get_if<platform::ExpectedEnd>(&condition);
         at != nullptr && at->end != partition.end) {
--- a/test/fakes/part_owner_fixture.h
+++ b/test/fakes/part_owner_fixture.h
@@ -62,16 +62,29 @@
   std::size_t max_item_bytes = std::numeric_limits<std::size_t>::max();
   ItemMemory item_memory{
       [this](std::size_t bytes) { return bytes <= max_item_bytes; }};
-  BatchContext context{
-      loop,          clock,
-      log,           metrics,
-      store,         item_memory,
-      catalog,       directory,
-      loads,         request_loads,
-      scorer_limits, permits,
-      upstreams,     FailureDomainId("d1"),
-      random,        [](const v1::BatchItem&) { return ItemHeaders{}; },
-      kPartitions};
+  /// Bound of the memory of the outputs that no run holds, and of records.
+  std::size_t max_output_bytes = std::numeric_limits<std::size_t>::max();
+  OutputMemory output_memory{
+      [this](std::size_t bytes) { return bytes <= max_output_bytes; }, log,
+      metrics};
+  BatchContext context{loop,
+                       clock,
+                       log,
+                       metrics,
+                       store,
+                       item_memory,
+                       output_memory,
+                       catalog,
+                       directory,
+                       loads,
+                       request_loads,
+                       scorer_limits,
+                       permits,
+                       upstreams,
+                       FailureDomainId("d1"),
+                       random,
+                       [](const v1::BatchItem&) { return ItemHeaders{}; },
+                       kPartitions};
   std::shared_ptr<BatchClient> client =
       std::make_shared<BatchClient>(loop, clock, store, kPartitions);
   /// Organisation that submits batches and reads results.
--- a/test/fenced_writer_test.cc
+++ b/test/fenced_writer_test.cc
@@ -5,6 +5,9 @@
 
 #include <criterion/criterion.h>
 
+#include <string>
+#include <vector>
+
 #include "fakes/loop_wait.h"
 #include "fakes/memory_store.h"
 #include "mulberryroad/clock.h"
@@ -95,5 +98,33 @@
       (fixture.clock.now() - recovered_at) / std::chrono::milliseconds(1), 600);
 }
 
+// Guards against a record that the store refuses for its size and that all
+// later records wait for.
+Test(fenced_writer, record_too_large_for_the_store_blocks_later_ones) {
+  Fixture fixture;
+  fixture.store.max_record_bytes = 100;
+  const auto writer = fixture.Make(3);
+  std::vector<std::string> appended;
+  const auto append = [&](const std::string& key, std::size_t bytes) {
+    writer->Append({{key, std::string(bytes, 'x')}},
+                   [&appended, key] { appended.push_back(key); });
+  };
+  // Queued before the writer is ready, so that one append carries all.
+  append("a", 10);
+  append("large", 200);
+  append("b", 10);
+  writer->Start();
+  cr_assert(
+      fakes::RunUntil(fixture.loop, [&] { return appended.size() == 2; }));
+  append("alone", 200);
+  append("c", 10);
+  cr_assert(
+      fakes::RunUntil(fixture.loop, [&] { return appended.size() == 3; }));
+  const std::vector<std::string> expected = {"a", "b", "c"};
+  cr_assert(appended == expected);
+  cr_assert(fixture.store.keys(kPartition) == appended);
+  cr_assert(!fixture.fenced);
+}
+
 }  // namespace
 }  // namespace mulberryroad::store
--- a/test/item_run_test.cc
+++ b/test/item_run_test.cc
@@ -24,10 +24,10 @@
   serving::Registration upstream = fakes::MakeUpstream("u1", "engines");
   int ends = 0;
 
-  std::shared_ptr<ItemRun> Start(RunTimeouts timeouts = {}) {
+  std::shared_ptr<ItemRun> Start(RunLimits limits = {}) {
     auto run = std::make_shared<ItemRun>(
         loop, clock, upstreams, loads, upstream.id, ItemProgress(),
-        clock.now() + milliseconds(5'000), timeouts, [] {},
+        clock.now() + milliseconds(5'000), limits, [] {},
         [this](const RunEnd&, const ItemProgress&) { ++ends; });
     run->Start(upstream, {}, 0);
     return run;
--- a/test/part_owner_test.cc
+++ b/test/part_owner_test.cc
@@ -537,5 +537,24 @@
   cr_assert(std::holds_alternative<NotStored>(*stored));
 }
 
+// Guards against a submission that is retried until its deadline although the
+// store will never take it.
+Test(batch_client, submission_too_large_for_the_store_is_retried) {
+  Fixture fixture;
+  fixture.store.max_record_bytes = 1'000;
+  std::optional<StoreResult> result;
+  const Instant sent = fixture.clock.now();
+  fixture.client->Submit({fixture.organisation, "b1"},
+                         {{"key", std::string(2'000, 'x')}},
+                         {milliseconds(5'000), nullptr},
+                         [&result](StoreResult stored) { result = stored; });
+  cr_assert(
+      fakes::RunUntil(fixture.loop, [&result] { return result.has_value(); }));
+  const auto* not_stored = std::get_if<NotStored>(&*result);
+  cr_assert_not_null(not_stored);
+  cr_assert(not_stored->too_large);
+  cr_assert_lt((fixture.clock.now() - sent) / milliseconds(1), 1'000);
+}
+
 }  // namespace
 }  // namespace mulberryroad::batches
