The failed runs of an item are stored before its next run

Cause: only the scheduler of the partition's owner counted failed runs; each new owner began at 0.

Change: progress records have a field for the number of failed runs. An item that failed is not placed again before the store has confirmed it, and a new owner continues with the highest number stored. Items whose ids no key can hold are stored under a digest.

item_scheduler::failing_item_is_terminated_after_max_attempts now reports the failure as stored between two runs, and requires that the item is not placed before.

--- a/src/batches/batch_keys.cc
+++ b/src/batches/batch_keys.cc
@@ -19,6 +19,9 @@
 constexpr char kProgress[] = "p";
 constexpr char kChunks[] = "s";
 
+// Marks the digest of an id.
+constexpr char kDigestPrefix[] = "sha256.";
+
 // Numbers have a fixed width, so that keys sort in numerical order.
 std::string NumberedKey(const std::string& batch, const char* part,
                         std::uint32_t number) {
@@ -92,6 +95,12 @@
          });
 }
 
+std::string ProgressIdOf(const std::string& item) {
+  return IsValidKeyId(item) && !item.starts_with(kDigestPrefix)
+             ? item
+             : kDigestPrefix + base::Sha256Hex(item);
+}
+
 platform::PartitionId BatchPartitionOf(const std::string& organisation,
                                        int partitions) {
   return {kBatchTopic,
--- a/src/batches/batch_keys.h
+++ b/src/batches/batch_keys.h
@@ -61,6 +61,9 @@
 /// Returns whether an id is valid in a key: letters, digits, '-', '_' and '.',
 /// and short enough that a key can hold two ids.
 bool IsValidKeyId(const std::string& id);
+/// Returns the id under which the progress of an item is stored: its own if it
+/// is valid in a key, else a digest of it.
+std::string ProgressIdOf(const std::string& item);
 /// Returns the partition that holds the batches of an organisation. As a
 /// trainer has one organisation, all its steps have the same owner, which
 /// reuses its upstream connections and the outputs of incomplete groups of the
--- a/src/batches/item_scheduler.cc
+++ b/src/batches/item_scheduler.cc
@@ -117,6 +117,12 @@
   return &found->second.items[ref.index];
 }
 
+bool ItemScheduler::HasFailedTooOften(const ItemRef& ref,
+                                      const Item& item) const {
+  const auto& max_attempts = batches_.at(ref.batch).info.limits.max_attempts;
+  return max_attempts.has_value() && item.failures >= *max_attempts;
+}
+
 bool ItemScheduler::MarkRunning(const ItemRef& ref,
                                 const UpstreamId& upstream) {
   Item* item = FindItem(ref);
@@ -143,22 +149,46 @@
     item->state = State::kDone;
     return ListCompleted{};
   }
-  if (std::holds_alternative<RunFailed>(end)) {
-    ++item->failures;
-  }
-  const auto& max_attempts = batches_.at(ref.batch).info.limits.max_attempts;
-  const bool failed_too_often =
-      max_attempts.has_value() && item->failures >= *max_attempts;
-  if (std::holds_alternative<RunImpossible>(end) || failed_too_often) {
+  const bool failed = std::holds_alternative<RunFailed>(end);
+  item->failures += failed ? 1 : 0;
+  if (std::holds_alternative<RunImpossible>(end) ||
+      HasFailedTooOften(ref, *item)) {
     item->state = State::kDone;
     return ListTerminated{};
   }
-  item->state = State::kWaiting;
+  item->state = failed ? State::kStoringFailure : State::kWaiting;
   item->not_before =
       std::holds_alternative<RunMoved>(end) ? now : now + kRetryDelay;
   return NoResult{};
 }
 
+void ItemScheduler::OnFailureStored(const ItemRef& ref) {
+  Item* item = FindItem(ref);
+  if (item != nullptr && item->state == State::kStoringFailure) {
+    item->state = State::kWaiting;
+  }
+}
+
+ItemDecision ItemScheduler::RestoreFailures(const ItemRef& ref, int failures) {
+  Item* item = FindItem(ref);
+  if (item == nullptr || item->state != State::kWaiting) {
+    return NoResult{};
+  }
+  item->failures = failures;
+  if (!HasFailedTooOften(ref, *item)) {
+    return NoResult{};
+  }
+  item->state = State::kDone;
+  return ListTerminated{};
+}
+
+int ItemScheduler::failures(const ItemRef& ref) const {
+  const auto found = batches_.find(ref.batch);
+  return found == batches_.end() || ref.index >= found->second.items.size()
+             ? 0
+             : found->second.items[ref.index].failures;
+}
+
 bool ItemScheduler::OnScoreEnd(const ItemRef& ref) {
   Item* item = FindItem(ref);
   if (item == nullptr || item->state != State::kAwaitingScore) {
--- a/src/batches/item_scheduler.h
+++ b/src/batches/item_scheduler.h
@@ -128,10 +128,20 @@
   /// Marks a waiting item as running: a run of it is already in progress.
   /// @return false if the item is not waiting; nothing is changed
   bool MarkRunning(const ItemRef& item, const UpstreamId& upstream);
-  /// Updates the item after a run.
+  /// Updates the item after a run. An item whose run failed is not placed again
+  /// before `OnFailureStored`: an owner that takes over must know of the
+  /// failure.
   /// @return the result to store, if any; `NoResult` if the item is unknown
   ///     or already has a result
   ItemDecision OnRunEnd(const ItemRef& item, const RunEnd& end, Instant now);
+  /// Lets an item be placed again whose number of failed runs is in the store.
+  /// Does nothing if the item does not wait for that.
+  void OnFailureStored(const ItemRef& item);
+  /// Sets the number of failed runs that an earlier owner stored.
+  /// @return ListTerminated if the item may not run again, else NoResult
+  ItemDecision RestoreFailures(const ItemRef& item, int failures);
+  /// Returns the number of failed runs of an item; 0 if it is unknown.
+  int failures(const ItemRef& item) const;
   /// Marks an item as done whose score was received or given up.
   /// @return false if the item is unknown or does not await a score
   bool OnScoreEnd(const ItemRef& item);
@@ -149,7 +159,14 @@
   static constexpr std::chrono::milliseconds kRetryDelay{60};
 
  private:
-  enum class State { kWaiting, kRunning, kAwaitingScore, kDone };
+  enum class State {
+    kWaiting,
+    /// The number of failed runs is not stored yet.
+    kStoringFailure,
+    kRunning,
+    kAwaitingScore,
+    kDone
+  };
   struct Item {
     State state = State::kWaiting;
     int failures = 0;
@@ -166,6 +183,8 @@
   };
 
   Item* FindItem(const ItemRef& ref);
+  /// Returns whether an item has failed as often as the limits allow.
+  bool HasFailedTooOften(const ItemRef& ref, const Item& item) const;
   /// Returns the batches in the order of their deadlines.
   std::vector<Entry*> EntriesByDeadline();
 
--- a/src/batches/part_owner.h
+++ b/src/batches/part_owner.h
@@ -156,6 +156,15 @@
   /// Uses kept outputs for the items of a new batch.
   void ReuseLeftovers(const std::string& id);
   void RestoreProgress(const std::string& id, const Batch& batch);
+  /// Stores the number of failed runs of an item, before which it does not run
+  /// again.
+  void StoreFailure(const ItemRef& item, const ItemProgress& progress);
+  /// Restores the number of failed runs that earlier owners stored.
+  /// @return whether the item may not run again; it is then listed as
+  /// terminated
+  bool RestoreFailures(
+      const ItemRef& item,
+      const std::map<std::uint32_t, v1::ProgressRecord>& records);
   /// Returns records that delete an item's stored progress, and removes its
   /// entry from `stored_progress_`.
   std::vector<platform::KeyedRecord> TakeProgressDeletions(const ItemRef& item);
--- a/src/batches/part_owner_runs.cc
+++ b/src/batches/part_owner_runs.cc
@@ -423,6 +423,9 @@
   } else if (stale) {
     DeleteItemProgress(item);
   } else {
+    if (std::holds_alternative<RunFailed>(end)) {
+      StoreFailure(item, progress);
+    }
     progress.interrupted = context_.clock.now();
     progress_[item] = context_.output_memory.Hold(std::move(progress));
   }
--- a/src/batches/part_owner_storage.cc
+++ b/src/batches/part_owner_storage.cc
@@ -161,7 +161,7 @@
                                      const Batch& batch) {
   const std::vector<v1::BatchItem>& items = items_->open_items(id);
   for (std::size_t i = 0; i < items.size(); ++i) {
-    const auto stored = batch.progress.find(items[i].id());
+    const auto stored = batch.progress.find(ProgressIdOf(items[i].id()));
     if (stored == batch.progress.end() ||
         batch.listed.contains(items[i].id())) {
       continue;
@@ -169,21 +169,27 @@
     const ItemRef item{id, i};
     ItemProgress progress;
     StoredProgress& saved = stored_progress_[item];
+    saved.records = stored->second.rbegin()->first + 1;
     for (const auto& [number, record] : stored->second) {
-      saved.records = number + 1;
       if (!progress.AppendRecord(record)) {
         break;
       }
     }
     saved.last_event = progress.last_event;
     saved.complete = progress.complete;
+    const bool terminated =
+        !progress.complete && RestoreFailures(item, stored->second);
     context_.log.Write(
         "item.restored",
         {{"request", items[i].id()},
          {"batch", id},
          {"complete", progress.complete},
+         {"failures", static_cast<std::int64_t>(scheduler_.failures(item))},
          {"fits", Fits(item, progress)},
          {"events", static_cast<std::int64_t>(progress.last_event)}});
+    if (terminated) {
+      continue;
+    }
     if (!Fits(item, progress)) {
       DeleteItemProgress(item);
       continue;
@@ -201,9 +207,8 @@
 
 void PartitionOwner::SaveCompleteOutput(const ItemRef& item,
                                         const ItemProgress& progress) {
-  const v1::BatchItem& stored = *FindItem(item);
   StoredProgress& saved = stored_progress_[item];
-  if (!IsValidKeyId(stored.id()) || saved.complete) {
+  if (saved.complete) {
     return;
   }
   AppendRecords(item.batch, TakeProgressRecords(item, progress), nullptr);
@@ -212,11 +217,12 @@
 
 std::vector<platform::KeyedRecord> PartitionOwner::TakeProgressRecords(
     const ItemRef& item, const ItemProgress& progress) {
-  const std::string& id = FindItem(item)->id();
+  const std::string id = ProgressIdOf(FindItem(item)->id());
   StoredProgress& saved = stored_progress_[item];
   std::vector<platform::KeyedRecord> records;
-  for (const v1::ProgressRecord& record :
+  for (v1::ProgressRecord& record :
        progress.RecordsSince(saved.last_event, context_.max_record_bytes)) {
+    record.set_failures(static_cast<std::uint32_t>(scheduler_.failures(item)));
     records.push_back({Encode(ProgressKey{item.batch, id, saved.records}),
                        record.SerializeAsString()});
     ++saved.records;
@@ -232,10 +238,7 @@
   std::map<std::string, std::vector<platform::KeyedRecord>> records;
   for (const auto& [item, running] : runs_) {
     const ItemProgress& progress = running.run->progress();
-    const StoredProgress& saved = stored_progress_[item];
-    const v1::BatchItem* stored = FindItem(item);
-    if (progress.last_event < saved.last_event + min_events ||
-        !IsValidKeyId(stored->id())) {
+    if (progress.last_event < stored_progress_[item].last_event + min_events) {
       continue;
     }
     std::vector<platform::KeyedRecord>& queued = records[item.batch];
@@ -255,10 +258,9 @@
   if (saved == stored_progress_.end()) {
     return deletions;
   }
+  const std::string id = ProgressIdOf(FindItem(item)->id());
   for (std::uint32_t i = 0; i < saved->second.records; ++i) {
-    deletions.push_back(
-        {Encode(ProgressKey{item.batch, FindItem(item)->id(), i}),
-         std::nullopt});
+    deletions.push_back({Encode(ProgressKey{item.batch, id, i}), std::nullopt});
   }
   stored_progress_.erase(saved);
   return deletions;
@@ -266,9 +268,42 @@
 
 void PartitionOwner::DeleteItemProgress(const ItemRef& item) {
   std::vector<platform::KeyedRecord> deletions = TakeProgressDeletions(item);
-  if (!deletions.empty()) {
-    AppendRecords(item.batch, std::move(deletions), nullptr);
+  if (deletions.empty()) {
+    return;
+  }
+  if (scheduler_.failures(item) > 0) {
+    // The events are deleted, the failed runs still count.
+    for (platform::KeyedRecord& record : TakeProgressRecords(item, {})) {
+      deletions.push_back(std::move(record));
+    }
+  }
+  AppendRecords(item.batch, std::move(deletions), nullptr);
+}
+
+void PartitionOwner::StoreFailure(const ItemRef& item,
+                                  const ItemProgress& progress) {
+  AppendRecords(item.batch, TakeProgressRecords(item, progress),
+                [weak = weak_from_this(), item] {
+                  if (const auto owner = weak.lock()) {
+                    owner->scheduler_.OnFailureStored(item);
+                    owner->PostSchedule();
+                  }
+                });
+}
+
+bool PartitionOwner::RestoreFailures(
+    const ItemRef& item,
+    const std::map<std::uint32_t, v1::ProgressRecord>& records) {
+  std::uint32_t failures = 0;
+  for (const auto& [number, record] : records) {
+    failures = std::max(failures, record.failures());
+  }
+  const bool terminated = std::holds_alternative<ListTerminated>(
+      scheduler_.RestoreFailures(item, static_cast<int>(failures)));
+  if (terminated) {
+    ListResult(item, v1::ITEM_STATE_TERMINATED, {}, "");
   }
+  return terminated;
 }
 
 void PartitionOwner::DeleteBatchProgress(const std::string& id) {
--- a/test/item_scheduler_test.cc
+++ b/test/item_scheduler_test.cc
@@ -128,6 +128,9 @@
         scheduler.OnRunEnd({"batch", 0}, RunFailed{}, now);
     cr_assert_eq(std::holds_alternative<ListTerminated>(step), attempt == 3);
     now += ItemScheduler::kRetryDelay;
+    cr_assert(PlaceAllItems(scheduler, now).empty(),
+              "the failure is not stored yet");
+    scheduler.OnFailureStored({"batch", 0});
   }
   cr_assert(PlaceAllItems(scheduler, now).empty());
 }
