The size limit of a peer is not that of the store

A writer drops what the store refuses for its size. A call that a peer relays may be refused for the peer's own limit with the same status, so that an answer of the store now bears a mark; without it a 413 counts as not run and the call is made again. Nodes of an earlier release set no mark, so that a record that is too large is tried again as long as only they relay.

Test: store_relay::size_limit_of_a_peer_is_taken_for_that_of_the_store.

--- a/src/node/store_relay.cc
+++ b/src/node/store_relay.cc
@@ -19,6 +19,9 @@
 constexpr char kTargetHeader[] = "relay-target";
 constexpr char kTimeoutHeader[] = "relay-timeout-ms";
 constexpr char kRefusedHeader[] = "relay-refused";
+// Marks the answers of the store.
+constexpr char kRelayedHeader[] = "relayed";
+constexpr int kPayloadTooLarge = 413;
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
 
@@ -134,12 +137,21 @@
       std::move(relay), [this, alive = alive_, peer = peer_index_,
                          on_done = std::move(on_done)](http::Result result) {
         const auto* response = std::get_if<http::Response>(&result);
-        const bool relayed =
-            response != nullptr && !response->headers.contains(kRefusedHeader);
+        const bool too_large_for_peer =
+            response != nullptr && response->status == kPayloadTooLarge &&
+            !response->headers.contains(kRelayedHeader);
+        const bool relayed = response != nullptr && !too_large_for_peer &&
+                             !response->headers.contains(kRefusedHeader);
         if (*alive && !relayed && peer == peer_index_) {
           peer_index_ = peers_.empty() ? 0 : (peer_index_ + 1) % peers_.size();
         }
-        on_done(std::move(result));
+        if (too_large_for_peer) {
+          // The limit is the peer's, not the store's.
+          on_done(http::Failure{Verdict::kNotRun,
+                                "the call is too large for the peer"});
+        } else {
+          on_done(std::move(result));
+        }
       });
 }
 
@@ -173,7 +185,8 @@
   request.timeout = timeout;
   SendDirect(std::move(request), [exchange](const http::Result& result) {
     if (const auto* response = std::get_if<http::Response>(&result)) {
-      exchange->Reply(response->status, response->body);
+      exchange->Reply(response->status, response->body,
+                      {{kRelayedHeader, "1"}});
     } else if (std::get<http::Failure>(result).verdict == Verdict::kNotRun) {
       exchange->Reply(kServiceUnavailable, "", {{kRefusedHeader, "1"}});
     } else {
--- a/test/store_relay_test.cc
+++ b/test/store_relay_test.cc
@@ -9,6 +9,7 @@
 #include "fakes/free_port.h"
 #include "fakes/loop_wait.h"
 #include "fakes/platform/fake_platform.h"
+#include "fakes/raw_server.h"
 #include "platform/store_client.h"
 #include "soak/proxy.h"
 
@@ -111,5 +112,49 @@
       "probes restore the direct path");
 }
 
+// Guards against records that are dropped as too large for the store, although
+// only the peer that should have relayed them refused them.
+Test(store_relay, size_limit_of_a_peer_is_taken_for_that_of_the_store) {
+  const auto refuse = [](int /*request*/) {
+    return fakes::RawAnswer{"HTTP/1.1 413 Large\r\nContent-Length: 0\r\n\r\n"};
+  };
+  for (const bool relayed : {false, true}) {
+    TwoNodes nodes;
+    fakes::RawServer refusing(nodes.loop, refuse);
+    // The peer refuses the call itself, or relays the refusal of its store.
+    StoreRelay peer_relay{
+        nodes.loop,   nodes.clock,  nodes.log,           nodes.metrics,
+        nodes.client, nodes.random, refusing.endpoint(), {}};
+    const Endpoint peer_address{"127.0.0.1", fakes::FreePort()};
+    http::Server peer_server{nodes.loop, {}};
+    peer_relay.Register(peer_server);
+    cr_assert(peer_server.Listen(peer_address));
+    StoreRelay relay{nodes.loop,
+                     nodes.clock,
+                     nodes.log,
+                     nodes.metrics,
+                     nodes.client,
+                     nodes.random,
+                     nodes.link.endpoint(),
+                     {relayed ? peer_address : refusing.endpoint()}};
+    platform_adapter::StoreClient calls{relay, nodes.link.endpoint()};
+    nodes.link.Set(soak::LinkState::kReset);
+    std::optional<platform::AppendOutcome> last;
+    const base::Timer retry = nodes.loop.Every(milliseconds(50), [&] {
+      calls.Append(
+          {"t", 0}, {{"k", "v"}}, {}, milliseconds(300),
+          [&last](const platform::AppendOutcome& outcome) { last = outcome; });
+    });
+    fakes::RunFor(nodes.loop, milliseconds(1'000));
+    cr_assert(last.has_value());
+    cr_expect_eq(std::holds_alternative<platform::TooLarge>(*last), relayed);
+    if (!relayed) {
+      const auto* failure = std::get_if<platform::PlatformFailure>(&*last);
+      cr_assert_not_null(failure);
+      cr_expect(failure->verdict == Verdict::kNotRun);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace mulberryroad::node
