An upstream's promise "not run" counts only with its statement

Cause: ClassifyResponse took 408, 429 and 503 without the statement for complete answers, and those are delivered as they are.

--- a/src/node/forward_codec.cc
+++ b/src/node/forward_codec.cc
@@ -155,6 +155,11 @@
       return serving::NotRun{outcome.reason(), /*full=*/false,
                              /*unreachable=*/true};
     case v1::ForwardedOutcome::COMPLETE:
+      if (serving::PromisesNotRun(outcome.status())) {
+        // A peer of an earlier release.
+        return serving::MayHaveRun{"the upstream of a peer answered status " +
+                                   std::to_string(outcome.status())};
+      }
       return serving::CompleteResponse{outcome.status(),
                                        DecodeHeaders(outcome.headers()),
                                        outcome.body(), outcome.signature()};
--- a/src/serving/upstream_caller.cc
+++ b/src/serving/upstream_caller.cc
@@ -10,9 +10,18 @@
 
 // Characters of the hexadecimal digest that are kept: 96 bits.
 constexpr std::size_t kDigestLength = 24;
+constexpr int kRequestTimeout = 408;
+constexpr int kMisdirected = 421;
+constexpr int kTooManyRequests = 429;
+constexpr int kServiceUnavailable = 503;
 
 }  // namespace
 
+bool PromisesNotRun(int status) {
+  return status == kRequestTimeout || status == kMisdirected ||
+         status == kTooManyRequests || status == kServiceUnavailable;
+}
+
 std::string ContentDigest(const OutgoingRequest& request) {
   const std::string& body = request.body;
   std::string head;
--- a/src/serving/upstream_caller.h
+++ b/src/serving/upstream_caller.h
@@ -55,8 +55,9 @@
   /// if the process of the upstream crashes.
   bool connection_lost = false;
 };
-/// A complete response of the upstream.
+/// A complete response of the upstream: it ran the request.
 struct CompleteResponse {
+  /// Never one that promises that the request was not run.
   int status = 0;
   http::Headers headers;
   /// Empty if the response was streamed.
@@ -66,6 +67,11 @@
 };
 using UpstreamOutcome = std::variant<NotRun, MayHaveRun, CompleteResponse>;
 
+/// Returns whether a status promises a caller that its request was not run and
+/// never will be: 408, 421, 429 and 503. A caller sends the request again then, so
+/// that such a status must not be passed on for a request that may have run.
+bool PromisesNotRun(int status);
+
 /// Status and headers of a streamed response.
 struct StreamStart {
   int status = 0;
--- a/test/forward_test.cc
+++ b/test/forward_test.cc
@@ -98,6 +98,15 @@
   cr_expect(whole.body == "body" && whole.signature == "seal");
 }
 
+// Guards against the answers that a peer of an earlier release passes on.
+Test(forward_codec, promise_of_an_upstream_that_ran_the_request_is_passed_on) {
+  for (const int status : {408, 421, 429, 503}) {
+    const UpstreamOutcome outcome = DecodeOutcome(
+        EncodeOutcome(CompleteResponse{status, {}, "no", "seal"}).outcome());
+    cr_expect(std::holds_alternative<MayHaveRun>(outcome), "%d", status);
+  }
+}
+
 Test(forward_codec, frames_are_split_wherever_the_bytes_break) {
   const std::string bytes = Serialize(EncodeEvent({"b", "1", "d", 2})) +
                             Serialize(EncodeOutcome(NotRun{"r"}));
--- a/test/process/hostile_clients.h
+++ b/test/process/hostile_clients.h
@@ -118,11 +118,14 @@
   if (fd < 0) {
     return reply;
   }
-  send(fd, request.data(), request.size(), MSG_NOSIGNAL);
+  std::string_view unsent = request;
   const auto end = steady_clock::now() + limit;
   char buffer[16U << 10U];
   while (steady_clock::now() < end) {
-    pollfd ready{fd, POLLIN, 0};
+    const ssize_t sent = send(fd, unsent.data(), unsent.size(), MSG_NOSIGNAL);
+    unsent.remove_prefix(sent > 0 ? static_cast<std::size_t>(sent) : 0);
+    const bool writes = !unsent.empty() && (sent >= 0 || errno == EAGAIN);
+    pollfd ready{fd, static_cast<short>(writes ? POLLIN | POLLOUT : POLLIN), 0};
     poll(&ready, 1, 50);
     const ssize_t got = recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT);
     if (got > 0) {
--- a/test/process/hostile_upstream.h
+++ b/test/process/hostile_upstream.h
@@ -7,19 +7,40 @@
 #include <atomic>
 #include <functional>
 #include <list>
+#include <optional>
 #include <thread>
 
 #include "process/hostile_clients.h"
 
 namespace mulberryroad::process {
 
+/// What follows an answer.
+enum class AnswerEnd {
+  kKeepOpen,
+  /// Closes the connection.
+  kClose,
+  /// Ends the sending side in order and keeps the other one open.
+  kShutdown,
+  kReset,
+};
+
 /// Answer to one request.
 struct ScriptedAnswer {
   std::string bytes;
   /// Sent over and over again behind `bytes`, until the client closes.
   std::string repeated = {};
-  /// Ends the connection behind `bytes`.
-  bool close = false;
+  AnswerEnd end = AnswerEnd::kKeepOpen;
+  /// Time between `bytes` and the end.
+  milliseconds pause{0};
+};
+
+/// When an upstream answers a request.
+enum class AnswerTime {
+  kWholeRequest,
+  /// Behind the head. The body is read meanwhile.
+  kHead,
+  /// Behind the head. No body is read.
+  kHeadOnly,
 };
 
 /// Listens on a port of its own and keeps itself registered. Runs in a thread.
@@ -30,10 +51,12 @@
       std::function<ScriptedAnswer(const std::string& request_head)>;
 
   HostileUpstream(Endpoint platform, const std::string& id,
-                  const std::string& service, Answerer answerer)
+                  const std::string& service, Answerer answerer,
+                  AnswerTime answer_time = AnswerTime::kWholeRequest)
       : platform_(std::move(platform)),
         id_(id),
-        answerer_(std::move(answerer)) {
+        answerer_(std::move(answerer)),
+        answer_time_(answer_time) {
     entry_ = {
         {"service", service},
         {"addr", ToString(endpoint_)},
@@ -103,6 +126,9 @@
     ScriptedAnswer answer;
     bool answering = false;
     std::size_t repeated_at = 0;
+    /// When the last byte of the answer was sent.
+    std::optional<steady_clock::time_point> sent_at = {};
+    bool shut_down = false;
   };
 
   void Register() {
@@ -121,7 +147,7 @@
       bool busy = false;
       for (int fd = accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK);
            fd >= 0; fd = accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK)) {
-        connections_.push_back({fd, {}, {}, {}, false, 0});
+        connections_.push_back({fd, {}, {}, {}});
         busy = true;
       }
       for (auto it = connections_.begin(); it != connections_.end();) {
@@ -144,6 +170,11 @@
 
   Step Advance(Connection* connection) {
     char buffer[16U << 10U];
+    const bool reads =
+        answer_time_ != AnswerTime::kHeadOnly || !connection->answering;
+    if (!reads) {
+      return SendAnswer(connection);
+    }
     const ssize_t got =
         recv(connection->fd, buffer, sizeof(buffer), MSG_DONTWAIT);
     if (got == 0 || (got < 0 && errno != EAGAIN)) {
@@ -165,9 +196,12 @@
       return false;
     }
     const std::string head = connection->received.substr(0, end + 4);
-    const std::size_t size =
-        head.size() +
-        std::strtoull(HeaderOf(head, "Content-Length").c_str(), nullptr, 10);
+    const std::size_t body_size =
+        answer_time_ == AnswerTime::kWholeRequest
+            ? std::strtoull(HeaderOf(head, "Content-Length").c_str(), nullptr,
+                            10)
+            : 0;
+    const std::size_t size = head.size() + body_size;
     if (connection->received.size() < size) {
       return false;
     }
@@ -183,8 +217,7 @@
     const ScriptedAnswer& answer = connection->answer;
     const bool repeats = connection->unsent.empty();
     if (repeats && answer.repeated.empty()) {
-      connection->answering = false;
-      return answer.close ? Step::kEnded : Step::kMoved;
+      return EndAnswer(connection);
     }
     const std::string_view bytes =
         repeats
@@ -205,11 +238,42 @@
     return Step::kMoved;
   }
 
+  Step EndAnswer(Connection* connection) {
+    const ScriptedAnswer& answer = connection->answer;
+    if (!connection->sent_at.has_value()) {
+      connection->sent_at = steady_clock::now();
+    }
+    if (steady_clock::now() < *connection->sent_at + answer.pause ||
+        connection->shut_down) {
+      return Step::kIdle;
+    }
+    switch (answer.end) {
+      case AnswerEnd::kKeepOpen:
+        connection->answering = answer_time_ != AnswerTime::kWholeRequest;
+        connection->sent_at.reset();
+        return Step::kMoved;
+      case AnswerEnd::kShutdown:
+        shutdown(connection->fd, SHUT_WR);
+        connection->shut_down = true;
+        return Step::kMoved;
+      case AnswerEnd::kReset: {
+        const linger discard{.l_onoff = 1, .l_linger = 0};
+        setsockopt(connection->fd, SOL_SOCKET, SO_LINGER, &discard,
+                   sizeof(discard));
+        return Step::kEnded;
+      }
+      case AnswerEnd::kClose:
+        return Step::kEnded;
+    }
+    return Step::kEnded;
+  }
+
   Endpoint platform_;
   Endpoint endpoint_{"127.0.0.1", fakes::FreePort()};
   std::string id_;
   json entry_;
   Answerer answerer_;
+  AnswerTime answer_time_;
   int listener_ = -1;
   std::list<Connection> connections_;
   std::atomic<int> requests_{0};
@@ -218,6 +282,26 @@
   std::thread heartbeat_;
 };
 
+/// Publishes a manifest in which the requests of a route go to another service.
+/// @param max_attempts number of upstreams to which a request may be sent
+inline void RouteToService(const NodeRun& run, const std::string& route,
+                           const std::string& service, int max_attempts) {
+  json manifest = soak::MakeManifest(2, /*with_withdrawn_key=*/false);
+  for (json& entry : manifest["routes"]) {
+    if (entry["name"] == route) {
+      entry["service"] = service;
+      entry["maxAttempts"] = max_attempts;
+    }
+  }
+  manifest["services"].push_back({{"name", service}});
+  const std::string text = manifest.dump();
+  cr_assert_eq(
+      NodeRun::Request(run.platform(),
+                       "POST /operator/put?key=config HTTP/1.1\r\nHost: p",
+                       text.size(), text),
+      200);
+}
+
 }  // namespace mulberryroad::process
 
 #endif  // MULBERRYROAD_TEST_PROCESS_HOSTILE_UPSTREAM_H_
--- a/test/process/hostile_upstreams_process_test.cc
+++ b/test/process/hostile_upstreams_process_test.cc
@@ -211,20 +211,7 @@
       : run_(name, kSmallestMemoryMb, kSmallestMaxFds, kRealMaxBodyBytes),
         fields_(std::move(fields)),
         encoded_body_(std::move(encoded_body)) {
-    json manifest = soak::MakeManifest(2, /*with_withdrawn_key=*/false);
-    for (json& entry : manifest["routes"]) {
-      if (entry["name"] == route) {
-        entry["service"] = "cutters";
-        entry["maxAttempts"] = 1;
-      }
-    }
-    manifest["services"].push_back({{"name", "cutters"}});
-    const std::string text = manifest.dump();
-    cr_assert_eq(
-        NodeRun::Request(run_.platform(),
-                         "POST /operator/put?key=config HTTP/1.1\r\nHost: p",
-                         text.size(), text),
-        200);
+    RouteToService(run_, route, "cutters", /*max_attempts=*/1);
     // Several, as one that fails is not used for some time.
     for (int i = 0; i < 2 * kUpstreams; ++i) {
       upstreams_.push_back(std::make_unique<HostileUpstream>(
@@ -265,7 +252,7 @@
   ScriptedAnswer Answer(const std::string& request_head) {
     const std::string whole = Whole(request_head);
     cut_answers_ += cut_ < whole.size() ? 1 : 0;
-    return ScriptedAnswer{whole.substr(0, cut_), {}, /*close=*/true};
+    return ScriptedAnswer{whole.substr(0, cut_), {}, AnswerEnd::kClose};
   }
 
   TestLock lock_;
--- a/test/upstream_client_test.cc
+++ b/test/upstream_client_test.cc
@@ -104,6 +104,44 @@
   }
 }
 
+// Guards against a status that callers take for "not run" and send the request
+// again, although the upstream ran it.
+Test(upstream_client, promise_of_an_upstream_that_ran_the_request_is_passed_on) {
+  struct Case {
+    int status;
+    const char* field;
+    bool not_run;
+  };
+  const std::vector<Case> cases = {
+      {408, "", false},
+      {429, "", false},
+      {503, "", false},
+      {503, "Not-Executed: 1\r\n", true},
+      {429, "Not-Executed: 1\r\n", true},
+      // By this status itself an upstream states that it did not run it.
+      {421, "", true},
+  };
+  for (const bool streamed : {false, true}) {
+    for (const Case& test_case : cases) {
+      Fixture fixture([&test_case](int) {
+        return RawAnswer{"HTTP/1.1 " + std::to_string(test_case.status) +
+                         " No\r\nRequest-Id: r1\r\nServer-Seal: s\r\n" +
+                         test_case.field + "Content-Length: 2\r\n\r\nno"};
+      });
+      if (streamed) {
+        fixture.stream = serving::StreamHandler{
+            [](const serving::StreamStart&) {},
+            [](const serving::StreamEvent&) {}};
+      }
+      const serving::UpstreamOutcome outcome = fixture.Send("r1");
+      cr_expect_eq(std::holds_alternative<serving::NotRun>(outcome),
+                   test_case.not_run, "%d", test_case.status);
+      cr_expect_eq(std::holds_alternative<serving::MayHaveRun>(outcome),
+                   !test_case.not_run, "%d", test_case.status);
+    }
+  }
+}
+
 Test(upstream_client, only_an_ended_connection_counts_as_a_crash) {
   struct Case {
     const char* name;
