A failed write marks the end of its connection as a reset

What was seen: an upstream answered a long upload at once with a 200 without a length, sent a part and reset the connection while the upload was being written. The caller got the part as a complete answer.

Cause: the kernel reports a reset once. If the write of the upload gets it, the read that follows sees an end in order, which completes a body without a length.

Change: a connection remembers the error of a failed write and reports it at its end. What the server sent before is still read, so that an answer that shows its own end still reaches the caller.

Evidence: early_answers::* (real processes; three framings, 200 and 500, resets at once and later, with and without the upload being read, and sound answers) failed before in all four tests ("no length, 200 OK, reset after 0 ms: a part of the answer counts as complete"), and pass now.

--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -106,14 +106,25 @@
     return;
   }
   connection->broken_ = true;
-  // After a failed write, a response that the server sent before can still be
-  // read; the end of the connection follows.
-  const bool write_failed = (events & BEV_EVENT_WRITING) != 0;
-  if (connection->user_ != nullptr && !write_failed) {
-    const bool in_order = (events & BEV_EVENT_EOF) != 0;
-    connection->user_->OnClosed(
-        in_order ? "" : evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()));
+  if ((events & BEV_EVENT_WRITING) != 0) {
+    // A response that the server sent before can still be read; the end of the
+    // connection follows.
+    connection->write_error_ =
+        evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR());
+    return;
+  }
+  if (connection->user_ == nullptr) {
+    return;
+  }
+  // The kernel reports a reset once. If a write got it, the reader sees an
+  // ordinary end.
+  if (!connection->write_error_.empty()) {
+    connection->user_->OnClosed(connection->write_error_);
+    return;
   }
+  const bool in_order = (events & BEV_EVENT_EOF) != 0;
+  connection->user_->OnClosed(
+      in_order ? "" : evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()));
 }
 
 // Reuses the connection that was idle the longest, so that with bursts of
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -80,6 +80,8 @@
   bool connected_ = false;
   bool broken_ = false;
   bool first_byte_sent_ = false;
+  /// Error of a failed write; empty if there was none.
+  std::string write_error_;
 };
 
 /// Idle connections by endpoint.
