Held outputs do not outlive their memory

Records of a writer may be destroyed with the event loop, after the memory that counts them. They refer to it weakly now. An output also counts the entries that it needs besides its text.

--- a/src/batches/item_progress.h
+++ b/src/batches/item_progress.h
@@ -49,6 +49,7 @@
   kTooLong,
 };
 
+/// Output of an item as far as its runs have received it.
 struct ItemProgress {
   EventTexts events;
   /// Id of the last event; 0 before the first.
--- a/src/batches/output_memory.cc
+++ b/src/batches/output_memory.cc
@@ -9,16 +9,25 @@
 
 // Queued records are held once more while their append is in flight.
 constexpr std::size_t kCopiesOfRecords = 2;
+// Memory of an output besides its own: the state that counts it, and its
+// entries here and at its owner.
+constexpr std::size_t kEntryBytes = 256;
 
 }  // namespace
 
 struct HeldOutput::State {
-  explicit State(http::ResponseMemory& counted_in) : memory(counted_in) {}
-  ~State() { memory.Remove(id); }
+  explicit State(const std::shared_ptr<http::ResponseMemory>& counted_in)
+      : memory(counted_in) {}
+  ~State() {
+    if (const auto counted_in = memory.lock()) {
+      counted_in->Remove(id);
+    }
+  }
   State(const State&) = delete;
   State& operator=(const State&) = delete;
 
-  http::ResponseMemory& memory;
+  /// Records of a writer may outlive the memory when the process ends.
+  std::weak_ptr<http::ResponseMemory> memory;
   http::ResponseMemory::Id id = 0;
   ItemProgress progress;
 };
@@ -39,14 +48,16 @@
 
 OutputMemory::OutputMemory(http::ResponseMemory::Reserve reserve,
                            base::StructuredLog& log, base::Metrics& metrics)
-    : memory_(std::move(reserve)), log_(log), metrics_(metrics) {}
+    : memory_(std::make_shared<http::ResponseMemory>(std::move(reserve))),
+      log_(log),
+      metrics_(metrics) {}
 
 HeldOutput OutputMemory::Hold(ItemProgress progress, Eviction eviction) {
   HeldOutput output;
   output.state_ = std::make_shared<HeldOutput::State>(memory_);
   HeldOutput::State& state = *output.state_;
   state.progress = std::move(progress);
-  const std::size_t bytes = state.progress.held_bytes();
+  const std::size_t bytes = kEntryBytes + state.progress.held_bytes();
   std::function<void()> on_evicted;
   if (eviction == Eviction::kAllowed) {
     on_evicted = [this, &state, bytes] {
@@ -54,13 +65,13 @@
           "output.evicted",
           {{"bytes", static_cast<std::int64_t>(bytes)},
            {"events", static_cast<std::int64_t>(state.progress.last_event)},
-           {"held", static_cast<std::int64_t>(memory_.held())}});
+           {"held", static_cast<std::int64_t>(memory_->held())}});
       metrics_.Count("outputs_evicted_total", {});
       state.progress = {};
     };
   }
-  state.id = memory_.Add(std::move(on_evicted));
-  memory_.Set(state.id, bytes);
+  state.id = memory_->Add(std::move(on_evicted));
+  memory_->Set(state.id, bytes);
   return output;
 }
 
@@ -72,8 +83,8 @@
              (record.value ? record.value->size() : 0);
   }
   const auto state = std::make_shared<HeldOutput::State>(memory_);
-  state->id = memory_.Add(nullptr);
-  memory_.Set(state->id, bytes * kCopiesOfRecords);
+  state->id = memory_->Add(nullptr);
+  memory_->Set(state->id, bytes * kCopiesOfRecords);
   return state;
 }
 
--- a/src/batches/output_memory.h
+++ b/src/batches/output_memory.h
@@ -19,7 +19,7 @@
 class OutputMemory;
 
 /// Owns an output and counts it. If the memory evicts the output, it becomes
-/// empty, as if the item had never run. Must not outlive the memory.
+/// empty, as if the item had never run.
 class HeldOutput {
  public:
   /// Holds an empty output.
@@ -61,14 +61,14 @@
       const std::vector<platform::KeyedRecord>& records);
   /// Returns false while what cannot be evicted takes up all of the memory. No
   /// further output should be started then.
-  bool HasRoom() { return memory_.HasRoom(); }
+  bool HasRoom() { return memory_->HasRoom(); }
   /// Bytes in use.
-  std::size_t held() const { return memory_.held(); }
+  std::size_t held() const { return memory_->held(); }
 
  private:
   friend class HeldOutput;
 
-  http::ResponseMemory memory_;
+  std::shared_ptr<http::ResponseMemory> memory_;
   base::StructuredLog& log_;
   base::Metrics& metrics_;
 };
