Stored progress of items is a unit of its own

StoredProgress makes the records that store, replace and delete the progress of items, which the partition owner did among its other work. An item that failed without events does not rewrite its record before each run any more.

--- a/src/batches/part_owner.cc
+++ b/src/batches/part_owner.cc
@@ -29,6 +29,7 @@
       epoch_(epoch),
       on_lost_(std::move(on_lost)),
       permits_(context.permits, [this] { PostSchedule(); }),
+      stored_progress_(context.max_record_bytes),
       items_(std::make_shared<BatchItems>(context.log, context.store,
                                           partition_, context.item_memory)) {}
 
@@ -325,7 +326,7 @@
     return entry.first.batch == id;
   };
   std::erase_if(progress_, of_batch);
-  DeleteBatchProgress(id);
+  AppendRecords(id, stored_progress_.TakeBatchDeletions(id), nullptr);
   std::erase_if(completed_, of_batch);
   scheduler_.Close(id);
   context_.log.Write(
--- a/src/batches/part_owner.h
+++ b/src/batches/part_owner.h
@@ -19,6 +19,7 @@
 #include "batches/item_scorer.h"
 #include "batches/leftover_outputs.h"
 #include "batches/output_memory.h"
+#include "batches/stored_progress.h"
 #include "mulberryroad/clock.h"
 #include "platform/partition_store.h"
 #include "store/fenced_writer.h"
@@ -135,7 +136,7 @@
   void AdoptRun(const ItemRef& item);
   /// Cancels the orphaned runs of a model.
   void CancelOrphans(const TargetId& model);
-  /// Queues records for the results of a batch.
+  /// Queues records for the results of a batch; does nothing without records.
   /// @param on_appended see FencedWriter::Append
   void AppendRecords(const std::string& batch,
                      std::vector<platform::KeyedRecord> records,
@@ -147,10 +148,8 @@
   void OnOrphanEnd(Orphan orphan, ItemProgress progress);
   /// Returns the key of an item of an open batch.
   ItemKey KeyOf(const ItemRef& item) const;
-  /// Deletes the stored progress of one item.
+  /// Deletes the stored events of one item; does nothing if there are none.
   void DeleteItemProgress(const ItemRef& item);
-  /// Deletes the stored progress of all items of a batch.
-  void DeleteBatchProgress(const std::string& id);
   /// Keeps the outputs of a closing batch's incomplete groups.
   void KeepLeftovers(const std::string& id);
   /// Uses kept outputs for the items of a new batch.
@@ -159,15 +158,6 @@
   /// Stores the number of failed runs of an item, before which it does not run
   /// again.
   void StoreFailure(const ItemRef& item, const ItemProgress& progress);
-  /// Restores the number of failed runs that earlier owners stored.
-  /// @return whether the item may not run again; it is then listed as
-  /// terminated
-  bool RestoreFailures(
-      const ItemRef& item,
-      const std::map<std::uint32_t, v1::ProgressRecord>& records);
-  /// Returns records that delete an item's stored progress, and removes its
-  /// entry from `stored_progress_`.
-  std::vector<platform::KeyedRecord> TakeProgressDeletions(const ItemRef& item);
   /// Opens a batch, or defers that until the first manifest is known.
   void OpenBatch(const std::string& id, const Batch& batch);
   /// Returns whether all events of an item must come from one weight version,
@@ -278,16 +268,7 @@
   serving::BackgroundPermits permits_;
   std::map<ItemRef, Running> runs_;
   std::uint64_t last_run_number_ = 0;
-  /// Extent of the stored progress of an unfinished item.
-  struct StoredProgress {
-    /// Id of the last stored event; 0 if there is none.
-    std::uint64_t last_event = 0;
-    /// Number of progress records.
-    std::uint32_t records = 0;
-    /// The stored events are the whole output.
-    bool complete = false;
-  };
-  std::map<ItemRef, StoredProgress> stored_progress_;
+  StoredProgress stored_progress_;
   /// Orphaned runs by number. An item can have several, and a run in an open
   /// batch besides, as batches that are open at the same time share items.
   std::map<std::uint64_t, Orphan> orphans_;
--- a/src/batches/part_owner_runs.cc
+++ b/src/batches/part_owner_runs.cc
@@ -346,7 +346,7 @@
     }
   }
   if (progress.last_event == 0) {
-    // The item starts again, for instance because its output was evicted.
+    // The item starts again if an output of it was evicted or did not fit.
     DeleteItemProgress(start.item);
   }
   const std::uint64_t number = ++last_run_number_;
--- a/src/batches/part_owner_storage.cc
+++ b/src/batches/part_owner_storage.cc
@@ -47,6 +47,9 @@
 void PartitionOwner::AppendRecords(const std::string& batch,
                                    std::vector<platform::KeyedRecord> records,
                                    std::function<void()> on_appended) {
+  if (records.empty()) {
+    return;
+  }
   std::shared_ptr<void> held = context_.output_memory.HoldRecords(records);
   WriterFor(batch).writer->Append(
       std::move(records),
@@ -167,27 +170,21 @@
       continue;
     }
     const ItemRef item{id, i};
-    ItemProgress progress;
-    StoredProgress& saved = stored_progress_[item];
-    saved.records = stored->second.rbegin()->first + 1;
-    for (const auto& [number, record] : stored->second) {
-      if (!progress.AppendRecord(record)) {
-        break;
-      }
-    }
-    saved.last_event = progress.last_event;
-    saved.complete = progress.complete;
+    auto [progress, failures] =
+        stored_progress_.Restore(item, items[i].id(), stored->second);
     const bool terminated =
-        !progress.complete && RestoreFailures(item, stored->second);
+        !progress.complete && std::holds_alternative<ListTerminated>(
+                                  scheduler_.RestoreFailures(item, failures));
     context_.log.Write(
         "item.restored",
         {{"request", items[i].id()},
          {"batch", id},
          {"complete", progress.complete},
-         {"failures", static_cast<std::int64_t>(scheduler_.failures(item))},
+         {"failures", static_cast<std::int64_t>(failures)},
          {"fits", Fits(item, progress)},
          {"events", static_cast<std::int64_t>(progress.last_event)}});
     if (terminated) {
+      ListResult(item, v1::ITEM_STATE_TERMINATED, {}, "");
       continue;
     }
     if (!Fits(item, progress)) {
@@ -205,30 +202,17 @@
   }
 }
 
-void PartitionOwner::SaveCompleteOutput(const ItemRef& item,
-                                        const ItemProgress& progress) {
-  StoredProgress& saved = stored_progress_[item];
-  if (saved.complete) {
-    return;
-  }
-  AppendRecords(item.batch, TakeProgressRecords(item, progress), nullptr);
-  saved.complete = true;
-}
-
 std::vector<platform::KeyedRecord> PartitionOwner::TakeProgressRecords(
     const ItemRef& item, const ItemProgress& progress) {
-  const std::string id = ProgressIdOf(FindItem(item)->id());
-  StoredProgress& saved = stored_progress_[item];
-  std::vector<platform::KeyedRecord> records;
-  for (v1::ProgressRecord& record :
-       progress.RecordsSince(saved.last_event, context_.max_record_bytes)) {
-    record.set_failures(static_cast<std::uint32_t>(scheduler_.failures(item)));
-    records.push_back({Encode(ProgressKey{item.batch, id, saved.records}),
-                       record.SerializeAsString()});
-    ++saved.records;
+  return stored_progress_.TakeRecords(item, FindItem(item)->id(), progress,
+                                      scheduler_.failures(item));
+}
+
+void PartitionOwner::SaveCompleteOutput(const ItemRef& item,
+                                        const ItemProgress& progress) {
+  if (!stored_progress_.complete(item)) {
+    AppendRecords(item.batch, TakeProgressRecords(item, progress), nullptr);
   }
-  saved.last_event = progress.last_event;
-  return records;
 }
 
 void PartitionOwner::SaveProgress(std::uint64_t min_events) {
@@ -238,7 +222,7 @@
   std::map<std::string, std::vector<platform::KeyedRecord>> records;
   for (const auto& [item, running] : runs_) {
     const ItemProgress& progress = running.run->progress();
-    if (progress.last_event < stored_progress_[item].last_event + min_events) {
+    if (progress.last_event < stored_progress_.last_event(item) + min_events) {
       continue;
     }
     std::vector<platform::KeyedRecord>& queued = records[item.batch];
@@ -251,33 +235,11 @@
   }
 }
 
-std::vector<platform::KeyedRecord> PartitionOwner::TakeProgressDeletions(
-    const ItemRef& item) {
-  std::vector<platform::KeyedRecord> deletions;
-  const auto saved = stored_progress_.find(item);
-  if (saved == stored_progress_.end()) {
-    return deletions;
-  }
-  const std::string id = ProgressIdOf(FindItem(item)->id());
-  for (std::uint32_t i = 0; i < saved->second.records; ++i) {
-    deletions.push_back({Encode(ProgressKey{item.batch, id, i}), std::nullopt});
-  }
-  stored_progress_.erase(saved);
-  return deletions;
-}
-
 void PartitionOwner::DeleteItemProgress(const ItemRef& item) {
-  std::vector<platform::KeyedRecord> deletions = TakeProgressDeletions(item);
-  if (deletions.empty()) {
-    return;
-  }
-  if (scheduler_.failures(item) > 0) {
-    // The events are deleted, the failed runs still count.
-    for (platform::KeyedRecord& record : TakeProgressRecords(item, {})) {
-      deletions.push_back(std::move(record));
-    }
-  }
-  AppendRecords(item.batch, std::move(deletions), nullptr);
+  AppendRecords(
+      item.batch,
+      stored_progress_.TakeEventDeletions(item, scheduler_.failures(item)),
+      nullptr);
 }
 
 void PartitionOwner::StoreFailure(const ItemRef& item,
@@ -291,38 +253,6 @@
                 });
 }
 
-bool PartitionOwner::RestoreFailures(
-    const ItemRef& item,
-    const std::map<std::uint32_t, v1::ProgressRecord>& records) {
-  std::uint32_t failures = 0;
-  for (const auto& [number, record] : records) {
-    failures = std::max(failures, record.failures());
-  }
-  const bool terminated = std::holds_alternative<ListTerminated>(
-      scheduler_.RestoreFailures(item, static_cast<int>(failures)));
-  if (terminated) {
-    ListResult(item, v1::ITEM_STATE_TERMINATED, {}, "");
-  }
-  return terminated;
-}
-
-void PartitionOwner::DeleteBatchProgress(const std::string& id) {
-  std::vector<platform::KeyedRecord> deletions;
-  while (true) {
-    const auto saved = stored_progress_.lower_bound({id, 0});
-    if (saved == stored_progress_.end() || saved->first.batch != id) {
-      break;
-    }
-    const ItemRef item = saved->first;
-    for (platform::KeyedRecord& deletion : TakeProgressDeletions(item)) {
-      deletions.push_back(std::move(deletion));
-    }
-  }
-  if (!deletions.empty()) {
-    AppendRecords(id, std::move(deletions), nullptr);
-  }
-}
-
 void PartitionOwner::ReuseLeftovers(const std::string& id) {
   const std::vector<v1::BatchItem>& items = items_->open_items(id);
   for (std::size_t i = 0; i < items.size(); ++i) {
@@ -399,7 +329,8 @@
     result.add_versions(version);
   }
   const std::uint32_t position = next_position_[item.batch]++;
-  std::vector<platform::KeyedRecord> records = TakeProgressDeletions(item);
+  std::vector<platform::KeyedRecord> records =
+      stored_progress_.TakeDeletions(item);
   records.insert(records.begin(), {Encode(ResultKey{item.batch, position}),
                                    result.SerializeAsString()});
   AppendRecords(item.batch, std::move(records),
