--- a/src/batches/item_run.cc
+++ b/src/batches/item_run.cc
@@ -119,9 +119,6 @@
     // A comment keeps the connection alive; it is no progress.
     return;
   }
-  if (interrupt_posted_) {
-    return;
-  }
   const AppendEventResult appended =
       progress_.AppendEvent(event, limits_.max_output_bytes);
   if (appended != AppendEventResult::kAppended) {
@@ -129,8 +126,9 @@
       // None of the upstreams that sent it can be trusted.
       progress_ = {};
     }
-    interrupt_posted_ = true;
-    loop_.Post([self = shared_from_this()] { self->InterruptAsFailed(); });
+    if (!std::exchange(interrupt_posted_, true)) {
+      loop_.Post([self = shared_from_this()] { self->InterruptAsFailed(); });
+    }
     return;
   }
   const Instant now = clock_.now();
--- a/test/contract/platform_adapter_test.cc
+++ b/test/contract/platform_adapter_test.cc
@@ -256,8 +256,10 @@
   cr_assert(std::get<serving::NotRun>(full).full);
   const auto misdirected = ClassifyResponse(id, MakeResponse(421, {}));
   cr_assert(!std::get<serving::NotRun>(misdirected).full);
-  cr_assert(std::holds_alternative<serving::CompleteResponse>(ClassifyResponse(
+  cr_assert(std::holds_alternative<serving::MayHaveRun>(ClassifyResponse(
       id, MakeResponse(503, {{"request-id", "r1"}, {"server-seal", "x"}}))));
+  cr_assert(std::holds_alternative<serving::CompleteResponse>(ClassifyResponse(
+      id, MakeResponse(500, {{"request-id", "r1"}, {"server-seal", "x"}}))));
   cr_assert(std::holds_alternative<serving::MayHaveRun>(ClassifyResponse(
       id, MakeResponse(503, {{"request-id", "r0"}, {"not-executed", "1"}}))));
 }
