--- a/src/batches/output_memory.cc
+++ b/src/batches/output_memory.cc
@@ -33,8 +33,8 @@
 };
 
 const ItemProgress& HeldOutput::progress() const {
-  static const ItemProgress kEmpty;
-  return state_ == nullptr ? kEmpty : state_->progress;
+  static const ItemProgress empty;
+  return state_ == nullptr ? empty : state_->progress;
 }
 
 ItemProgress HeldOutput::Take() {
