--- a/test/part_owner_outputs_test.cc
+++ b/test/part_owner_outputs_test.cc
@@ -14,14 +14,15 @@
 using Fixture = PartitionOwnerFixture;
 
 constexpr std::size_t kRecordBytes = 32'768;
-constexpr int kLargeEvents = 12;
+constexpr std::size_t kLargeEvents = 12;
 constexpr std::size_t kLargeEventBytes = 1'000;
 
 // Sends events after the resumed one, each of the same size.
-void SendLargeEvents(ReceivedRequest& received, int count) {
-  const int resumed = std::atoi(received.options.resume_after.c_str());
+void SendLargeEvents(ReceivedRequest& received, std::size_t count) {
+  const std::size_t resumed =
+      std::strtoull(received.options.resume_after.c_str(), nullptr, 10);
   received.options.stream->on_start({200, {}, 5});
-  for (int id = resumed + 1; id <= resumed + count; ++id) {
+  for (std::size_t id = resumed + 1; id <= resumed + count; ++id) {
     received.options.stream->on_event({"", std::to_string(id),
                                        std::string(kLargeEventBytes, 'x'),
                                        std::nullopt});
--- a/test/process/hostile_clients.h
+++ b/test/process/hostile_clients.h
@@ -125,7 +125,8 @@
     const ssize_t sent = send(fd, unsent.data(), unsent.size(), MSG_NOSIGNAL);
     unsent.remove_prefix(sent > 0 ? static_cast<std::size_t>(sent) : 0);
     const bool writes = !unsent.empty() && (sent >= 0 || errno == EAGAIN);
-    pollfd ready{fd, static_cast<short>(writes ? POLLIN | POLLOUT : POLLIN), 0};
+    pollfd ready{
+        fd, static_cast<std::int16_t>(writes ? POLLIN | POLLOUT : POLLIN), 0};
     poll(&ready, 1, 50);
     const ssize_t got = recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT);
     if (got > 0) {
