--- a/src/platform/partition_store.h
+++ b/src/platform/partition_store.h
@@ -68,9 +68,8 @@
 /// retry would be refused again.
 struct TooLarge {};
 
-using AppendOutcome =
-    std::variant<Appended, EndMismatch, Fenced, OutOfSequence, TooLarge,
-                 PlatformFailure>;
+using AppendOutcome = std::variant<Appended, EndMismatch, Fenced, OutOfSequence,
+                                   TooLarge, PlatformFailure>;
 
 /// Consecutive records of a partition.
 struct RecordPage {
--- a/src/serving/upstream_caller.h
+++ b/src/serving/upstream_caller.h
@@ -68,8 +68,8 @@
 using UpstreamOutcome = std::variant<NotRun, MayHaveRun, CompleteResponse>;
 
 /// Returns whether a status promises a caller that its request was not run and
-/// never will be: 408, 421, 429 and 503. A caller sends the request again then, so
-/// that such a status must not be passed on for a request that may have run.
+/// never will be: 408, 421, 429 and 503. A caller sends the request again then,
+/// so that such a status must not be passed on for a request that may have run.
 bool PromisesNotRun(int status);
 
 /// Status and headers of a streamed response.
--- a/test/upstream_client_test.cc
+++ b/test/upstream_client_test.cc
@@ -106,7 +106,8 @@
 
 // Guards against a status that callers take for "not run" and send the request
 // again, although the upstream ran it.
-Test(upstream_client, promise_of_an_upstream_that_ran_the_request_is_passed_on) {
+Test(upstream_client,
+     promise_of_an_upstream_that_ran_the_request_is_passed_on) {
   struct Case {
     int status;
     const char* field;
@@ -129,9 +130,9 @@
                          test_case.field + "Content-Length: 2\r\n\r\nno"};
       });
       if (streamed) {
-        fixture.stream = serving::StreamHandler{
-            [](const serving::StreamStart&) {},
-            [](const serving::StreamEvent&) {}};
+        fixture.stream =
+            serving::StreamHandler{[](const serving::StreamStart&) {},
+                                   [](const serving::StreamEvent&) {}};
       }
       const serving::UpstreamOutcome outcome = fixture.Send("r1");
       cr_expect_eq(std::holds_alternative<serving::NotRun>(outcome),
