--- a/src/batches/item_progress.cc
+++ b/src/batches/item_progress.cc
@@ -9,22 +9,23 @@
 
 // Estimate of a node of a set or map, with the allocator's overhead.
 constexpr std::size_t kNodeBytes = 64;
-// Room in a result record for the key, the id of the item, the versions and the
-// score.
+// Room in a result record for the key (255 bytes), the id of the item (1,000),
+// kMaxOutputVersions of at most 11 bytes each, and a score of kMaxScoreBytes.
 constexpr std::size_t kResultOverheadBytes = 12U << 10U;
 // Most bytes that the encoding adds to an event: a tag and its length.
 constexpr std::size_t kEncodedEventBytes = 5;
 // Room in a progress record for the key and all fields but the events.
 constexpr std::size_t kProgressOverheadBytes = 8U << 10U;
 
-std::size_t Without(std::size_t overhead, std::size_t bytes) {
+// Returns what a record of so many bytes has left beside its overhead.
+std::size_t RoomBeside(std::size_t overhead, std::size_t bytes) {
   return bytes > overhead ? bytes - overhead : 1;
 }
 
 }  // namespace
 
 std::size_t MaxOutputBytes(std::size_t max_record_bytes) {
-  return Without(kResultOverheadBytes, max_record_bytes);
+  return RoomBeside(kResultOverheadBytes, max_record_bytes);
 }
 
 void EventTexts::Append(std::string_view data) {
@@ -67,7 +68,7 @@
 std::vector<v1::ProgressRecord> ItemProgress::RecordsSince(
     std::uint64_t event, std::size_t max_bytes) const {
   const std::size_t max_events_bytes =
-      Without(kProgressOverheadBytes, max_bytes);
+      RoomBeside(kProgressOverheadBytes, max_bytes);
   std::vector<v1::ProgressRecord> records;
   std::size_t bytes = 0;
   const auto add_record = [this, &records, &bytes](std::uint64_t after) {
--- a/src/batches/item_progress.h
+++ b/src/batches/item_progress.h
@@ -16,8 +16,8 @@
 
 namespace mulberryroad::batches {
 
-/// Data of consecutive events in one string: an event of a few bytes costs
-/// little more than these.
+/// Data of consecutive events in one string, so that an event of a few bytes
+/// does not cost a string of its own.
 class EventTexts {
  public:
   /// Appends the data of the next event.
@@ -95,7 +95,8 @@
   }
 };
 
-/// Maximum number of weight versions in an output.
+/// Maximum number of weight versions in an output: an upstream could name a new
+/// one with each event.
 inline constexpr std::size_t kMaxOutputVersions = 256;
 /// Maximum size of the score of an output, in bytes.
 inline constexpr std::size_t kMaxScoreBytes = 4U << 10U;
--- a/src/batches/item_run.cc
+++ b/src/batches/item_run.cc
@@ -123,7 +123,7 @@
       progress_.AppendEvent(event, limits_.max_output_bytes);
   if (appended != AppendEventResult::kAppended) {
     if (appended == AppendEventResult::kTooLong) {
-      // None of the upstreams that sent it can be trusted.
+      // It is not known which of its runs received wrong events.
       progress_ = {};
     }
     if (!std::exchange(interrupt_posted_, true)) {
--- a/src/batches/item_scheduler.h
+++ b/src/batches/item_scheduler.h
@@ -134,8 +134,8 @@
   /// @return the result to store, if any; `NoResult` if the item is unknown
   ///     or already has a result
   ItemDecision OnRunEnd(const ItemRef& item, const RunEnd& end, Instant now);
-  /// Lets an item be placed again whose number of failed runs is in the store.
-  /// Does nothing if the item does not wait for that.
+  /// Lets an item be placed again after the number of its failed runs was
+  /// stored. Does nothing if the item does not wait for that.
   void OnFailureStored(const ItemRef& item);
   /// Sets the number of failed runs that an earlier owner stored.
   /// @return ListTerminated if the item may not run again, else NoResult
--- a/src/batches/part_owner.cc
+++ b/src/batches/part_owner.cc
@@ -443,7 +443,7 @@
     ListResult(item, v1::ITEM_STATE_TERMINATED, {}, "");
   }
   PlacementPass pass;
-  // Without room for outputs, no run is started that would add one.
+  // A new run would add an output.
   if (!context_.output_memory.HasRoom()) {
     last_pass_ = context_.clock.now();
     return;
--- a/src/batches/part_owner_runs.cc
+++ b/src/batches/part_owner_runs.cc
@@ -346,7 +346,8 @@
     }
   }
   if (progress.last_event == 0) {
-    // The item starts again if an output of it was evicted or did not fit.
+    // Events of an earlier output, which was evicted or did not fit, must not
+    // be restored before those of this run.
     DeleteItemProgress(start.item);
   }
   const std::uint64_t number = ++last_run_number_;
--- a/src/batches/stored_progress.h
+++ b/src/batches/stored_progress.h
@@ -44,8 +44,8 @@
                                                  const std::string& id,
                                                  const ItemProgress& progress,
                                                  int failures);
-  /// Returns records that delete the events of an item. Its number of failed
-  /// runs stays stored.
+  /// Returns records that delete the events of an item and keep its number of
+  /// failed runs; none if no events are stored.
   std::vector<platform::KeyedRecord> TakeEventDeletions(const ItemRef& item,
                                                         int failures);
   /// Returns records that delete all that is stored of an item.
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -139,7 +139,8 @@
       connection_->Connect();
     }
     if (reading()) {
-      // A resumed output is in memory before its next event.
+      // The receiver may hold events of earlier responses, after which this one
+      // resumes.
       CountHeld();
     }
   }
--- a/src/http/memory_budget.h
+++ b/src/http/memory_budget.h
@@ -110,8 +110,9 @@
   ///     accepted.
   bool ReserveForResponses(std::size_t bytes);
   /// Sets the bytes of the outputs that the process keeps of responses received
-  /// earlier; else like ReserveForResponses, whose uncounted share they use
-  /// too.
+  /// earlier. Outputs and responses together have one share that does not count
+  /// against the connections.
+  /// @return see ReserveForResponses
   bool ReserveForOutputs(std::size_t bytes);
 
   /// Returns whether a request that will hold so many bytes until its response
--- a/src/node/forwarding_caller.cc
+++ b/src/node/forwarding_caller.cc
@@ -278,9 +278,9 @@
     }
   }
 
-  /// Drops the callbacks, the request and its body, which would live as long as
-  /// the pointer that the sender keeps. From the event loop, as one of the
-  /// callbacks may be running.
+  /// Drops the callbacks and the request, which would otherwise live as long as
+  /// the pointer that the sender keeps. Posted, as one of the callbacks may be
+  /// running.
   void ReleaseHandlers() {
     if (*alive_) {
       caller_.loop_.Post([self = shared_from_this()] {
--- a/src/serving/upstream_caller.h
+++ b/src/serving/upstream_caller.h
@@ -57,7 +57,7 @@
 };
 /// A complete response of the upstream: it ran the request.
 struct CompleteResponse {
-  /// Never one that promises that the request was not run.
+  /// Never one for which `PromisesNotRun` holds.
   int status = 0;
   http::Headers headers;
   /// Empty if the response was streamed.
--- a/src/store/fenced_writer.h
+++ b/src/store/fenced_writer.h
@@ -76,8 +76,8 @@
   void Send();
   void OnOutcome(const platform::AppendOutcome& outcome);
   void OnAppended();
-  /// Sends the refused records again one call of `Append` at a time, and drops
-  /// them if they were alone.
+  /// Drops the records in flight if they come from one call of `Append`, else
+  /// sends those of each call on their own.
   void OnTooLarge();
 
   base::EventLoop& loop_;
--- a/test/item_progress_test.cc
+++ b/test/item_progress_test.cc
@@ -40,11 +40,13 @@
   cr_assert(progress.events.at(2) == "c");
 }
 
-// Guards against outputs of many small events, which took 32 times their size.
+// Guards against events of one byte that take 33 bytes each.
 Test(item_progress, memory_of_small_events_is_not_bounded) {
   const ItemProgress progress = LongestOutput();
   cr_assert_gt(progress.last_event, 100'000);
   cr_assert_leq(progress.text().size(), kRecordBytes);
+  // Two bytes of text and four of an offset for each event, in buffers that
+  // grow by doubling.
   cr_assert_leq(progress.held_bytes(), 8 * kRecordBytes);
 }
 
--- a/test/process/early_answers_process_test.cc
+++ b/test/process/early_answers_process_test.cc
@@ -12,7 +12,8 @@
 namespace mulberryroad::process {
 namespace {
 
-// More than the buffers of a connection take whose other side does not read.
+// More than the buffers of a connection hold while its other side does not
+// read.
 constexpr std::size_t kUploadBytes = 3'500'000;
 
 /// How an answer shows where it ends.
@@ -22,7 +23,7 @@
   std::string body;
   /// Bytes of the body of an answer that is cut.
   std::size_t cut;
-  /// What follows a whole answer at which a caller must get it.
+  /// Ends of the connection after which a caller must get the whole answer.
   std::vector<AnswerEnd> sound_ends;
 };
 
--- a/test/process/hostile_outputs_process_test.cc
+++ b/test/process/hostile_outputs_process_test.cc
@@ -16,12 +16,13 @@
 namespace {
 
 constexpr int kUpstreams = 6;
-// One in so many answers is an endless one.
+// Number of sound answers between two endless ones.
 constexpr int kSoundAnswers = 4;
 constexpr int kItemsOfBatch = 40;
 constexpr int kBatches = 6;
 constexpr int kSoundEvents = 9;
-// Below the size at which a response is given up, with an event of one byte.
+// Of one byte each, sent behind the event at which a run resumes. Together they
+// stay below the size at which a response is given up.
 constexpr int kEndlessEvents = 240'000;
 // A test in which fewer answers begin plays too little.
 constexpr int kMinEndlessAnswers = 40;
--- a/test/process/hostile_upstream.h
+++ b/test/process/hostile_upstream.h
@@ -37,9 +37,9 @@
 /// When an upstream answers a request.
 enum class AnswerTime {
   kWholeRequest,
-  /// Behind the head. The body is read meanwhile.
+  /// After the head of the request. The body is read meanwhile.
   kHead,
-  /// Behind the head. No body is read.
+  /// After the head of the request. Its body is not read.
   kHeadOnly,
 };
 
